--- /dev/null
+++ b/src/catalog/snapshot.hpp
@@ -0,0 +1,140 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "catalog/types.hpp"
+#include "common/error.hpp"
+
+namespace tarragonquay::config
+{
+class Change;
+class Snapshot;
+} // namespace tarragonquay::config
+
+namespace tarragonquay::catalog
+{
+
+/// The configuration at one revision; never changes after construction.
+class snapshot
+{
+public:
+    snapshot() = default;
+
+    /// Revision of the last change that was applied; 0 for none.
+    std::int64_t revision() const { return revision_; }
+
+    const std::map<workspace_id, workspace>& workspaces() const
+    {
+        return workspaces_;
+    }
+    const std::map<key_id, api_key>& keys() const { return keys_; }
+    const std::map<model_id, model>& models() const { return models_; }
+    const std::map<adapter_id, adapter>& adapters() const { return adapters_; }
+    const std::map<service_id, service>& services() const { return services_; }
+    const std::map<endpoint_id, endpoint>& endpoints() const
+    {
+        return endpoints_;
+    }
+    const std::vector<member>& members() const { return members_; }
+    const std::vector<member>& previous_members() const
+    {
+        return previous_members_;
+    }
+    std::int64_t membership_revision() const { return membership_revision_; }
+    /// Epoch of the split of the limiter shares.
+    std::int64_t epoch() const { return epoch_; }
+    bool epoch_open() const { return epoch_open_; }
+
+    const workspace* find_workspace(const workspace_id& id) const;
+    const model* find_model(const model_id& id) const;
+    const adapter* find_adapter(const adapter_id& id) const;
+    const service* find_service(const service_id& name) const;
+    const endpoint* find_endpoint(const endpoint_id& id) const;
+    const member* find_member(const instance_id& id) const;
+
+    /// Key with this digest; withdrawn keys are found as well.
+    const api_key* find_key_by_digest(const std::string& sha256) const;
+
+    /// Rule for a path (below the service's prefix) and method: the longest
+    /// prefix wins, then the rule that names the method. By-method default.
+    route match_route(const service& target, const std::string& path,
+        const std::string& method) const;
+
+    /// Revision of the last change of an entity such as "workspace/acme";
+    /// 0 when it does not exist.
+    std::int64_t entity_revision(const std::string& entity) const;
+
+    /// The next snapshot. Fails with `invalid_argument` when the change is
+    /// malformed or its revision does not follow, with `not_found` when it
+    /// refers to something that does not exist.
+    result<snapshot> apply(const config::Change& change) const;
+
+    config::Snapshot to_proto() const;
+    static result<snapshot> from_proto(const config::Snapshot& message);
+
+private:
+    result<void> apply_kind(const config::Change& change);
+    result<void> apply_entity_removal(const config::Change& change);
+    void index_keys();
+
+    std::int64_t revision_ = 0;
+    std::map<workspace_id, workspace> workspaces_;
+    std::map<key_id, api_key> keys_;
+    std::unordered_map<std::string, key_id> keys_by_digest_;
+    std::map<model_id, model> models_;
+    std::map<adapter_id, adapter> adapters_;
+    std::map<service_id, service> services_;
+    std::map<endpoint_id, endpoint> endpoints_;
+    std::vector<member> members_;
+    std::vector<member> previous_members_;
+    std::int64_t membership_revision_ = 0;
+    std::int64_t epoch_ = 0;
+    bool epoch_open_ = false;
+    std::map<std::string, std::int64_t> entity_revisions_;
+};
+
+/// Name of the entity that a change writes, for example "workspace/acme";
+/// empty for membership changes and epochs.
+std::string entity_of(const config::Change& change);
+
+/// State that the control thread publishes to the traffic threads.
+class published_state
+{
+public:
+    using snapshot_ptr = std::shared_ptr<const snapshot>;
+
+    published_state() : current_(std::make_shared<const snapshot>()) {}
+
+    snapshot_ptr current() const { return current_.load(); }
+    void publish(snapshot next)
+    {
+        current_.store(std::make_shared<const snapshot>(std::move(next)));
+    }
+
+    /// Whether keyed requests may be served at this time.
+    bool view_lease_valid(std::int64_t steady_ns) const
+    {
+        return steady_ns < lease_deadline_ns_.load(std::memory_order_acquire);
+    }
+    /// Deadline as nanoseconds of the monotonic clock.
+    void publish_lease_deadline(std::int64_t steady_ns)
+    {
+        lease_deadline_ns_.store(steady_ns, std::memory_order_release);
+    }
+
+    bool stopping() const { return stopping_.load(); }
+    void publish_stopping() { stopping_.store(true); }
+
+private:
+    std::atomic<snapshot_ptr> current_;
+    std::atomic<std::int64_t> lease_deadline_ns_{0};
+    std::atomic<bool> stopping_{false};
+};
+
+} // namespace tarragonquay::catalog
--- /dev/null
+++ b/src/events/recorder.hpp
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace tarragonquay::events
+{
+
+/// Time of an event: wall clock and a counter that keeps causal order when
+/// the clocks of two instances disagree (hybrid logical clock).
+struct timestamp
+{
+    std::int64_t wall_ms = 0;
+    std::int32_t logical = 0;
+
+    auto operator<=>(const timestamp&) const = default;
+};
+
+/// What happened; the name of the kind is its snake-case spelling.
+enum class kind
+{
+    process_started,
+    process_stopping,
+    revision_applied,
+    membership_changed,
+    epoch_opened,
+    member_silent,
+    view_lease_lost,
+    view_lease_renewed,
+    key_withdrawn,
+    stream_cancelled,
+    request_refused,
+    order_recorded,
+    order_dispatched,
+    order_completed,
+    order_outcome_unknown,
+    order_not_run,
+    order_resolved,
+    shares_sent,
+    shares_received,
+    placement_lease_taken,
+    placement_lease_lost,
+    command_sent,
+    command_concluded,
+    endpoint_suspected,
+    endpoint_recovered,
+    endpoint_leaving,
+    store_unreachable,
+    store_reachable
+};
+
+std::string to_string(kind value);
+
+struct event
+{
+    timestamp time;
+    std::string instance;
+    events::kind kind = kind::process_started;
+    /// Id of what it is about: a workspace, key, endpoint, order or instance.
+    std::string subject;
+    std::string detail;
+
+    auto operator<=>(const event&) const = default;
+};
+
+/// Bounded ring of the latest events of this process. Thread-safe.
+class recorder
+{
+public:
+    /// Keeps at most `capacity` events; older ones are dropped.
+    recorder(std::string instance, std::size_t capacity);
+
+    void record(
+        events::kind kind, std::string subject, std::string detail = {});
+
+    /// Moves the clock past a timestamp that another instance sent.
+    void observe(timestamp remote);
+
+    /// The clock's current value, to send along with messages.
+    timestamp now();
+
+    struct page
+    {
+        std::vector<event> events;
+        /// Pass to the next call to continue after this page.
+        std::int64_t cursor = 0;
+    };
+    /// Events after the cursor (0 for the oldest kept), at most `limit`.
+    page since(std::int64_t cursor, std::size_t limit) const;
+
+private:
+    timestamp tick();
+
+    const std::string instance_;
+    const std::size_t capacity_;
+    mutable std::mutex mutex_;
+    std::deque<event> events_;
+    std::int64_t first_cursor_ = 0;
+    timestamp last_;
+};
+
+/// Merges the events of several instances in causal order.
+std::vector<event> merge(std::vector<std::vector<event>> by_instance);
+
+} // namespace tarragonquay::events
--- /dev/null
+++ b/src/limits/types.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+#include "common/ids.hpp"
+
+namespace tarragonquay::limits
+{
+
+/// All shares of one workspace, summed over members and transfers.
+inline constexpr std::int64_t total_shares = 1'000'000;
+
+/// Tokens taken from a workspace's bucket for one request; settled once.
+struct reservation
+{
+    std::uint64_t id = 0;
+    workspace_id workspace;
+    std::int64_t tokens = 0;
+    /// Epoch of the bucket that the tokens came from.
+    std::int64_t epoch = 0;
+
+    auto operator<=>(const reservation&) const = default;
+};
+
+} // namespace tarragonquay::limits
