--- /dev/null
+++ b/src/events/recorder_test.cpp
@@ -0,0 +1,63 @@
+#include "events/recorder.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tarragonquay::events
+{
+
+class recorder_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(recorder_test);
+    CPPUNIT_TEST(keeps_only_the_latest_events);
+    CPPUNIT_TEST(cursor_continues_after_the_previous_page);
+    CPPUNIT_TEST(event_after_a_received_message_is_later_than_its_cause);
+    CPPUNIT_TEST(merge_orders_events_of_several_instances);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against unbounded growth.
+    void keeps_only_the_latest_events()
+    {
+        recorder events("i1", 2);
+        for (const char* subject : {"a", "b", "c"})
+            events.record(kind::member_silent, subject);
+        const auto page = events.since(0, 10);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), page.events.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), page.events.front().subject);
+    }
+
+    void cursor_continues_after_the_previous_page()
+    {
+        recorder events("i1", 10);
+        events.record(kind::member_silent, "a");
+        events.record(kind::member_silent, "b");
+        const auto first = events.since(0, 1);
+        const auto second = events.since(first.cursor, 10);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), second.events.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), second.events.front().subject);
+    }
+
+    // Guards against an effect sorted before its cause when the receiver's
+    // wall clock is behind the sender's.
+    void event_after_a_received_message_is_later_than_its_cause()
+    {
+        recorder events("i1", 10);
+        auto cause = events.now();
+        cause.wall_ms += 3'600'000;
+        events.observe(cause);
+        events.record(kind::revision_applied, "7");
+        CPPUNIT_ASSERT(events.since(0, 1).events.front().time > cause);
+    }
+
+    void merge_orders_events_of_several_instances()
+    {
+        const event early{{1, 0}, "i2", kind::process_started, "", ""};
+        const event late{{1, 1}, "i1", kind::process_started, "", ""};
+        const auto merged = merge({{late}, {early}});
+        CPPUNIT_ASSERT(merged.front() == early);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(recorder_test);
+
+} // namespace tarragonquay::events
