--- a/src/catalog/snapshot.hpp
+++ b/src/catalog/snapshot.hpp
@@ -13,6 +13,7 @@
 
 namespace tarragonquay::config
 {
+class Api_key;
 class Change;
 class Snapshot;
 } // namespace tarragonquay::config
@@ -72,16 +73,32 @@
 
     /// The next snapshot. Fails with `invalid_argument` when the change is
     /// malformed or its revision does not follow, with `not_found` when it
-    /// refers to something that does not exist.
+    /// refers to something that does not exist, with `already_exists` when
+    /// it reuses the id or secret of a key, and with `conflict` when it
+    /// removes what others refer to or its epoch is not the next one.
     result<snapshot> apply(const config::Change& change) const;
 
     config::Snapshot to_proto() const;
+    /// Fails with `invalid_argument`, `not_found` or `already_exists` for a
+    /// message that no sequence of changes can lead to.
     static result<snapshot> from_proto(const config::Snapshot& message);
 
+    bool operator==(const snapshot&) const = default;
+
 private:
     result<void> apply_kind(const config::Change& change);
     result<void> apply_entity_removal(const config::Change& change);
-    void index_keys();
+    result<void> apply_withdrawal(const std::string& id);
+    result<void> apply_membership(const config::Change& change);
+    result<void> apply_epoch_open(std::int64_t epoch);
+    result<void> put_key(const config::Api_key& message);
+    result<void> put(workspace value);
+    result<void> put(api_key value);
+    result<void> put(model value);
+    result<void> put(adapter value);
+    result<void> put(service value);
+    result<void> put(endpoint value);
+    result<void> set_members(std::vector<member> members);
 
     std::int64_t revision_ = 0;
     std::map<workspace_id, workspace> workspaces_;
--- /dev/null
+++ b/src/catalog/snapshot_writer.hpp
@@ -0,0 +1,142 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "catalog/rows.hpp"
+#include "common/clock.hpp"
+#include "common/log.hpp"
+#include "platform/client.hpp"
+
+namespace tarragonquay::catalog
+{
+
+/// Distance between stored snapshots in revisions.
+inline constexpr std::int64_t snapshot_interval = 256;
+
+/// Functions of the object store, so that tests need none.
+struct object_store
+{
+    std::function<void(std::string name, std::string content, time_point,
+        platform::handler<bool>)>
+        put;
+    std::function<void(std::string name, time_point,
+        platform::handler<std::optional<std::string>>)>
+        fetch;
+};
+
+/// Stores a snapshot: the object first, then the row that names it, then the
+/// erasure of log rows that no reader needs any more. A failure leaves the
+/// older snapshot and a longer log in place, which is safe. Steps run inside
+/// the store's handlers and touch no state of the replica.
+template <platform::table_store Store>
+class snapshot_writer
+    : public std::enable_shared_from_this<snapshot_writer<Store>>
+{
+public:
+    snapshot_writer(Store& store, std::int64_t revision, time_point deadline)
+        : store_(store), revision_(revision), deadline_(deadline)
+    {
+    }
+
+    void start(const object_store& objects, std::string content)
+    {
+        objects.put(rows::snapshot_object(revision_), std::move(content),
+            deadline_,
+            [self = this->shared_from_this()](const result<bool>& stored)
+            {
+                if (stored)
+                    self->read_pointer();
+                else
+                    self->give_up("object", stored.error());
+            });
+    }
+
+private:
+    void read_pointer()
+    {
+        store_.read({rows::snapshot_pointer}, deadline_,
+            [self = this->shared_from_this()](
+                const result<std::vector<platform::row>>& found)
+            {
+                if (!found)
+                    return self->give_up("pointer", found.error());
+                const auto pointer = rows::parse_revision_row(*found);
+                if (!pointer)
+                    return self->give_up("pointer", pointer.error());
+                // A slow writer must not hide a newer snapshot.
+                if (pointer->revision < self->revision_)
+                    self->write_pointer(pointer->version);
+            });
+    }
+
+    void write_pointer(std::int64_t version)
+    {
+        store_.transact({{rows::snapshot_pointer, version}},
+            {{rows::snapshot_pointer, std::to_string(revision_)}}, deadline_,
+            [self = this->shared_from_this()](
+                const result<platform::transact_outcome>& outcome)
+            {
+                if (!outcome)
+                    self->give_up("pointer", outcome.error());
+                else if (outcome->applied)
+                    self->scan_log();
+            });
+    }
+
+    void scan_log()
+    {
+        // Twice the interval catches up with an erasure that was missed.
+        store_.scan(rows::log_prefix, "", 2 * snapshot_interval, deadline_,
+            [self = this->shared_from_this()](
+                const result<platform::scan_page>& page)
+            {
+                if (page)
+                    self->erase_log(page->rows);
+                else
+                    self->give_up("log", page.error());
+            });
+    }
+
+    /// Keeps one interval below the snapshot for readers that have just
+    /// loaded the previous one.
+    void erase_log(const std::vector<platform::row>& found)
+    {
+        const auto last_erased = rows::log(revision_ - snapshot_interval);
+        std::vector<platform::write> erasures;
+        for (const auto& row : found)
+        {
+            if (row.key <= last_erased)
+                erasures.push_back({row.key, std::nullopt});
+        }
+        if (erasures.empty())
+            return;
+        store_.transact({}, std::move(erasures), deadline_,
+            [self = this->shared_from_this()](
+                const result<platform::transact_outcome>& outcome)
+            {
+                if (!outcome)
+                    self->give_up("log", outcome.error());
+            });
+    }
+
+    void give_up(std::string_view step, const error& reason)
+    {
+        TQ_LOG(logger_, warning)
+            << "Stopped storing snapshot " << revision_ << " at the " << step
+            << ": " << reason.message() << ".";
+    }
+
+    Store& store_;
+    const std::int64_t revision_;
+    const time_point deadline_;
+    log::logger logger_ = log::make_logger("catalog");
+};
+
+} // namespace tarragonquay::catalog
--- a/src/catalog/types.hpp
+++ b/src/catalog/types.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "common/error.hpp"
 #include "common/ids.hpp"
 
 namespace tarragonquay::catalog
@@ -118,4 +119,21 @@
 /// safe methods, since PUT and DELETE of callers are not known to be safe.
 bool is_idempotent(const route& rule, const std::string& method);
 
+/// 1 to 128 characters of letters, digits and "-_.:".
+bool is_valid_id(const std::string& id);
+
+/// "ip:port" with an IPv4 address or an IPv6 address in brackets.
+bool is_valid_address(const std::string& address);
+
+/// Check the fields of one value, without its references to others; fail
+/// with `invalid_argument`. Zones, regions, versions and the addresses of
+/// members may be empty.
+result<void> validate(const workspace& value);
+result<void> validate(const api_key& value);
+result<void> validate(const model& value);
+result<void> validate(const adapter& value);
+result<void> validate(const service& value);
+result<void> validate(const endpoint& value);
+result<void> validate(const member& value);
+
 } // namespace tarragonquay::catalog
