Add the peer transport, view lease, membership and limiter

The peer schema gains the sender's address, so that an instance that is not a member yet can be answered, and a request for level.

Run: scripts/build.sh, peering_tests.

--- /dev/null
+++ b/src/limits/limiter.cpp
@@ -0,0 +1,668 @@
+#include "limits/limiter.hpp"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "common/digest.hpp"
+
+namespace tarragonquay::limits
+{
+
+namespace
+{
+
+constexpr std::int64_t millitokens_per_token = 1000;
+// Nanoseconds times shares times tokens a second for one millitoken.
+constexpr std::int64_t refill_unit = 1'000'000'000'000;
+// Limits of one workspace; they keep all products within 128 bits.
+constexpr std::int64_t max_tokens = 1'000'000'000'000;
+constexpr duration transfer_retry = std::chrono::milliseconds(500);
+constexpr duration request_interval = std::chrono::milliseconds(100);
+// Smaller transfers cost more messages than they help.
+constexpr std::int64_t min_balance_tokens = 16;
+
+__extension__ using wide = __int128;
+
+std::int64_t equal_part(
+    const std::vector<instance_id>& members, const instance_id& instance)
+{
+    const auto found = std::find(members.begin(), members.end(), instance);
+    if (found == members.end())
+        return 0;
+    const auto count = static_cast<std::int64_t>(members.size());
+    // The first members take the remainder, so that all shares together can
+    // hold a request of the whole burst.
+    const bool extra = found - members.begin() < total_shares % count;
+    return total_shares / count + (extra ? 1 : 0);
+}
+
+} // namespace
+
+std::int64_t transfer_policy::allotment(const workspace_id& /*workspace*/,
+    const std::vector<instance_id>& members, const instance_id& instance)
+{
+    return equal_part(members, instance);
+}
+
+std::int64_t static_split_policy::allotment(const workspace_id& /*workspace*/,
+    const std::vector<instance_id>& members, const instance_id& instance)
+{
+    return equal_part(members, instance);
+}
+
+std::optional<instance_id> owner_grant_policy::owner(
+    const workspace_id& workspace, const std::vector<instance_id>& members)
+{
+    std::optional<instance_id> best;
+    std::uint64_t best_score = 0;
+    for (const auto& member : members)
+    {
+        const auto score = fast_hash(member.str(), fast_hash(workspace.str()));
+        if (!best || score > best_score)
+        {
+            best = member;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+std::int64_t owner_grant_policy::allotment(const workspace_id& workspace,
+    const std::vector<instance_id>& members, const instance_id& instance)
+{
+    return owner(workspace, members) == instance ? total_shares : 0;
+}
+
+template <class Policy>
+basic_limiter<Policy>::basic_limiter(instance_id local, std::string incarnation)
+    : local_(std::move(local)), incarnation_(std::move(incarnation))
+{
+}
+
+template <class Policy>
+std::int64_t basic_limiter<Policy>::allotment(
+    const workspace_id& workspace) const
+{
+    return is_member_ ? Policy::allotment(workspace, members_, local_) : 0;
+}
+
+template <class Policy>
+std::int64_t basic_limiter<Policy>::capacity(const bucket& of)
+{
+    return static_cast<std::int64_t>(wide(of.shares) * of.limit.burst_tokens *
+                                     millitokens_per_token / total_shares);
+}
+
+// A refund above the capacity would let a window admit more than its rate
+// and burst: level and outstanding refunds together stay within the burst.
+template <class Policy>
+void basic_limiter<Policy>::clamp(bucket& of)
+{
+    const auto most = capacity(of);
+    of.level = std::min(of.level, most);
+    if (of.level == most)
+        of.fraction = 0;
+    of.refundable = std::clamp<std::int64_t>(of.refundable, 0, most - of.level);
+}
+
+template <class Policy>
+void basic_limiter<Policy>::refill(bucket& of, time_point now)
+{
+    if (now <= of.refilled_at)
+        return;
+    const auto elapsed = std::chrono::duration_cast<std::chrono::nanoseconds>(
+        now - of.refilled_at)
+                             .count();
+    of.refilled_at = now;
+    const wide gained =
+        wide(elapsed) * of.shares * of.limit.rate_tokens_per_second +
+        of.fraction;
+    const wide room = wide(capacity(of)) - of.level;
+    of.fraction = static_cast<std::int64_t>(gained % refill_unit);
+    of.level += static_cast<std::int64_t>(
+        std::min(gained / refill_unit, std::max<wide>(room, 0)));
+    clamp(of);
+}
+
+template <class Policy>
+void basic_limiter<Policy>::apply(const limits_view& view, time_point now)
+{
+    for (auto& [id, item] : buckets_)
+        refill(item, now);
+    if (view.epoch != epoch_)
+        close_epoch(view, now);
+    apply_workspaces(view, now);
+    if (view.epoch_open && !open_)
+        open_epoch(now);
+    serve_waiters(now);
+}
+
+template <class Policy>
+void basic_limiter<Policy>::close_epoch(
+    const limits_view& view, time_point /*now*/)
+{
+    epoch_ = view.epoch;
+    open_ = false;
+    members_.clear();
+    is_member_ = false;
+    for (const auto& member : view.members)
+    {
+        members_.push_back(member.instance);
+        is_member_ = is_member_ || (member.instance == local_ &&
+                                       member.incarnation == incarnation_);
+    }
+    std::sort(members_.begin(), members_.end());
+    outgoing_.clear();
+    received_.clear();
+    demands_.clear();
+    // Refunds end with the epoch, because their shares may have moved.
+    reservations_.clear();
+    std::erase_if(
+        buckets_, [](const auto& entry) { return entry.second.removed; });
+    for (auto& [id, item] : buckets_)
+    {
+        item.refundable = 0;
+        item.shares = std::min(item.shares, allotment(id));
+        clamp(item);
+    }
+}
+
+template <class Policy>
+void basic_limiter<Policy>::open_epoch(time_point /*now*/)
+{
+    open_ = true;
+    for (auto& [id, item] : buckets_)
+    {
+        item.shares = allotment(id);
+        clamp(item);
+    }
+}
+
+template <class Policy>
+void basic_limiter<Policy>::apply_workspaces(
+    const limits_view& view, time_point now)
+{
+    std::set<workspace_id> present;
+    for (const auto& limit : view.workspaces)
+    {
+        present.insert(limit.id);
+        auto bounded = limit;
+        bounded.rate_tokens_per_second = std::clamp<std::int64_t>(
+            limit.rate_tokens_per_second, 0, max_tokens);
+        bounded.burst_tokens =
+            std::clamp<std::int64_t>(limit.burst_tokens, 0, max_tokens);
+        const auto [found, created] = buckets_.try_emplace(limit.id);
+        auto& item = found->second;
+        item.limit = std::move(bounded);
+        item.removed = false;
+        if (created)
+        {
+            item.refilled_at = item.last_admitted = now;
+            item.shares = open_ ? allotment(limit.id) : 0;
+            item.level = capacity(item);
+        }
+        clamp(item);
+    }
+    for (auto& [id, item] : buckets_)
+        item.removed = !present.contains(id);
+}
+
+template <class Policy>
+result<reservation> basic_limiter<Policy>::take(
+    bucket& from, std::int64_t tokens, time_point now)
+{
+    refill(from, now);
+    const auto wanted = tokens * millitokens_per_token;
+    if (from.level < wanted)
+        return fail(error_code::rate_limited,
+            fmt::format("workspace {} has used its rate", from.limit.id.str()));
+    from.level -= wanted;
+    from.refundable += wanted;
+    from.last_admitted = now;
+    const reservation made{next_reservation_++, from.limit.id, tokens, epoch_};
+    reservations_[made.id] = {from.limit.id, wanted};
+    return made;
+}
+
+template <class Policy>
+result<reservation> basic_limiter<Policy>::admit(
+    const workspace_id& workspace, std::int64_t tokens, time_point now)
+{
+    const auto found = buckets_.find(workspace);
+    if (found == buckets_.end() || found->second.removed)
+        return fail(error_code::not_found,
+            fmt::format("workspace {} does not exist", workspace.str()));
+    auto& item = found->second;
+    if (tokens < 0)
+        return fail(error_code::invalid_argument,
+            "a request needs a number of tokens that is not negative");
+    if (tokens > item.limit.burst_tokens)
+        return fail(error_code::request_exceeds_burst,
+            fmt::format("{} tokens are more than the burst of {}", tokens,
+                item.limit.burst_tokens));
+    item.requested_tokens += tokens;
+    return take(item, tokens, now);
+}
+
+template <class Policy>
+void basic_limiter<Policy>::admit_before(const workspace_id& workspace,
+    std::int64_t tokens, time_point deadline, time_point now,
+    admit_handler handler)
+{
+    const auto waiting = waiters_.find(workspace);
+    const bool first = waiting == waiters_.end() || waiting->second.empty();
+    if (first)
+    {
+        auto admitted = admit(workspace, tokens, now);
+        if (admitted || admitted.error().code() != error_code::rate_limited ||
+            now >= deadline)
+        {
+            handler(std::move(admitted));
+            return;
+        }
+    }
+    waiters_[workspace].push_back({tokens, deadline, std::move(handler)});
+}
+
+// Waiting requests of a workspace are served in order, so that a large one
+// is not passed over for ever.
+template <class Policy>
+void basic_limiter<Policy>::serve_waiters(time_point now)
+{
+    std::vector<std::pair<admit_handler, result<reservation>>> done;
+    for (auto& [workspace, queue] : waiters_)
+    {
+        const auto found = buckets_.find(workspace);
+        while (!queue.empty())
+        {
+            auto& next = queue.front();
+            auto taken = found == buckets_.end() || found->second.removed ||
+                                 next.tokens > found->second.limit.burst_tokens
+                             ? admit(workspace, next.tokens, now)
+                             : take(found->second, next.tokens, now);
+            if (!taken && taken.error().code() == error_code::rate_limited &&
+                now < next.deadline)
+                break;
+            done.emplace_back(std::move(next.handler), std::move(taken));
+            queue.pop_front();
+        }
+        // A request behind one that still waits can expire first.
+        std::erase_if(queue,
+            [&](waiter& each)
+            {
+                if (now < each.deadline)
+                    return false;
+                done.emplace_back(std::move(each.handler),
+                    fail(error_code::rate_limited,
+                        fmt::format("workspace {} has used its rate",
+                            workspace.str())));
+                return true;
+            });
+    }
+    std::erase_if(
+        waiters_, [](const auto& entry) { return entry.second.empty(); });
+    for (auto& [handler, outcome] : done)
+        handler(std::move(outcome));
+}
+
+template <class Policy>
+void basic_limiter<Policy>::settle(
+    const reservation& reserved, std::int64_t used, time_point now)
+{
+    const auto found = reservations_.find(reserved.id);
+    const auto bucket_found = buckets_.find(reserved.workspace);
+    const auto charged = std::clamp<std::int64_t>(used, 0, max_tokens);
+    const auto debt = std::max<std::int64_t>(charged - reserved.tokens, 0) *
+                      millitokens_per_token;
+    if (bucket_found == buckets_.end())
+    {
+        if (found != reservations_.end())
+            reservations_.erase(found);
+        return;
+    }
+    auto& item = bucket_found->second;
+    refill(item, now);
+    if (found == reservations_.end())
+    {
+        // The epoch has ended: nothing is refunded, but debt still counts.
+        if (reserved.epoch != epoch_)
+            item.level -= debt;
+        return;
+    }
+    const auto refund = std::min(
+        item.refundable, std::max<std::int64_t>(reserved.tokens - charged, 0) *
+                             millitokens_per_token);
+    item.refundable =
+        std::max<std::int64_t>(item.refundable - found->second.millitokens, 0);
+    item.level += refund - debt;
+    clamp(item);
+    reservations_.erase(found);
+    serve_waiters(now);
+}
+
+template <class Policy>
+bool basic_limiter<Policy>::may_move() const
+{
+    return Policy::moves_shares && open_ && is_member_;
+}
+
+// The donor lowers its share and level before the transfer exists, so a
+// lost message loses capacity and never creates any.
+template <class Policy>
+void basic_limiter<Policy>::donate(const workspace_id& workspace, bucket& from,
+    const instance_id& to, std::int64_t shares, std::int64_t level,
+    time_point now)
+{
+    if (shares <= 0 || shares > from.shares)
+        return;
+    const auto given = std::clamp<std::int64_t>(
+        level, 0, std::max<std::int64_t>(from.level, 0));
+    from.shares -= shares;
+    from.level -= given;
+    clamp(from);
+    outgoing_transfer out;
+    out.to = to;
+    out.next_send = now;
+    out.message.set_transfer_id(
+        fmt::format("{}/{}", incarnation_, next_transfer_++));
+    out.message.set_workspace(workspace.str());
+    out.message.set_epoch(epoch_);
+    out.message.set_shares(shares);
+    out.message.set_level_millitokens(given);
+    outgoing_.emplace(out.message.transfer_id(), out);
+}
+
+// Gives the level with as many shares as can hold it.
+template <class Policy>
+void basic_limiter<Policy>::donate_level(const workspace_id& workspace,
+    bucket& from, const instance_id& to, std::int64_t level, time_point now)
+{
+    const auto given = std::min(level, from.level);
+    const wide per_share =
+        wide(from.limit.burst_tokens) * millitokens_per_token;
+    if (given <= 0 || per_share == 0)
+        return;
+    const auto shares = static_cast<std::int64_t>(std::min<wide>(
+        from.shares, (wide(given) * total_shares + per_share - 1) / per_share));
+    donate(workspace, from, to, shares, given, now);
+}
+
+template <class Policy>
+bool basic_limiter<Policy>::on_transfer(
+    const peer::Share_transfer& transfer, time_point now)
+{
+    const auto found = buckets_.find(workspace_id(transfer.workspace()));
+    const bool plausible =
+        !transfer.transfer_id().empty() && transfer.shares() > 0 &&
+        transfer.shares() <= total_shares && transfer.level_millitokens() >= 0;
+    // A bucket that does not exist yet takes the transfer when it is sent
+    // again, after the workspace has been applied here.
+    if (!may_move() || transfer.epoch() != epoch_ || !plausible ||
+        found == buckets_.end())
+        return false;
+    if (!received_.insert(transfer.transfer_id()).second)
+        return true;
+    auto& item = found->second;
+    refill(item, now);
+    item.shares = std::min(item.shares + transfer.shares(), total_shares);
+    const wide level = wide(item.level) + transfer.level_millitokens();
+    item.level =
+        static_cast<std::int64_t>(std::min<wide>(level, capacity(item)));
+    clamp(item);
+    serve_waiters(now);
+    return true;
+}
+
+template <class Policy>
+void basic_limiter<Policy>::on_transfer_ack(const peer::Share_transfer_ack& ack)
+{
+    outgoing_.erase(ack.transfer_id());
+}
+
+template <class Policy>
+void basic_limiter<Policy>::on_request(
+    const instance_id& from, const peer::Share_request& request, time_point now)
+{
+    const workspace_id workspace(request.workspace());
+    const auto found = buckets_.find(workspace);
+    if (!may_move() || request.epoch() != epoch_ || found == buckets_.end() ||
+        from == local_ ||
+        !std::binary_search(members_.begin(), members_.end(), from))
+        return;
+    // Of two members that collect level for large requests, the one with the
+    // lower id goes first; otherwise each could hold what the other needs.
+    if (waiters_.contains(workspace) && local_ < from)
+        return;
+    refill(found->second, now);
+    donate_level(
+        workspace, found->second, from, request.level_millitokens(), now);
+}
+
+template <class Policy>
+void basic_limiter<Policy>::on_demands(
+    const instance_id& from, const peer::Heartbeat& heartbeat)
+{
+    if (!std::binary_search(members_.begin(), members_.end(), from))
+        return;
+    for (const auto& demand : heartbeat.demands())
+    {
+        const workspace_id workspace(demand.workspace());
+        if (buckets_.contains(workspace))
+            demands_[workspace][from] = {demand.requested_tokens(),
+                demand.level_tokens(), demand.shares()};
+    }
+}
+
+// Gives up to half of the level that this instance does not need to the
+// member that lacks most. A report is used once, so that it is not answered
+// again before the next heartbeat.
+template <class Policy>
+void basic_limiter<Policy>::balance(time_point now)
+{
+    for (auto& [workspace, item] : buckets_)
+    {
+        auto& reports = demands_[workspace];
+        peer_demand* neediest = nullptr;
+        instance_id receiver;
+        std::int64_t most_lacking = min_balance_tokens;
+        for (auto& [member, report] : reports)
+        {
+            const auto lacking = report.requested_tokens - report.level_tokens;
+            if (lacking < most_lacking)
+                continue;
+            most_lacking = lacking;
+            neediest = &report;
+            receiver = member;
+        }
+        if (neediest == nullptr || waiters_.contains(workspace))
+            continue;
+        refill(item, now);
+        const auto own_need = item.requested_tokens * millitokens_per_token;
+        const auto spare = (item.level - own_need) / 2;
+        neediest->requested_tokens = 0;
+        if (spare >= min_balance_tokens * millitokens_per_token)
+            donate_level(workspace, item, receiver,
+                std::min(spare, most_lacking * millitokens_per_token), now);
+    }
+}
+
+template <class Policy>
+void basic_limiter<Policy>::return_grants(time_point now)
+{
+    for (auto& [workspace, item] : buckets_)
+    {
+        const auto owner = owner_grant_policy::owner(workspace, members_);
+        if (!owner || *owner == local_ || item.shares == 0 ||
+            waiters_.contains(workspace) ||
+            now - item.last_admitted < Policy::grant_time)
+            continue;
+        refill(item, now);
+        donate(workspace, item, *owner, item.shares, item.level, now);
+    }
+}
+
+template <class Policy>
+void basic_limiter<Policy>::donate_everything(time_point now)
+{
+    const auto receiver = std::find_if(members_.begin(), members_.end(),
+        [&](const instance_id& member) { return member != local_; });
+    if (receiver == members_.end())
+        return;
+    for (auto& [workspace, item] : buckets_)
+    {
+        refill(item, now);
+        // A debt is not handed over; it lowers what this instance gives.
+        donate(workspace, item, *receiver, item.shares, item.level, now);
+    }
+}
+
+template <class Policy>
+bool basic_limiter<Policy>::handed_over() const
+{
+    return outgoing_.empty() &&
+           std::all_of(buckets_.begin(), buckets_.end(),
+               [](const auto& entry) { return entry.second.shares == 0; });
+}
+
+template <class Policy>
+std::int64_t basic_limiter<Policy>::reported_level(
+    const workspace_id& workspace, const instance_id& member) const
+{
+    const auto reports = demands_.find(workspace);
+    if (reports == demands_.end())
+        return 0;
+    const auto found = reports->second.find(member);
+    return found == reports->second.end()
+               ? 0
+               : std::clamp<std::int64_t>(
+                     found->second.level_tokens, 0, max_tokens);
+}
+
+// All other members; those that reported most level come first.
+template <class Policy>
+std::vector<instance_id> basic_limiter<Policy>::donors(
+    const workspace_id& workspace) const
+{
+    std::vector<instance_id> result;
+    for (const auto& member : members_)
+    {
+        if (member != local_)
+            result.push_back(member);
+    }
+    std::stable_sort(result.begin(), result.end(),
+        [&](const instance_id& a, const instance_id& b) {
+            return reported_level(workspace, a) > reported_level(workspace, b);
+        });
+    return result;
+}
+
+template <class Policy>
+void basic_limiter<Policy>::request_level(
+    time_point now, std::vector<outgoing_message>& messages)
+{
+    for (const auto& [workspace, queue] : waiters_)
+    {
+        const auto found = buckets_.find(workspace);
+        auto& next = next_request_[workspace];
+        if (found == buckets_.end() || queue.empty() || now < next)
+            continue;
+        next = now + request_interval;
+        refill(found->second, now);
+        const auto lacking =
+            queue.front().tokens * millitokens_per_token - found->second.level;
+        if (lacking <= 0)
+            continue;
+        ask_donors(workspace, lacking, messages);
+    }
+}
+
+// Asks the members with most level first, and no more members than their
+// reports say are needed. When the reports are not enough, the rest is asked
+// of every other member, since reports are old.
+template <class Policy>
+void basic_limiter<Policy>::ask_donors(const workspace_id& workspace,
+    std::int64_t lacking, std::vector<outgoing_message>& messages) const
+{
+    for (const auto& donor : donors(workspace))
+    {
+        if (lacking <= 0)
+            return;
+        const auto reported =
+            reported_level(workspace, donor) * millitokens_per_token;
+        const auto asked = reported > 0 ? std::min(lacking, reported) : lacking;
+        lacking -= reported > 0 ? asked : 0;
+        peer::Envelope envelope;
+        auto& request = *envelope.mutable_share_request();
+        request.set_workspace(workspace.str());
+        request.set_epoch(epoch_);
+        request.set_level_millitokens(asked);
+        messages.push_back({donor, std::move(envelope)});
+    }
+}
+
+template <class Policy>
+std::vector<outgoing_message> basic_limiter<Policy>::tick(time_point now)
+{
+    serve_waiters(now);
+    std::vector<outgoing_message> messages;
+    if (!may_move())
+        return messages;
+    if (handing_over_)
+        donate_everything(now);
+    else if (Policy::grant_time > duration::zero())
+        return_grants(now);
+    else
+        balance(now);
+    if (!handing_over_)
+        request_level(now, messages);
+    for (auto& [id, transfer] : outgoing_)
+    {
+        if (now < transfer.next_send)
+            continue;
+        transfer.next_send = now + transfer_retry;
+        peer::Envelope envelope;
+        *envelope.mutable_share_transfer() = transfer.message;
+        messages.push_back({transfer.to, std::move(envelope)});
+    }
+    return messages;
+}
+
+template <class Policy>
+std::vector<peer::Workspace_demand> basic_limiter<Policy>::take_demands(
+    time_point now)
+{
+    std::vector<peer::Workspace_demand> result;
+    for (auto& [workspace, item] : buckets_)
+    {
+        if (item.removed)
+            continue;
+        refill(item, now);
+        peer::Workspace_demand demand;
+        demand.set_workspace(workspace.str());
+        demand.set_requested_tokens(item.requested_tokens);
+        demand.set_level_tokens(
+            std::max<std::int64_t>(item.level, 0) / millitokens_per_token);
+        demand.set_shares(item.shares);
+        item.requested_tokens = 0;
+        result.push_back(std::move(demand));
+    }
+    return result;
+}
+
+template <class Policy>
+bucket_state basic_limiter<Policy>::state(
+    const workspace_id& workspace, time_point now)
+{
+    const auto found = buckets_.find(workspace);
+    if (found == buckets_.end())
+        return {};
+    refill(found->second, now);
+    return {found->second.shares, found->second.level};
+}
+
+template class basic_limiter<transfer_policy>;
+template class basic_limiter<static_split_policy>;
+template class basic_limiter<owner_grant_policy>;
+
+} // namespace tarragonquay::limits
--- /dev/null
+++ b/src/limits/limiter.hpp
@@ -0,0 +1,223 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include "catalog/types.hpp"
+#include "common/clock.hpp"
+#include "common/error.hpp"
+#include "common/ids.hpp"
+#include "limits/types.hpp"
+#include "peer.pb.h"
+
+namespace tarragonquay::limits
+{
+
+/// The part of the applied configuration that decides the shares.
+struct limits_view
+{
+    std::vector<catalog::workspace> workspaces;
+    /// Members that the epoch divides the shares among.
+    std::vector<catalog::member> members;
+    std::int64_t epoch = 0;
+    bool epoch_open = false;
+};
+
+struct outgoing_message
+{
+    instance_id to;
+    peer::Envelope message;
+};
+
+/// Shares and level of one workspace at this instance.
+struct bucket_state
+{
+    std::int64_t shares = 0;
+    std::int64_t level_millitokens = 0;
+
+    auto operator<=>(const bucket_state&) const = default;
+};
+
+/// Equal parts, and shares move to where the demand is.
+struct transfer_policy
+{
+    static constexpr bool moves_shares = true;
+    /// Time after which unused shares go back to the owner; none here.
+    static constexpr duration grant_time = duration::zero();
+    static std::int64_t allotment(const workspace_id& workspace,
+        const std::vector<instance_id>& members, const instance_id& instance);
+};
+
+/// Equal parts that never move.
+struct static_split_policy
+{
+    static constexpr bool moves_shares = false;
+    static constexpr duration grant_time = duration::zero();
+    static std::int64_t allotment(const workspace_id& workspace,
+        const std::vector<instance_id>& members, const instance_id& instance);
+};
+
+/// One member owns all shares of a workspace and grants them for a while.
+struct owner_grant_policy
+{
+    static constexpr bool moves_shares = true;
+    static constexpr duration grant_time = std::chrono::seconds(1);
+    static std::int64_t allotment(const workspace_id& workspace,
+        const std::vector<instance_id>& members, const instance_id& instance);
+    static std::optional<instance_id> owner(
+        const workspace_id& workspace, const std::vector<instance_id>& members);
+};
+
+/// Token buckets of one member. The caller checks the view lease before it
+/// admits, and passes the time, which must never go back.
+template <class Policy>
+class basic_limiter
+{
+public:
+    /// `incarnation` makes the transfer ids unique.
+    basic_limiter(instance_id local, std::string incarnation);
+
+    /// Applies one state of the configuration. The states must be applied in
+    /// order and none that closes an epoch may be left out.
+    void apply(const limits_view& view, time_point now);
+
+    /// Takes tokens from the bucket. Fails with `rate_limited`, or with
+    /// `request_exceeds_burst` when no bucket could ever hold the tokens.
+    result<reservation> admit(
+        const workspace_id& workspace, std::int64_t tokens, time_point now);
+
+    using admit_handler = std::function<void(result<reservation>)>;
+    /// Like `admit`, but waits up to the deadline for refill and for level
+    /// that other members transfer. The handler may be called at once.
+    void admit_before(const workspace_id& workspace, std::int64_t tokens,
+        time_point deadline, time_point now, admit_handler handler);
+
+    /// Ends a reservation: refunds unused tokens, or charges tokens above
+    /// the reservation as debt. Does nothing for one that has ended.
+    void settle(const reservation& reserved, std::int64_t used, time_point now);
+
+    /// Handles a transfer; true when it has to be acknowledged.
+    bool on_transfer(const peer::Share_transfer& transfer, time_point now);
+    void on_transfer_ack(const peer::Share_transfer_ack& ack);
+    void on_request(const instance_id& from, const peer::Share_request& request,
+        time_point now);
+    /// Demand of another member, from its heartbeat.
+    void on_demands(const instance_id& from, const peer::Heartbeat& heartbeat);
+
+    /// Ends waiting requests, decides transfers, and returns the messages to
+    /// send now: new transfers, repeated ones and requests for level.
+    std::vector<outgoing_message> tick(time_point now);
+
+    /// Demand since the previous call, for the next heartbeat.
+    std::vector<peer::Workspace_demand> take_demands(time_point now);
+
+    /// Hands all shares to other members, now and on later ticks.
+    void hand_over() { handing_over_ = true; }
+    /// Whether nothing is held and all transfers are acknowledged.
+    bool handed_over() const;
+
+    bucket_state state(const workspace_id& workspace, time_point now);
+
+private:
+    struct bucket
+    {
+        catalog::workspace limit;
+        std::int64_t shares = 0;
+        std::int64_t level = 0;
+        // Reserved tokens whose refund still fits into the burst.
+        std::int64_t refundable = 0;
+        // Refill below one millitoken, in units of 10^-12 millitoken.
+        std::int64_t fraction = 0;
+        time_point refilled_at;
+        // A removed workspace keeps its bucket until the epoch ends, so that
+        // creating it again does not create shares.
+        bool removed = false;
+        std::int64_t requested_tokens = 0;
+        time_point last_admitted;
+    };
+    struct waiter
+    {
+        std::int64_t tokens = 0;
+        time_point deadline;
+        admit_handler handler;
+    };
+    struct outgoing_transfer
+    {
+        instance_id to;
+        peer::Share_transfer message;
+        time_point next_send;
+    };
+    struct open_reservation
+    {
+        workspace_id workspace;
+        std::int64_t millitokens = 0;
+    };
+    struct peer_demand
+    {
+        std::int64_t requested_tokens = 0;
+        std::int64_t level_tokens = 0;
+        std::int64_t shares = 0;
+    };
+
+    std::int64_t allotment(const workspace_id& workspace) const;
+    static std::int64_t capacity(const bucket& of);
+    static void clamp(bucket& of);
+    static void refill(bucket& of, time_point now);
+    void close_epoch(const limits_view& view, time_point now);
+    void open_epoch(time_point now);
+    void apply_workspaces(const limits_view& view, time_point now);
+    result<reservation> take(bucket& from, std::int64_t tokens, time_point now);
+    void serve_waiters(time_point now);
+    void donate(const workspace_id& workspace, bucket& from,
+        const instance_id& to, std::int64_t shares, std::int64_t level,
+        time_point now);
+    void donate_level(const workspace_id& workspace, bucket& from,
+        const instance_id& to, std::int64_t level, time_point now);
+    bool may_move() const;
+    void balance(time_point now);
+    void return_grants(time_point now);
+    void donate_everything(time_point now);
+    void request_level(time_point now, std::vector<outgoing_message>& messages);
+    void ask_donors(const workspace_id& workspace, std::int64_t lacking,
+        std::vector<outgoing_message>& messages) const;
+    std::int64_t reported_level(
+        const workspace_id& workspace, const instance_id& member) const;
+    std::vector<instance_id> donors(const workspace_id& workspace) const;
+
+    instance_id local_;
+    std::string incarnation_;
+    std::vector<instance_id> members_;
+    // Whether this incarnation is a member; an earlier incarnation of the
+    // same instance holds the share until the epoch ends.
+    bool is_member_ = false;
+    std::int64_t epoch_ = 0;
+    bool open_ = false;
+    std::map<workspace_id, bucket> buckets_;
+    std::map<workspace_id, std::deque<waiter>> waiters_;
+    std::map<std::uint64_t, open_reservation> reservations_;
+    std::uint64_t next_reservation_ = 1;
+    std::map<std::string, outgoing_transfer> outgoing_;
+    std::uint64_t next_transfer_ = 1;
+    // Transfers of the current epoch that were received.
+    std::unordered_set<std::string> received_;
+    std::map<workspace_id, std::map<instance_id, peer_demand>> demands_;
+    std::map<workspace_id, time_point> next_request_;
+    bool handing_over_ = false;
+};
+
+extern template class basic_limiter<transfer_policy>;
+extern template class basic_limiter<static_split_policy>;
+extern template class basic_limiter<owner_grant_policy>;
+
+/// The limiter that the daemon uses.
+using limiter = basic_limiter<transfer_policy>;
+
+} // namespace tarragonquay::limits
--- /dev/null
+++ b/src/membership/membership.hpp
@@ -0,0 +1,227 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "catalog/types.hpp"
+#include "common/clock.hpp"
+#include "common/error.hpp"
+#include "common/ids.hpp"
+#include "common/log.hpp"
+#include "config.pb.h"
+#include "membership/view_lease.hpp"
+#include "peer.pb.h"
+
+namespace tarragonquay::membership
+{
+
+inline constexpr duration heartbeat_interval = std::chrono::milliseconds(500);
+/// A peer that sent nothing for this long gets a new connection.
+inline constexpr duration reopen_after = std::chrono::seconds(2);
+/// A member that sent nothing for this long is reported as silent.
+inline constexpr duration suspicion_time = std::chrono::seconds(10);
+/// Added to F, for clocks that run at different rates.
+inline constexpr duration fencing_margin = std::chrono::seconds(1);
+
+/// The applied configuration, as far as the membership needs it.
+struct membership_view
+{
+    std::int64_t applied_revision = 0;
+    std::vector<catalog::member> members;
+    std::vector<catalog::member> previous_members;
+    std::int64_t membership_revision = 0;
+    std::int64_t epoch = 0;
+    bool epoch_open = false;
+
+    bool operator==(const membership_view&) const = default;
+};
+
+/// Whether a revision is in force, and the members that don't have it yet.
+struct in_force_report
+{
+    bool in_force = false;
+    std::vector<instance_id> missing;
+
+    bool operator==(const in_force_report&) const = default;
+};
+
+/// What the membership needs from the other parts of the daemon. Each
+/// function is called on the control thread and must be set.
+struct collaborators
+{
+    std::function<time_point()> now;
+    std::function<void(const instance_id&, peer::Envelope)> send;
+    std::function<void(const std::string&, peer::Envelope)> send_to_address;
+    std::function<void(const instance_id&, const std::string&)> set_peer;
+    std::function<void(const instance_id&)> remove_peer;
+    std::function<void(const instance_id&)> reopen;
+
+    /// Commits a change. It must fail with `conflict` unless the membership
+    /// revision, the epoch and its state are unchanged at the head of the
+    /// log. The handler must be called once.
+    using commit_handler = std::function<void(result<std::int64_t>)>;
+    std::function<void(
+        config::Change, const membership_view& base, commit_handler)>
+        commit;
+
+    /// Applies the changes that follow the applied revision and then calls
+    /// `update`; other changes are ignored.
+    std::function<void(const peer::Push&)> apply_push;
+    std::function<void(const peer::Catch_up_reply&)> apply_catch_up;
+    /// The changes after a revision, or a snapshot.
+    std::function<peer::Catch_up_reply(std::int64_t)> read_changes;
+
+    /// Receives each reply of a committed member, for the view lease.
+    std::function<void(const instance_id&, const std::string& incarnation,
+        time_point heartbeat_sent_at, std::int64_t applied_revision)>
+        record_reply;
+    /// Demand of each workspace, for the next heartbeat.
+    std::function<std::vector<peer::Workspace_demand>()> demands;
+    std::function<void(const instance_id&, const peer::Heartbeat&)> on_demands;
+    /// Called when the list of serving instances changes.
+    std::function<void(const std::vector<instance_id>&)> on_serving_changed;
+};
+
+/// Heartbeats, suspicion, membership changes and epochs of one instance.
+/// The owner calls `tick` at least every 100 ms.
+class membership
+{
+public:
+    /// `seeds` are peer addresses that are asked for the configuration while
+    /// no members are known.
+    static result<std::unique_ptr<membership>> create(catalog::member local,
+        std::vector<std::string> seeds, collaborators parts);
+    membership(const membership&) = delete;
+    membership& operator=(const membership&) = delete;
+
+    /// Sets the applied configuration; call it after every applied change.
+    void update(membership_view view);
+    /// Sets the instances that the platform lists, live or leaving.
+    void update_platform_list(const std::vector<instance_id>& instances);
+
+    void tick();
+    /// Handles a message of a peer; false when it belongs to another part.
+    bool on_message(const peer::Envelope& envelope);
+
+    /// Sends changes that were committed here to all members.
+    void push(const std::vector<config::Change>& changes);
+
+    using in_force_handler = std::function<void(in_force_report)>;
+    /// Calls the handler when a majority of the members has applied the
+    /// revision, or at the deadline.
+    void when_in_force(
+        std::int64_t revision, time_point deadline, in_force_handler handler);
+
+    /// Marks this instance as stopping in its heartbeats.
+    void begin_stopping() { stopping_ = true; }
+    /// Removes this instance from the membership.
+    void leave(std::function<void()> on_left);
+
+    /// Members that are neither silent nor stopping.
+    const std::vector<instance_id>& serving() const { return serving_; }
+    bool is_member() const { return is_current(local_); }
+    /// Whether the last membership change is acknowledged by a majority of
+    /// the old and of the new members.
+    bool settled() const { return settled_at_.has_value(); }
+    const membership_view& view() const { return view_; }
+
+private:
+    struct peer_state
+    {
+        std::string incarnation;
+        std::int64_t applied_revision = 0;
+        time_point last_heard;
+        time_point last_reopened;
+        bool stopping = false;
+        std::set<instance_id> silent;
+    };
+    struct in_force_waiter
+    {
+        std::int64_t revision = 0;
+        time_point deadline;
+        in_force_handler handler;
+    };
+    enum class action
+    {
+        none,
+        join,
+        leave,
+        remove,
+        open_epoch
+    };
+
+    membership(catalog::member local, std::vector<std::string> seeds,
+        collaborators parts);
+
+    bool is_current(const catalog::member& member) const;
+    bool is_peer(const catalog::member& member) const;
+    std::vector<catalog::member> peers() const;
+    peer_state* find_peer(
+        const instance_id& instance, const std::string& incarnation);
+    const peer_state* find_peer(const catalog::member& member) const;
+
+    void sync_peers();
+    void send_heartbeats();
+    void reopen_silent_connections();
+    void observe(const peer::Envelope& envelope, std::int64_t revision);
+    void on_heartbeat(
+        const peer::Envelope& envelope, const peer::Heartbeat& heartbeat);
+    void on_heartbeat_reply(
+        const peer::Envelope& envelope, const peer::Heartbeat_reply& reply);
+    void on_push(const peer::Envelope& envelope, const peer::Push& push);
+    void request_catch_up(const instance_id& from, std::int64_t revision);
+
+    bool has_applied(
+        const catalog::member& member, std::int64_t revision) const;
+    bool majority_applied(const std::vector<catalog::member>& members,
+        std::int64_t revision, bool count_absent) const;
+    bool is_silent(const catalog::member& member) const;
+    bool is_absent(const catalog::member& member) const;
+    void note_replacement(const peer::Envelope& envelope);
+    bool majority_reports_silent(const catalog::member& member) const;
+    bool in_force(std::int64_t revision) const;
+    std::vector<instance_id> missing(std::int64_t revision) const;
+
+    void update_settled();
+    void complete_in_force();
+    void update_serving();
+    void propose();
+    action next_action() const;
+    duration stagger(action next) const;
+    std::vector<catalog::member> remaining_members() const;
+    config::Change change_for(action next) const;
+
+    catalog::member local_;
+    std::vector<std::string> seeds_;
+    collaborators parts_;
+    membership_view view_;
+    std::map<instance_id, peer_state> peers_;
+    std::map<instance_id, time_point> absent_since_;
+    // Members whose address belongs to another incarnation, by incarnation.
+    std::map<std::string, time_point> replaced_since_;
+    std::deque<std::pair<std::int64_t, time_point>> sent_heartbeats_;
+    std::int64_t next_sequence_ = 1;
+    std::optional<time_point> next_heartbeat_;
+    std::optional<time_point> next_catch_up_;
+    std::optional<time_point> settled_at_;
+    std::vector<in_force_waiter> waiters_;
+    std::vector<instance_id> serving_;
+    action pending_ = action::none;
+    time_point pending_since_;
+    std::optional<time_point> proposal_until_;
+    std::int64_t proposal_number_ = 0;
+    bool stopping_ = false;
+    bool leaving_ = false;
+    std::function<void()> on_left_;
+    log::logger logger_ = log::make_logger("membership");
+};
+
+} // namespace tarragonquay::membership
--- /dev/null
+++ b/src/peering/transport_test.cpp
@@ -0,0 +1,169 @@
+#include "peering/transport.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <zmq.hpp>
+
+#include "peer.pb.h"
+
+namespace tarragonquay::peering
+{
+
+namespace
+{
+
+// Only ends a test that would hang; no test asserts a time.
+constexpr auto hang_limit = std::chrono::seconds(20);
+
+struct node
+{
+    node(boost::asio::io_context& context, const std::string& name)
+    {
+        auto made = transport::create(context, "127.0.0.1:0", instance_id(name),
+            name + "-1",
+            [this](const peer::Envelope& envelope)
+            { received.push_back(envelope); });
+        CPPUNIT_ASSERT(made.has_value());
+        link = std::move(*made);
+    }
+
+    std::vector<peer::Envelope> received;
+    std::unique_ptr<transport> link;
+};
+
+peer::Envelope heartbeat(std::int64_t sequence)
+{
+    peer::Envelope envelope;
+    envelope.mutable_heartbeat()->set_sequence(sequence);
+    return envelope;
+}
+
+} // namespace
+
+class transport_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(transport_test);
+    CPPUNIT_TEST(receiver_replies_to_a_sender_it_did_not_know);
+    CPPUNIT_TEST(many_messages_at_once_all_arrive);
+    CPPUNIT_TEST(malformed_messages_are_counted_and_dropped);
+    CPPUNIT_TEST(oversized_frames_do_not_reach_the_handler);
+    CPPUNIT_TEST(messages_for_another_instance_are_dropped);
+    CPPUNIT_TEST(messages_flow_after_a_reopen);
+    CPPUNIT_TEST(failures_are_typed);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    template <class Condition>
+    void run_until(Condition done)
+    {
+        const auto limit = std::chrono::steady_clock::now() + hang_limit;
+        while (!done() && std::chrono::steady_clock::now() < limit)
+            context_.run_one_for(std::chrono::milliseconds(50));
+        CPPUNIT_ASSERT(done());
+    }
+
+    void receiver_replies_to_a_sender_it_did_not_know()
+    {
+        CPPUNIT_ASSERT(
+            a_.link->send_to_address(b_.link->listen_address(), heartbeat(7))
+                .has_value());
+        run_until([&] { return !b_.received.empty(); });
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("a-1"), b_.received[0].from_incarnation());
+        CPPUNIT_ASSERT(
+            b_.link->send(instance_id("a"), heartbeat(8)).has_value());
+        run_until([&] { return !a_.received.empty(); });
+        CPPUNIT_ASSERT_EQUAL(
+            std::int64_t(8), a_.received[0].heartbeat().sequence());
+    }
+
+    // Guards against a lost wake-up of the edge-triggered descriptor.
+    void many_messages_at_once_all_arrive()
+    {
+        connect();
+        for (int i = 0; i < 200; ++i)
+            CPPUNIT_ASSERT(
+                a_.link->send(instance_id("b"), heartbeat(i)).has_value());
+        run_until([&] { return b_.received.size() == 200; });
+    }
+
+    void malformed_messages_are_counted_and_dropped()
+    {
+        zmq::context_t zmq_context;
+        zmq::socket_t raw(zmq_context, zmq::socket_type::dealer);
+        raw.set(zmq::sockopt::linger, 0);
+        raw.connect("tcp://" + b_.link->listen_address());
+        raw.send(zmq::str_buffer("\xff\xff not protobuf"));
+        raw.send(zmq::str_buffer("two"), zmq::send_flags::sndmore);
+        raw.send(zmq::str_buffer("parts"));
+        raw.send(zmq::message_t());
+        run_until([&] { return b_.link->counters().malformed == 3; });
+        connect();
+        a_.link->send(instance_id("b"), heartbeat(1));
+        run_until([&] { return b_.received.size() == 1; });
+    }
+
+    void oversized_frames_do_not_reach_the_handler()
+    {
+        zmq::context_t zmq_context;
+        zmq::socket_t raw(zmq_context, zmq::socket_type::dealer);
+        raw.set(zmq::sockopt::linger, 0);
+        raw.connect("tcp://" + b_.link->listen_address());
+        raw.send(zmq::message_t(9 * 1024 * 1024));
+        connect();
+        a_.link->send(instance_id("b"), heartbeat(1));
+        run_until([&] { return b_.received.size() == 1; });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), b_.link->counters().received);
+        peer::Envelope large;
+        large.mutable_events_reply()->add_events()->set_detail(
+            std::string(9 * 1024 * 1024, 'x'));
+        const auto sent = a_.link->send(instance_id("b"), large);
+        CPPUNIT_ASSERT(sent.error().code() == error_code::payload_too_large);
+    }
+
+    void messages_for_another_instance_are_dropped()
+    {
+        a_.link->set_peer(instance_id("c"), b_.link->listen_address());
+        a_.link->send(instance_id("c"), heartbeat(1));
+        run_until([&] { return b_.link->counters().malformed == 1; });
+        CPPUNIT_ASSERT(b_.received.empty());
+    }
+
+    void messages_flow_after_a_reopen()
+    {
+        connect();
+        a_.link->send(instance_id("b"), heartbeat(1));
+        run_until([&] { return b_.received.size() == 1; });
+        CPPUNIT_ASSERT(a_.link->reopen(instance_id("b")).has_value());
+        a_.link->send(instance_id("b"), heartbeat(2));
+        run_until([&] { return b_.received.size() == 2; });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), a_.link->counters().reopened);
+    }
+
+    void failures_are_typed()
+    {
+        const auto taken =
+            transport::create(context_, a_.link->listen_address(),
+                instance_id("x"), "x-1", [](const peer::Envelope&) {});
+        CPPUNIT_ASSERT(!taken.has_value());
+        CPPUNIT_ASSERT(taken.error().code() == error_code::invalid_settings);
+        const auto unknown = a_.link->send(instance_id("x"), heartbeat(1));
+        CPPUNIT_ASSERT(unknown.error().code() == error_code::peer_unreachable);
+        a_.link->set_peer(instance_id("x"), "not an address");
+        const auto bad = a_.link->send(instance_id("x"), heartbeat(1));
+        CPPUNIT_ASSERT(bad.error().code() == error_code::peer_unreachable);
+    }
+
+private:
+    void connect()
+    {
+        a_.link->set_peer(instance_id("b"), b_.link->listen_address());
+    }
+
+    boost::asio::io_context context_;
+    node a_{context_, "a"};
+    node b_{context_, "b"};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(transport_test);
+
+} // namespace tarragonquay::peering
