--- /dev/null
+++ b/src/limits/limiter_test.cpp
@@ -0,0 +1,479 @@
+#include "limits/limiter.hpp"
+
+#include <array>
+#include <optional>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace tarragonquay::limits
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const workspace_id acme("acme");
+
+catalog::member member_of(int index, int incarnation = 1)
+{
+    catalog::member result;
+    result.instance = instance_id("i" + std::to_string(index));
+    result.incarnation =
+        result.instance.str() + "-" + std::to_string(incarnation);
+    return result;
+}
+
+limits_view view_of(
+    int members, std::int64_t epoch, bool open, std::int64_t burst = 1000)
+{
+    limits_view view;
+    for (int i = 0; i < members; ++i)
+        view.members.push_back(member_of(i));
+    view.epoch = epoch;
+    view.epoch_open = open;
+    view.workspaces = {{acme, 100, burst}};
+    return view;
+}
+
+// Members that follow one log of configurations, over a network that loses,
+// delays and repeats. Without a lease a removed member admits nothing once
+// the next epoch opens.
+template <class Policy>
+class simulation
+{
+public:
+    static constexpr int instances = 5;
+    static constexpr std::int64_t rate = 100;
+    static constexpr std::int64_t burst = 1000;
+
+    simulation()
+    {
+        for (int i = 0; i < instances; ++i)
+            restart(i);
+        log_.push_back(view_of(3, 1, false));
+        for (int i = 0; i < instances; ++i)
+            catch_up(i, 1);
+        log_.push_back(view_of(3, 1, true));
+        check();
+    }
+
+    void step(int kind, int a, int b)
+    {
+        a %= instances;
+        auto& self = *nodes_[a].limits;
+        switch (kind % 14)
+        {
+        case 0:
+        case 1:
+            now_ += milliseconds(b * 8);
+            break;
+        case 2:
+        case 3:
+            admit(a, b * 6);
+            break;
+        case 4:
+            if (!reserved_.empty())
+                settle(b);
+            break;
+        case 5:
+        case 6:
+            send(a, b);
+            break;
+        case 7:
+        case 8:
+        case 9:
+            deliver(b);
+            break;
+        case 10:
+            catch_up(a, b % 3);
+            break;
+        case 11:
+            change_members(a, b);
+            break;
+        case 12:
+            open_epoch();
+            break;
+        default:
+            if (b % 8 == 0)
+                restart(a);
+            else if (b % 8 == 1)
+                toggle_workspace();
+            else
+                self.admit_before(acme, b * 12, now_ + seconds(b), now_,
+                    [this, a](const result<reservation>& made)
+                    { record(a, made); });
+        }
+        check();
+    }
+
+private:
+    struct node
+    {
+        int incarnation = 0;
+        std::size_t applied = 0;
+        std::optional<basic_limiter<Policy>> limits;
+    };
+    struct held
+    {
+        int node, incarnation;
+        reservation made;
+        std::size_t admission;
+    };
+    struct sent
+    {
+        int from;
+        outgoing_message out;
+    };
+
+    void restart(int index)
+    {
+        auto& target = nodes_[index];
+        ++target.incarnation;
+        target.applied = 0;
+        const auto self = member_of(index, target.incarnation);
+        target.limits.emplace(self.instance, self.incarnation);
+        std::erase_if(
+            reserved_, [&](const held& each) { return each.node == index; });
+    }
+
+    void catch_up(int index, int count)
+    {
+        auto& target = nodes_[index];
+        for (; count > 0 && target.applied < log_.size(); --count)
+            target.limits->apply(log_[target.applied++], now_);
+    }
+
+    // Whether this incarnation may hold a view lease: it is a member, or the
+    // epoch that follows its removal is not open yet.
+    bool may_serve(int index) const
+    {
+        const auto self = member_of(index, nodes_[index].incarnation);
+        auto at = log_.size();
+        do
+        {
+            const auto& view = log_[--at];
+            if (std::count(view.members.begin(), view.members.end(), self) > 0)
+                return true;
+            if (view.epoch_open)
+                return false;
+        } while (at > 0);
+        return false;
+    }
+
+    void admit(int index, std::int64_t tokens)
+    {
+        record(index, may_serve(index)
+                          ? nodes_[index].limits->admit(acme, tokens, now_)
+                          : fail(error_code::no_view_lease, "no lease"));
+    }
+
+    void record(int index, const result<reservation>& made)
+    {
+        if (!made || !may_serve(index))
+            return;
+        reserved_.push_back(
+            {index, nodes_[index].incarnation, *made, admitted_.size()});
+        admitted_.emplace_back(now_, made->tokens);
+    }
+
+    void settle(int b)
+    {
+        const auto at = b % reserved_.size();
+        const auto each = reserved_[at];
+        reserved_.erase(reserved_.begin() + static_cast<std::ptrdiff_t>(at));
+        const auto used = each.made.tokens * (b % 5) / 4;
+        admitted_[each.admission].second = used;
+        nodes_[each.node].limits->settle(each.made, used, now_);
+    }
+
+    void send(int a, int b)
+    {
+        auto& from = *nodes_[a].limits;
+        peer::Heartbeat heartbeat;
+        for (auto& demand : from.take_demands(now_))
+            *heartbeat.add_demands() = demand;
+        nodes_[b % instances].limits->on_demands(
+            member_of(a).instance, heartbeat);
+        for (auto& out : from.tick(now_))
+            network_.push_back({a, std::move(out)});
+    }
+
+    // Messages stay in the network, so any can arrive again at any time.
+    void deliver(int b)
+    {
+        if (network_.empty())
+            return;
+        const auto item =
+            network_[network_.size() - 1 -
+                     b % std::min<std::size_t>(network_.size(), 40)];
+        const auto to = item.out.to.str().back() - '0';
+        auto& target = *nodes_[to].limits;
+        const auto& message = item.out.message;
+        if (message.has_share_request())
+            target.on_request(
+                member_of(item.from).instance, message.share_request(), now_);
+        if (message.has_share_transfer_ack())
+            target.on_transfer_ack(message.share_transfer_ack());
+        if (!message.has_share_transfer() ||
+            !target.on_transfer(message.share_transfer(), now_))
+            return;
+        peer::Envelope ack;
+        ack.mutable_share_transfer_ack()->set_transfer_id(
+            message.share_transfer().transfer_id());
+        network_.push_back({to, {member_of(item.from).instance, ack}});
+    }
+
+    void change_members(int a, int b)
+    {
+        auto next = log_.back();
+        next.members.clear();
+        for (int i = 0; i < instances; ++i)
+        {
+            if (((a * 37 + b) >> i) & 1)
+                next.members.push_back(member_of(i, nodes_[i].incarnation));
+        }
+        if (next.members.empty())
+            return;
+        ++next.epoch;
+        next.epoch_open = false;
+        log_.push_back(next);
+    }
+
+    void open_epoch()
+    {
+        auto next = log_.back();
+        for (const auto& member : next.members)
+        {
+            const auto& target = nodes_[member.instance.str().back() - '0'];
+            if (member != member_of(member.instance.str().back() - '0',
+                              target.incarnation) ||
+                target.applied < log_.size())
+                return;
+        }
+        next.epoch_open = true;
+        log_.push_back(next);
+    }
+
+    void toggle_workspace()
+    {
+        auto next = log_.back();
+        if (next.workspaces.empty())
+            next.workspaces = {{acme, rate, burst}};
+        else
+            next.workspaces.clear();
+        log_.push_back(next);
+    }
+
+    void check()
+    {
+        std::int64_t shares = 0;
+        std::int64_t level = 0;
+        for (int i = 0; i < instances; ++i)
+        {
+            if (!may_serve(i))
+                continue;
+            const auto state = nodes_[i].limits->state(acme, now_);
+            shares += state.shares;
+            level += std::max<std::int64_t>(state.level_millitokens, 0);
+        }
+        RC_ASSERT(shares <= total_shares);
+        RC_ASSERT(level <= burst * 1000);
+        // Every window that ends now; earlier ends were checked before.
+        std::int64_t tokens = 0;
+        for (auto at = admitted_.rbegin(); at != admitted_.rend(); ++at)
+        {
+            tokens += at->second;
+            const auto elapsed =
+                std::chrono::duration_cast<milliseconds>(now_ - at->first);
+            RC_ASSERT(tokens * 1000 <= rate * elapsed.count() + burst * 1000);
+        }
+    }
+
+    time_point now_{std::chrono::hours(1)};
+    std::vector<limits_view> log_;
+    std::array<node, instances> nodes_;
+    std::vector<sent> network_;
+    std::vector<held> reserved_;
+    std::vector<std::pair<time_point, std::int64_t>> admitted_;
+};
+
+template <class Policy>
+bool bounds_hold(const std::string& name)
+{
+    return rc::check(name,
+        []
+        {
+            const auto steps = *rc::gen::container<std::vector<std::uint32_t>>(
+                300, rc::gen::arbitrary<std::uint32_t>());
+            simulation<Policy> run;
+            for (const auto each : steps)
+                run.step(static_cast<int>(each & 0xff),
+                    static_cast<int>((each >> 8) & 0xff),
+                    static_cast<int>((each >> 16) & 0x3f));
+        });
+}
+
+} // namespace
+
+class limiter_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(limiter_test);
+    CPPUNIT_TEST(bounds_hold_with_transfers);
+    CPPUNIT_TEST(bounds_hold_with_a_static_split);
+    CPPUNIT_TEST(bounds_hold_with_owner_grants);
+    CPPUNIT_TEST(request_of_the_whole_burst_collects_all_level);
+    CPPUNIT_TEST(waiting_request_is_refused_at_its_deadline);
+    CPPUNIT_TEST(refund_does_not_exceed_what_the_window_allows);
+    CPPUNIT_TEST(use_above_the_reservation_becomes_debt);
+    CPPUNIT_TEST(restarted_instance_has_no_share_of_its_predecessor);
+    CPPUNIT_TEST(errors_are_typed);
+    CPPUNIT_TEST(hand_over_leaves_nothing_behind);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void bounds_hold_with_transfers()
+    {
+        CPPUNIT_ASSERT(bounds_hold<transfer_policy>("transfers"));
+    }
+    void bounds_hold_with_a_static_split()
+    {
+        CPPUNIT_ASSERT(bounds_hold<static_split_policy>("static split"));
+    }
+    void bounds_hold_with_owner_grants()
+    {
+        CPPUNIT_ASSERT(bounds_hold<owner_grant_policy>("owner grants"));
+    }
+
+    // Guards against a large request that is refused although the workspace
+    // is within its rate, because its share is elsewhere.
+    void request_of_the_whole_burst_collects_all_level()
+    {
+        start(7);
+        bool admitted = false;
+        nodes_[6].admit_before(acme, 1000, now_ + seconds(2), now_,
+            [&](const result<reservation>& made)
+            { admitted = made.has_value(); });
+        for (int round = 0; round < 10 && !admitted; ++round)
+            exchange();
+        CPPUNIT_ASSERT(admitted);
+    }
+
+    void waiting_request_is_refused_at_its_deadline()
+    {
+        start(2);
+        std::optional<error_code> refused;
+        CPPUNIT_ASSERT(nodes_[0].admit(acme, 500, now_).has_value());
+        CPPUNIT_ASSERT(nodes_[1].admit(acme, 500, now_).has_value());
+        nodes_[0].admit_before(acme, 1000, now_ + seconds(1), now_,
+            [&](const result<reservation>& made)
+            { refused = made.error().code(); });
+        CPPUNIT_ASSERT(!refused);
+        now_ += seconds(1);
+        nodes_[0].tick(now_);
+        CPPUNIT_ASSERT(refused == error_code::rate_limited);
+    }
+
+    // The bucket filled up while the reservation was open, so refunding it
+    // later would admit more than the burst at once.
+    void refund_does_not_exceed_what_the_window_allows()
+    {
+        start(1);
+        const auto first = nodes_[0].admit(acme, 1000, now_);
+        now_ += seconds(10);
+        const auto second = nodes_[0].admit(acme, 1000, now_);
+        nodes_[0].settle(*first, 0, now_);
+        nodes_[0].settle(*second, 0, now_);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(1'000'000),
+            nodes_[0].state(acme, now_).level_millitokens);
+    }
+
+    void use_above_the_reservation_becomes_debt()
+    {
+        start(1);
+        const auto made = nodes_[0].admit(acme, 1000, now_);
+        nodes_[0].settle(*made, 1200, now_);
+        nodes_[0].settle(*made, 1200, now_);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(-200'000),
+            nodes_[0].state(acme, now_).level_millitokens);
+    }
+
+    void restarted_instance_has_no_share_of_its_predecessor()
+    {
+        limiter restarted(member_of(0).instance, member_of(0, 2).incarnation);
+        restarted.apply(view_of(2, 1, true), now_);
+        CPPUNIT_ASSERT(restarted.state(acme, now_) == bucket_state{});
+    }
+
+    void errors_are_typed()
+    {
+        start(2);
+        const auto code = [&](std::int64_t tokens)
+        { return nodes_[0].admit(acme, tokens, now_).error().code(); };
+        CPPUNIT_ASSERT(code(1001) == error_code::request_exceeds_burst);
+        CPPUNIT_ASSERT(code(501) == error_code::rate_limited);
+        CPPUNIT_ASSERT(code(-1) == error_code::invalid_argument);
+        CPPUNIT_ASSERT(
+            nodes_[0].admit(workspace_id("x"), 1, now_).error().code() ==
+            error_code::not_found);
+    }
+
+    void hand_over_leaves_nothing_behind()
+    {
+        start(2);
+        nodes_[1].hand_over();
+        exchange();
+        exchange();
+        CPPUNIT_ASSERT(nodes_[1].handed_over());
+        CPPUNIT_ASSERT_EQUAL(total_shares, nodes_[0].state(acme, now_).shares);
+    }
+
+private:
+    void start(int members)
+    {
+        for (int i = 0; i < members; ++i)
+        {
+            nodes_.emplace_back(
+                member_of(i).instance, member_of(i).incarnation);
+            auto view = view_of(members, 1, false);
+            view.workspaces.clear();
+            nodes_.back().apply(view, now_);
+            view.epoch_open = true;
+            nodes_.back().apply(view, now_);
+            nodes_.back().apply(view_of(members, 1, true), now_);
+        }
+    }
+
+    // One round in which every message arrives.
+    void exchange()
+    {
+        now_ += milliseconds(100);
+        for (std::size_t from = 0; from < nodes_.size(); ++from)
+        {
+            for (const auto& out : nodes_[from].tick(now_))
+            {
+                auto& to = nodes_[out.to.str().back() - '0'];
+                const auto& message = out.message;
+                if (message.has_share_request())
+                    to.on_request(member_of(static_cast<int>(from)).instance,
+                        message.share_request(), now_);
+                if (message.has_share_transfer() &&
+                    to.on_transfer(message.share_transfer(), now_))
+                {
+                    peer::Share_transfer_ack ack;
+                    ack.set_transfer_id(message.share_transfer().transfer_id());
+                    nodes_[from].on_transfer_ack(ack);
+                }
+            }
+        }
+    }
+
+    time_point now_{std::chrono::hours(1)};
+    std::vector<limiter> nodes_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(limiter_test);
+
+} // namespace tarragonquay::limits
--- a/src/peering/transport_test.cpp
+++ b/src/peering/transport_test.cpp
@@ -95,7 +95,7 @@
         raw.send(zmq::str_buffer("\xff\xff not protobuf"));
         raw.send(zmq::str_buffer("two"), zmq::send_flags::sndmore);
         raw.send(zmq::str_buffer("parts"));
-        raw.send(zmq::message_t());
+        raw.send(zmq::message_t(), zmq::send_flags::none);
         run_until([&] { return b_.link->counters().malformed == 3; });
         connect();
         a_.link->send(instance_id("b"), heartbeat(1));
@@ -108,7 +108,7 @@
         zmq::socket_t raw(zmq_context, zmq::socket_type::dealer);
         raw.set(zmq::sockopt::linger, 0);
         raw.connect("tcp://" + b_.link->listen_address());
-        raw.send(zmq::message_t(9 * 1024 * 1024));
+        raw.send(zmq::message_t(9 * 1024 * 1024), zmq::send_flags::none);
         connect();
         a_.link->send(instance_id("b"), heartbeat(1));
         run_until([&] { return b_.received.size() == 1; });
