Add the scheduler of requests

The scheduler chooses endpoints by load, prefix affinity and zone, keeps a fair queue for each model and suspects endpoints that fail. Choice and queue discipline are policies, so that baselines run on the same code.

--- /dev/null
+++ b/src/routing/endpoint_state.cpp
@@ -0,0 +1,107 @@
+#include "routing/endpoint_state.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tarragonquay::routing
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr duration first_hold_down = 1s;
+constexpr duration longest_hold_down = 30s;
+// A relapse within this time after recovery doubles the hold-down.
+constexpr duration relapse_window = 20s;
+// Reports arrive about once a second; after two half-lives of silence a
+// report says little about the current load.
+constexpr double load_half_life_s = 2.0;
+constexpr std::int32_t smallest_limit = 2;
+
+} // namespace
+
+bool endpoint_health::suspect(time_point now)
+{
+    if (suspected_)
+        return false;
+    const bool relapse =
+        hold_down_ > duration::zero() && now - recovered_at_ < relapse_window;
+    hold_down_ =
+        relapse ? std::min(hold_down_ * 2, longest_hold_down) : first_hold_down;
+    recover_not_before_ = now + hold_down_;
+    suspected_ = true;
+    return true;
+}
+
+bool endpoint_health::exchange_failed(time_point now)
+{
+    if (++exchange_failures_ < exchange_failure_limit)
+        return false;
+    return suspect(now);
+}
+
+bool endpoint_health::poll_failed(time_point now)
+{
+    if (++poll_failures_ < poll_failure_limit)
+        return false;
+    return suspect(now);
+}
+
+bool endpoint_health::poll_succeeded(time_point now)
+{
+    poll_failures_ = 0;
+    if (!suspected_ || now < recover_not_before_)
+        return false;
+    suspected_ = false;
+    exchange_failures_ = 0;
+    recovered_at_ = now;
+    return true;
+}
+
+void in_flight_limit::observe(
+    const endpoint_report& report, std::int32_t own_in_flight)
+{
+    const bool congested = report.waiting * 4 > report.running;
+    if (congested)
+        value_ = std::max(smallest_limit, value_ * 9 / 10);
+    else if (report.waiting == 0 && own_in_flight * 5 >= value_ * 4)
+        value_ = std::min(maximum_, value_ + 1 + value_ / 8);
+}
+
+void in_flight_limit::rejected()
+{
+    value_ = std::max(smallest_limit, value_ * 7 / 10);
+}
+
+double endpoint_state::other_load(time_point now) const
+{
+    if (!report)
+        return 0;
+    const auto reported = report->running + report->waiting;
+    const auto others = std::max(0, reported - own_at_report);
+    const std::chrono::duration<double> age = now - report->received_at;
+    return others * std::exp2(-std::max(0.0, age.count()) / load_half_life_s);
+}
+
+bool endpoint_state::ready(
+    const model_id& model, const adapter_id& adapter) const
+{
+    if (!report)
+        return false;
+    const auto& models = report->models;
+    const bool model_ready = std::any_of(models.begin(), models.end(),
+        [&](const resident_model& resident)
+        {
+            return resident.model == model &&
+                   resident.state == residence_state::ready;
+        });
+    if (!model_ready || adapter.empty())
+        return model_ready;
+    const auto& adapters = report->adapters;
+    return std::any_of(adapters.begin(), adapters.end(),
+        [&](const resident_adapter& resident)
+        { return resident.adapter == adapter && resident.model == model; });
+}
+
+} // namespace tarragonquay::routing
--- /dev/null
+++ b/src/routing/queue.hpp
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "routing/types.hpp"
+
+namespace tarragonquay::routing
+{
+
+/// A request that waits for an endpoint.
+struct queued_request
+{
+    std::uint64_t ticket = 0;
+    request_spec spec;
+    std::function<void(result<assignment>)> on_done;
+    time_point enqueued_at;
+};
+
+using request_filter = std::function<bool(const queued_request&)>;
+
+/// The waiting requests of one model or service.
+template <class Queue>
+concept queue_discipline = requires(Queue& queue, queued_request item,
+    const request_filter& filter, const request_spec& spec)
+{
+    // Returns the request that has to give way when the queue is full.
+    {
+        queue.push(std::move(item))
+        } -> std::same_as<std::optional<queued_request>>;
+    // The next request that the filter lets pass.
+    {
+        queue.pop(filter)
+        } -> std::same_as<std::optional<queued_request>>;
+    {
+        queue.remove_if(filter)
+        } -> std::same_as<std::vector<queued_request>>;
+    // Tokens that would be served before this request.
+    {
+        queue.tokens_ahead(spec)
+        } -> std::convertible_to<std::int64_t>;
+    {
+        queue.size()
+        } -> std::convertible_to<std::size_t>;
+};
+
+/// Deficit round robin over workspaces by token cost; strict priorities
+/// inside a workspace.
+class fair_queue
+{
+public:
+    explicit fair_queue(std::size_t capacity) : capacity_(capacity) {}
+
+    std::optional<queued_request> push(queued_request item);
+    std::optional<queued_request> pop(const request_filter& filter);
+    std::vector<queued_request> remove_if(const request_filter& filter);
+    std::int64_t tokens_ahead(const request_spec& spec) const;
+    std::size_t size() const { return size_; }
+
+private:
+    struct lane
+    {
+        std::array<std::deque<queued_request>, 3> by_priority;
+        std::int64_t deficit = 0;
+        std::int64_t tokens = 0;
+        std::size_t count = 0;
+        // Whether the quantum of the current turn was added.
+        bool credited = false;
+    };
+
+    queued_request take(lane& from, std::size_t level, std::size_t index);
+    queued_request take_newest(lane& from);
+    void next_turn();
+    void drop_empty_lanes();
+
+    const std::size_t capacity_;
+    std::size_t size_ = 0;
+    std::map<workspace_id, lane> lanes_;
+    std::deque<workspace_id> turns_;
+};
+
+/// Baseline: order of arrival.
+class fifo_queue
+{
+public:
+    explicit fifo_queue(std::size_t capacity) : capacity_(capacity) {}
+
+    std::optional<queued_request> push(queued_request item);
+    std::optional<queued_request> pop(const request_filter& filter);
+    std::vector<queued_request> remove_if(const request_filter& filter);
+    std::int64_t tokens_ahead(const request_spec& spec) const;
+    std::size_t size() const { return items_.size(); }
+
+private:
+    const std::size_t capacity_;
+    std::int64_t tokens_ = 0;
+    std::deque<queued_request> items_;
+};
+
+} // namespace tarragonquay::routing
--- /dev/null
+++ b/src/routing/queue_test.cpp
@@ -0,0 +1,89 @@
+#include "routing/queue.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tarragonquay::routing
+{
+namespace
+{
+
+const request_filter any = [](const queued_request&) { return true; };
+
+queued_request item(const std::string& workspace, std::int64_t cost,
+    priority level = priority::normal, std::uint64_t ticket = 0)
+{
+    queued_request out;
+    out.ticket = ticket;
+    out.spec.workspace = workspace_id(workspace);
+    out.spec.cost_tokens = cost;
+    out.spec.priority = level;
+    return out;
+}
+
+} // namespace
+
+class queue_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(queue_test);
+    CPPUNIT_TEST(workspaces_get_equal_tokens);
+    CPPUNIT_TEST(priority_orders_only_within_a_workspace);
+    CPPUNIT_TEST(full_queue_evicts_the_largest_workspace);
+    CPPUNIT_TEST(blocked_request_does_not_hold_up_others);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against fairness by number of requests: the costs differ tenfold.
+    void workspaces_get_equal_tokens()
+    {
+        fair_queue queue(10000);
+        for (int i = 0; i < 1000; ++i)
+            queue.push(item("large", 2000));
+        for (int i = 0; i < 1000; ++i)
+            queue.push(item("small", 200));
+        std::map<std::string, std::int64_t> tokens;
+        for (int i = 0; i < 500; ++i)
+        {
+            const auto next = queue.pop(any);
+            tokens[next->spec.workspace.str()] += next->spec.cost_tokens;
+        }
+        const auto difference = tokens["large"] - tokens["small"];
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(difference),
+            difference <= 4000 && difference >= -4000);
+    }
+
+    void priority_orders_only_within_a_workspace()
+    {
+        fair_queue queue(100);
+        queue.push(item("a", 1000, priority::batch, 1));
+        queue.push(item("a", 1000, priority::interactive, 2));
+        queue.push(item("b", 1000, priority::batch, 3));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), queue.pop(any)->ticket);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), queue.pop(any)->ticket);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), queue.pop(any)->ticket);
+    }
+
+    void full_queue_evicts_the_largest_workspace()
+    {
+        fair_queue queue(2);
+        queue.push(item("a", 100, priority::normal, 1));
+        queue.push(item("a", 100, priority::normal, 2));
+        const auto evicted = queue.push(item("b", 100, priority::normal, 3));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), evicted->ticket);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), queue.size());
+    }
+
+    void blocked_request_does_not_hold_up_others()
+    {
+        fair_queue queue(10);
+        queue.push(item("a", 100, priority::interactive, 1));
+        queue.push(item("a", 100, priority::normal, 2));
+        const auto next = queue.pop(
+            [](const queued_request& each) { return each.ticket != 1; });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), next->ticket);
+        CPPUNIT_ASSERT(!queue.pop([](const queued_request&) { return false; }));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(queue_test);
+
+} // namespace tarragonquay::routing
--- /dev/null
+++ b/src/routing/scheduler_test.cpp
@@ -0,0 +1,290 @@
+#include "routing/scheduler.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tarragonquay::routing
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const model_id poet("poet");
+
+catalog::endpoint engine(const std::string& id, const std::string& zone = "a")
+{
+    catalog::endpoint out;
+    out.id = endpoint_id(id);
+    out.address = id + ":1";
+    out.availability_zone = zone;
+    return out;
+}
+
+endpoint_report ready_report(const std::string& id, time_point now)
+{
+    endpoint_report out;
+    out.endpoint = endpoint_id(id);
+    out.incarnation = "1";
+    out.models = {{poet, "1", 10, residence_state::ready}};
+    out.received_at = now;
+    return out;
+}
+
+} // namespace
+
+class scheduler_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(scheduler_test);
+    CPPUNIT_TEST(request_waits_until_its_model_is_ready);
+    CPPUNIT_TEST(request_for_an_absent_model_fails_at_its_deadline);
+    CPPUNIT_TEST(request_with_adapter_goes_only_where_it_is_resident);
+    CPPUNIT_TEST(leaving_endpoint_gets_no_work);
+    CPPUNIT_TEST(silent_endpoint_is_suspected_and_recovers_after_hold_down);
+    CPPUNIT_TEST(alternating_endpoint_is_held_down_longer);
+    CPPUNIT_TEST(retry_excludes_tried_endpoints);
+    CPPUNIT_TEST(nearer_zone_wins_ties);
+    CPPUNIT_TEST(prefix_returns_to_its_endpoint_until_that_is_loaded);
+    CPPUNIT_TEST(late_request_is_refused_early_as_not_run);
+    CPPUNIT_TEST(cancelled_request_never_gets_an_endpoint);
+    CPPUNIT_TEST(handler_may_call_back);
+    CPPUNIT_TEST(service_recovers_without_state_polls);
+    CPPUNIT_TEST_SUITE_END();
+
+    using outcome_list = std::vector<result<assignment>>;
+
+    fake_clock clock_;
+    scheduler<fake_clock> routes_{clock_, {64, 2, 2}};
+    outcome_list outcomes_;
+
+    void use(const std::vector<catalog::endpoint>& endpoints)
+    {
+        routes_.update(endpoints, "a");
+        for (const auto& each : endpoints)
+            routes_.report(ready_report(each.id.str(), clock_.now()));
+    }
+
+    std::uint64_t ask(duration patience = 10s, std::int64_t cost = 100)
+    {
+        request_spec spec;
+        spec.workspace = workspace_id("w");
+        spec.model = poet;
+        spec.cost_tokens = cost;
+        spec.deadline = clock_.now() + patience;
+        return ask(std::move(spec));
+    }
+
+    std::uint64_t ask(request_spec spec)
+    {
+        return routes_.enqueue(std::move(spec), [this](result<assignment> value)
+            { outcomes_.push_back(std::move(value)); });
+    }
+
+    request_spec spec_with_prefix(std::uint64_t prefix)
+    {
+        request_spec spec;
+        spec.model = poet;
+        spec.prefix_hash = prefix;
+        spec.deadline = clock_.now() + 10s;
+        return spec;
+    }
+
+    void fail_next()
+    {
+        ask();
+        routes_.release(outcomes_.back()->id, outcome::failed);
+    }
+
+public:
+    void request_waits_until_its_model_is_ready()
+    {
+        routes_.update({engine("e1")}, "a");
+        ask();
+        CPPUNIT_ASSERT(outcomes_.empty());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(1), routes_.demand().at(0).waiting);
+        routes_.report(ready_report("e1", clock_.now()));
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("e1:1"), outcomes_.at(0).value().address);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), routes_.demand().at(0).waiting);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(100), routes_.demand().at(0).tokens);
+    }
+
+    void request_for_an_absent_model_fails_at_its_deadline()
+    {
+        routes_.update({engine("e1")}, "a");
+        ask(2s);
+        clock_.advance(2s);
+        routes_.tick(clock_.now());
+        CPPUNIT_ASSERT(
+            error_code::model_not_ready == outcomes_.at(0).error().code());
+        CPPUNIT_ASSERT(
+            execution_state::not_run == outcomes_.at(0).error().execution());
+    }
+
+    void request_with_adapter_goes_only_where_it_is_resident()
+    {
+        use({engine("e1"), engine("e2")});
+        request_spec spec = spec_with_prefix(0);
+        spec.adapter = adapter_id("rhyme");
+        ask(spec);
+        CPPUNIT_ASSERT(outcomes_.empty());
+        auto with_adapter = ready_report("e2", clock_.now());
+        with_adapter.adapters = {{spec.adapter, poet}};
+        routes_.report(with_adapter);
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("e2"), outcomes_.at(0).value().endpoint.str());
+    }
+
+    void leaving_endpoint_gets_no_work()
+    {
+        use({engine("e1"), engine("e2")});
+        routes_.mark_leaving({endpoint_id("e1")});
+        ask();
+        ask();
+        for (const auto& each : outcomes_)
+            CPPUNIT_ASSERT_EQUAL(
+                std::string("e2"), each.value().endpoint.str());
+        auto leaving = ready_report("e2", clock_.now());
+        leaving.leaving = true;
+        routes_.report(leaving);
+        ask();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), outcomes_.size());
+    }
+
+    void silent_endpoint_is_suspected_and_recovers_after_hold_down()
+    {
+        use({engine("e1")});
+        for (int i = 0; i < 3; ++i)
+            routes_.report_failure(endpoint_id("e1"));
+        CPPUNIT_ASSERT(routes_.suspected(endpoint_id("e1")));
+        ask();
+        routes_.report(ready_report("e1", clock_.now()));
+        CPPUNIT_ASSERT(outcomes_.empty());
+        clock_.advance(1s);
+        routes_.report(ready_report("e1", clock_.now()));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), outcomes_.size());
+    }
+
+    // Guards against an engine that answers polls but no exchanges: it must
+    // not get requests again each second.
+    void alternating_endpoint_is_held_down_longer()
+    {
+        use({engine("e1")});
+        for (const auto hold_down : {1s, 2s, 4s})
+        {
+            fail_next();
+            fail_next();
+            clock_.advance(hold_down - 1ms);
+            routes_.report(ready_report("e1", clock_.now()));
+            CPPUNIT_ASSERT(routes_.suspected(endpoint_id("e1")));
+            clock_.advance(1ms);
+            routes_.report(ready_report("e1", clock_.now()));
+            CPPUNIT_ASSERT(!routes_.suspected(endpoint_id("e1")));
+        }
+    }
+
+    void retry_excludes_tried_endpoints()
+    {
+        use({engine("e1"), engine("e2")});
+        auto spec = spec_with_prefix(0);
+        spec.excluded = {endpoint_id("e1")};
+        ask(spec);
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("e2"), outcomes_.at(0).value().endpoint.str());
+        spec.excluded.emplace_back("e2");
+        ask(spec);
+        CPPUNIT_ASSERT(
+            error_code::no_endpoint == outcomes_.at(1).error().code());
+    }
+
+    void nearer_zone_wins_ties()
+    {
+        use({engine("e1", "b"), engine("e2", "a"), engine("e3", "c")});
+        ask();
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("e2"), outcomes_.at(0).value().endpoint.str());
+    }
+
+    void prefix_returns_to_its_endpoint_until_that_is_loaded()
+    {
+        use({engine("e1"), engine("e2"), engine("e3")});
+        ask(spec_with_prefix(77));
+        ask(spec_with_prefix(77));
+        CPPUNIT_ASSERT_EQUAL(outcomes_.at(0).value().endpoint.str(),
+            outcomes_.at(1).value().endpoint.str());
+        CPPUNIT_ASSERT(outcomes_.at(1).value().prefix_expected);
+        // The endpoint is at its limit of two.
+        ask(spec_with_prefix(77));
+        CPPUNIT_ASSERT(outcomes_.at(0).value().endpoint !=
+                       outcomes_.at(2).value().endpoint);
+    }
+
+    void late_request_is_refused_early_as_not_run()
+    {
+        use({engine("e1")});
+        for (int i = 0; i < 40; ++i)
+            ask(60s);
+        // The engine finishes ten requests of 100 tokens in a second.
+        for (std::size_t i = 0; i < 10; ++i)
+        {
+            clock_.advance(100ms);
+            routes_.release(outcomes_.at(i).value().id, outcome::completed);
+            routes_.tick(clock_.now());
+        }
+        const auto before = outcomes_.size();
+        ask(1s);
+        CPPUNIT_ASSERT_EQUAL(before + 1, outcomes_.size());
+        CPPUNIT_ASSERT(
+            error_code::overloaded == outcomes_.back().error().code());
+        ask(60s);
+        CPPUNIT_ASSERT_EQUAL(before + 1, outcomes_.size());
+    }
+
+    void cancelled_request_never_gets_an_endpoint()
+    {
+        routes_.update({engine("e1")}, "a");
+        const auto ticket = ask();
+        routes_.cancel(ticket);
+        routes_.report(ready_report("e1", clock_.now()));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), outcomes_.size());
+        CPPUNIT_ASSERT(error_code::cancelled == outcomes_.at(0).error().code());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), routes_.waiting());
+    }
+
+    void handler_may_call_back()
+    {
+        use({engine("e1")});
+        routes_.enqueue(spec_with_prefix(0),
+            [this](result<assignment> value)
+            {
+                routes_.release(value->id, outcome::completed);
+                ask();
+            });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), outcomes_.size());
+        CPPUNIT_ASSERT_EQUAL(1, routes_.in_flight(endpoint_id("e1")));
+    }
+
+    void service_recovers_without_state_polls()
+    {
+        auto desk = engine("s1");
+        desk.kind = catalog::endpoint_kind::service;
+        desk.service = service_id("desk");
+        routes_.update({desk}, "a");
+        request_spec spec;
+        spec.service = desk.service;
+        spec.deadline = clock_.now() + 10s;
+        for (int i = 0; i < 2; ++i)
+        {
+            ask(spec);
+            routes_.release(outcomes_.back()->id, outcome::failed);
+        }
+        ask(spec);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), outcomes_.size());
+        clock_.advance(1s);
+        routes_.tick(clock_.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), outcomes_.size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(scheduler_test);
+
+} // namespace tarragonquay::routing
