Add planner, memory ledger and placement controller

The ledger accounts residents and open intents. After a take-over it ignores reports that may be older than the scan of the intents, because the previous holder may have concluded a load that such a report does not show yet.

--- /dev/null
+++ b/src/placement/lease_keeper.hpp
@@ -0,0 +1,259 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "common/clock.hpp"
+#include "placement/types.hpp"
+#include "platform/client.hpp"
+
+namespace tarragonquay::placement
+{
+
+struct lease_settings
+{
+    std::string key;
+    std::string instance;
+    std::string incarnation;
+};
+
+/// Holds the placement lease of a region: takes it over, renews it, and makes
+/// each write of the holder conditional on it. For the control thread; the
+/// store must call its handlers there.
+template <platform::table_store Store, clock_source Clock>
+class lease_keeper
+{
+public:
+    static constexpr std::chrono::seconds renewal_interval{3};
+    static constexpr std::chrono::seconds read_interval{1};
+    /// Time without a change of the row after which another may take over.
+    static constexpr std::chrono::seconds takeover_after{10};
+    /// The holder stops earlier than others may start, counted from the start
+    /// of its last successful write.
+    static constexpr std::chrono::seconds valid_for{8};
+    static constexpr std::chrono::seconds call_deadline{2};
+
+    /// Rows to write, given the first fencing number of the transaction.
+    using row_writer =
+        std::function<std::vector<platform::write>(std::int64_t first_fencing)>;
+
+    lease_keeper(lease_settings settings, Store& store, const Clock& clock)
+        : settings_(std::move(settings)), store_(store), clock_(clock)
+    {
+    }
+
+    /// Called when the lease was obtained, and again whenever writes whose
+    /// outcome was unknown can no longer take effect. The rows of the table
+    /// must then be read anew.
+    void on_settled(std::function<void()> observer)
+    {
+        on_settled_ = std::move(observer);
+    }
+    void on_lost(std::function<void()> observer)
+    {
+        on_lost_ = std::move(observer);
+    }
+
+    /// Whether this instance holds the lease and knows the row's version.
+    bool holds() const
+    {
+        return holder_ && settled_ && clock_.now() < valid_until_;
+    }
+    bool busy() const { return busy_; }
+
+    /// Writes rows on the condition that the lease is unchanged; uses
+    /// `numbers` fencing numbers. The handler gets the first one.
+    void commit(const row_writer& rows, std::int64_t numbers,
+        platform::handler<std::int64_t> on_done);
+
+    void tick();
+
+private:
+    void lose();
+    void read_row();
+    void consider(const std::optional<platform::row>& found);
+    void write_lease(lease next, std::vector<platform::write> rows,
+        platform::handler<std::int64_t> on_done);
+
+    bool is_own(const lease& value) const
+    {
+        return value.instance == settings_.instance &&
+               value.incarnation == settings_.incarnation;
+    }
+    time_point call_end() const { return clock_.now() + call_deadline; }
+
+    // Wraps a handler so that it does nothing once this object is gone.
+    template <class Function>
+    auto guarded(Function function)
+    {
+        return [alive = std::weak_ptr<int>(alive_),
+                   function = std::move(function)](auto value) mutable
+        {
+            if (!alive.expired())
+                function(std::move(value));
+        };
+    }
+
+    const lease_settings settings_;
+    Store& store_;
+    const Clock& clock_;
+    std::function<void()> on_settled_;
+    std::function<void()> on_lost_;
+    lease state_;
+    std::int64_t version_ = 0;
+    bool holder_ = false;
+    bool settled_ = false;
+    bool busy_ = false;
+    time_point valid_until_{};
+    time_point next_renewal_{};
+    time_point next_read_{};
+    // Version of another holder's row, and when it was first seen.
+    std::optional<std::int64_t> seen_version_;
+    time_point seen_since_{};
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+template <platform::table_store Store, clock_source Clock>
+void lease_keeper<Store, Clock>::commit(const row_writer& rows,
+    std::int64_t numbers, platform::handler<std::int64_t> on_done)
+{
+    if (!holds() || busy_)
+        return on_done(fail(
+            error_code::conflict, "The placement lease can't be used now."));
+    auto next = state_;
+    next.fencing += numbers;
+    ++next.renewals;
+    write_lease(next, rows(state_.fencing + 1), std::move(on_done));
+}
+
+template <platform::table_store Store, clock_source Clock>
+void lease_keeper<Store, Clock>::write_lease(lease next,
+    std::vector<platform::write> rows, platform::handler<std::int64_t> on_done)
+{
+    busy_ = true;
+    const auto started = clock_.now();
+    const auto first = state_.fencing + 1;
+    rows.push_back({settings_.key, to_row(next)});
+    store_.transact({{settings_.key, version_}}, std::move(rows), call_end(),
+        guarded(
+            [this, next, started, first, on_done = std::move(on_done)](
+                result<platform::transact_outcome> outcome)
+            {
+                busy_ = false;
+                if (outcome && outcome->applied)
+                {
+                    state_ = next;
+                    version_ = outcome->revision;
+                    holder_ = true;
+                    valid_until_ = started + valid_for;
+                    next_renewal_ = started + renewal_interval;
+                    if (!std::exchange(settled_, true) && on_settled_)
+                        on_settled_();
+                    return on_done(first);
+                }
+                // Another version may mean that an earlier write of this
+                // instance took effect late; reading the row decides it.
+                const bool untouched =
+                    !outcome &&
+                    outcome.error().code() == error_code::store_unavailable;
+                if (!untouched)
+                    settled_ = false;
+                next_read_ = clock_.now();
+                next_renewal_ = clock_.now() + read_interval;
+                on_done(fail(error_code::store_outcome_unknown,
+                    "The write with the placement lease was not confirmed."));
+            }));
+}
+
+template <platform::table_store Store, clock_source Clock>
+void lease_keeper<Store, Clock>::lose()
+{
+    if (!std::exchange(holder_, false))
+        return;
+    settled_ = false;
+    next_read_ = clock_.now();
+    if (on_lost_)
+        on_lost_();
+}
+
+template <platform::table_store Store, clock_source Clock>
+void lease_keeper<Store, Clock>::tick()
+{
+    const auto now = clock_.now();
+    if (holder_ && now >= valid_until_)
+        lose();
+    if (busy_)
+        return;
+    if (holder_ && settled_)
+    {
+        if (now < next_renewal_)
+            return;
+        auto next = state_;
+        ++next.renewals;
+        return write_lease(next, {}, [](const result<std::int64_t>&) {});
+    }
+    if (now >= next_read_)
+        read_row();
+}
+
+template <platform::table_store Store, clock_source Clock>
+void lease_keeper<Store, Clock>::read_row()
+{
+    busy_ = true;
+    next_read_ = clock_.now() + read_interval;
+    store_.read({settings_.key}, call_end(),
+        guarded(
+            [this](result<std::vector<platform::row>> rows)
+            {
+                busy_ = false;
+                if (!rows)
+                    return;
+                consider(rows->empty() ? std::nullopt
+                                       : std::optional(rows->front()));
+            }));
+}
+
+template <platform::table_store Store, clock_source Clock>
+void lease_keeper<Store, Clock>::consider(
+    const std::optional<platform::row>& found)
+{
+    const auto now = clock_.now();
+    const auto version = found ? found->version : 0;
+    lease current;
+    if (found)
+    {
+        const auto parsed = lease_from_row(found->value);
+        // An unreadable row is taken over like that of a silent holder.
+        if (parsed)
+            current = *parsed;
+    }
+    if (found && !is_own(current))
+    {
+        lose();
+        if (seen_version_ != version)
+        {
+            seen_version_ = version;
+            seen_since_ = now;
+        }
+        if (now - seen_since_ < takeover_after)
+            return;
+    }
+    seen_version_.reset();
+    state_ = current;
+    version_ = version;
+    settled_ = false;
+    auto next = current;
+    if (!found || !is_own(current))
+        ++next.fencing;
+    next.instance = settings_.instance;
+    next.incarnation = settings_.incarnation;
+    ++next.renewals;
+    write_lease(next, {}, [](const result<std::int64_t>&) {});
+}
+
+} // namespace tarragonquay::placement
--- /dev/null
+++ b/src/placement/ledger.cpp
@@ -0,0 +1,286 @@
+#include "placement/ledger.hpp"
+
+#include <algorithm>
+
+namespace tarragonquay::placement
+{
+namespace
+{
+
+using routing::command_outcome;
+using routing::endpoint_report;
+
+std::optional<command_outcome> outcome_in(
+    const endpoint_report& report, const std::string& command_id)
+{
+    for (const auto& command : report.commands)
+        if (command.command_id == command_id)
+            return command.outcome;
+    return std::nullopt;
+}
+
+bool has_model(const endpoint_report& report, const model_id& model)
+{
+    return std::any_of(report.models.begin(), report.models.end(),
+        [&](const routing::resident_model& resident)
+        { return resident.model == model; });
+}
+
+bool has_adapter(const endpoint_report& report, const intent& value)
+{
+    return std::any_of(report.adapters.begin(), report.adapters.end(),
+        [&](const routing::resident_adapter& resident) {
+            return resident.adapter == value.adapter &&
+                   resident.model == value.model;
+        });
+}
+
+// Whether the residents are as the command wants them.
+bool effect_visible(const endpoint_report& report, const intent& value)
+{
+    switch (value.kind)
+    {
+    case command_kind::load_model:
+        return has_model(report, value.model);
+    case command_kind::unload_model:
+        return !has_model(report, value.model);
+    case command_kind::load_adapter:
+        return has_adapter(report, value);
+    case command_kind::unload_adapter:
+        return !has_adapter(report, value);
+    }
+    return false;
+}
+
+// Whether the engine has finished the command, with effect or without.
+bool finished(const endpoint_report& report, const intent& value)
+{
+    const auto outcome = outcome_in(report, value.command_id);
+    if (outcome)
+        return *outcome != command_outcome::pending;
+    return effect_visible(report, value);
+}
+
+} // namespace
+
+void ledger::set_engine(const endpoint_id& id, bool honours_fencing)
+{
+    engines_[id].honours_fencing = honours_fencing;
+}
+
+void ledger::remove_engine(const endpoint_id& id)
+{
+    const auto it = engines_.find(id);
+    if (it != engines_.end() && it->second.intents.empty())
+        engines_.erase(it);
+}
+
+void ledger::set_adapter_bytes(const adapter_id& id, std::int64_t bytes)
+{
+    adapter_bytes_[id] = bytes;
+}
+
+void ledger::require_fresh_reports()
+{
+    for (auto& [id, engine] : engines_)
+    {
+        engine.report.reset();
+        engine.reports_since_reset = 0;
+    }
+}
+
+void ledger::add(const intent& value)
+{
+    engines_[value.endpoint].intents[value.command_id] = value;
+}
+
+void ledger::mark_answered(const std::string& command_id)
+{
+    for (auto& [id, engine] : engines_)
+        if (engine.intents.contains(command_id))
+            engine.answered.insert(command_id);
+}
+
+void ledger::withdraw(const std::string& command_id)
+{
+    for (auto& [id, engine] : engines_)
+    {
+        engine.intents.erase(command_id);
+        engine.answered.erase(command_id);
+        engine.shown.erase(command_id);
+    }
+}
+
+bool ledger::concluded(const engine_account& engine, const intent& value) const
+{
+    const auto& report = *engine.report;
+    if (engine.honours_fencing)
+    {
+        // After a number as high as this one, the engine refuses all copies
+        // that it has not accepted already. A restart alone proves nothing:
+        // the new incarnation accepts an old copy while its number is lower.
+        const auto outcome = outcome_in(report, value.command_id);
+        if (outcome)
+            return *outcome != command_outcome::pending;
+        return report.highest_fencing >= value.fencing;
+    }
+    return engine.answered.contains(value.command_id) &&
+           finished(report, value);
+}
+
+std::vector<intent> ledger::apply(const endpoint_report& report)
+{
+    const auto it = engines_.find(report.endpoint);
+    if (it == engines_.end())
+        return {};
+    auto& engine = it->second;
+    constexpr int reports_until_fresh = 2;
+    if (engine.reports_since_reset < reports_until_fresh)
+        ++engine.reports_since_reset;
+    if (engine.reports_since_reset < reports_until_fresh)
+        return {};
+    engine.report = report;
+    std::vector<intent> done;
+    for (const auto& [command_id, value] : engine.intents)
+    {
+        if (concluded(engine, value))
+            done.push_back(value);
+        else if (finished(report, value))
+            engine.shown.insert(command_id);
+    }
+    for (const auto& value : done)
+        withdraw(value.command_id);
+    return done;
+}
+
+std::int64_t ledger::committed_bytes(const endpoint_id& id) const
+{
+    const auto it = engines_.find(id);
+    if (it == engines_.end())
+        return 0;
+    const auto& engine = it->second;
+    std::map<model_id, std::int64_t> models;
+    std::map<adapter_id, std::int64_t> adapters;
+    std::int64_t total = 0;
+    if (engine.report)
+    {
+        for (const auto& resident : engine.report->models)
+            models[resident.model] += resident.bytes;
+        for (const auto& resident : engine.report->adapters)
+        {
+            const auto size = adapter_bytes_.find(resident.adapter);
+            adapters[resident.adapter] =
+                size == adapter_bytes_.end() ? 0 : size->second;
+        }
+        for (const auto& [model, bytes] : models)
+            total += bytes;
+        for (const auto& [adapter, bytes] : adapters)
+            total += bytes;
+        // The engine also knows what is not listed, such as a load that has
+        // just begun.
+        total = std::max(total, engine.report->used_bytes);
+    }
+    // Two open commands of one model need its memory once.
+    for (const auto& [command_id, value] : engine.intents)
+    {
+        auto& known = value.adapter.empty() ? models[value.model]
+                                            : adapters[value.adapter];
+        total += std::max<std::int64_t>(0, value.bytes - known);
+        known = std::max(known, value.bytes);
+    }
+    return total;
+}
+
+std::int64_t ledger::free_bytes(const endpoint_id& id) const
+{
+    if (!fresh(id))
+        return 0;
+    return std::max<std::int64_t>(
+        0, engines_.at(id).report->capacity_bytes - committed_bytes(id));
+}
+
+bool ledger::fresh(const endpoint_id& id) const
+{
+    const auto it = engines_.find(id);
+    return it != engines_.end() && it->second.report.has_value();
+}
+
+bool ledger::accepts_command(const endpoint_id& id) const
+{
+    if (!fresh(id))
+        return false;
+    const auto& engine = engines_.at(id);
+    if (engine.honours_fencing)
+        return true;
+    return std::all_of(engine.intents.begin(), engine.intents.end(),
+        [&](const auto& entry) { return engine.shown.contains(entry.first); });
+}
+
+bool ledger::counts_as_ready(const endpoint_id& id, const model_id& model) const
+{
+    if (!fresh(id))
+        return false;
+    const auto& engine = engines_.at(id);
+    const auto& models = engine.report->models;
+    const bool ready =
+        !engine.report->leaving &&
+        std::any_of(models.begin(), models.end(),
+            [&](const routing::resident_model& resident)
+            {
+                return resident.model == model &&
+                       resident.state == routing::residence_state::ready;
+            });
+    return ready &&
+           std::none_of(engine.intents.begin(), engine.intents.end(),
+               [&](const auto& entry)
+               {
+                   return entry.second.kind == command_kind::unload_model &&
+                          entry.second.model == model;
+               });
+}
+
+std::vector<intent> ledger::intents() const
+{
+    std::vector<intent> out;
+    for (const auto& [id, engine] : engines_)
+        for (const auto& [command_id, value] : engine.intents)
+            out.push_back(value);
+    return out;
+}
+
+std::vector<intent> ledger::intents(const endpoint_id& id) const
+{
+    std::vector<intent> out;
+    const auto it = engines_.find(id);
+    if (it != engines_.end())
+        for (const auto& [command_id, value] : it->second.intents)
+            out.push_back(value);
+    return out;
+}
+
+bool ledger::open(const intent& value) const
+{
+    const auto it = engines_.find(value.endpoint);
+    return it != engines_.end() &&
+           it->second.intents.contains(value.command_id) &&
+           !it->second.shown.contains(value.command_id);
+}
+
+void ledger::replace_intents(const std::vector<intent>& values)
+{
+    std::set<std::string> kept;
+    for (const auto& value : values)
+        kept.insert(value.command_id);
+    for (auto& [id, engine] : engines_)
+    {
+        engine.intents.clear();
+        const auto gone = [&](const std::string& each)
+        { return !kept.contains(each); };
+        std::erase_if(engine.answered, gone);
+        std::erase_if(engine.shown, gone);
+    }
+    for (const auto& value : values)
+        add(value);
+}
+
+} // namespace tarragonquay::placement
--- /dev/null
+++ b/src/placement/planner.hpp
@@ -0,0 +1,144 @@
+#pragma once
+
+#include <concepts>
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "placement/types.hpp"
+
+namespace tarragonquay::placement
+{
+
+/// A model on one engine, as the planner sees it.
+struct replica_view
+{
+    model_id model;
+    std::int64_t bytes = 0;
+    /// Serves now and may be counted as the last replica.
+    bool ready = false;
+    /// Is loading, or a load command is open.
+    bool coming = false;
+    /// An unload command is open.
+    bool going = false;
+    std::set<adapter_id> adapters;
+
+    auto operator<=>(const replica_view&) const = default;
+};
+
+struct engine_view
+{
+    endpoint_id id;
+    std::int64_t free_bytes = 0;
+    /// Neither leaving nor suspected, and its state is known.
+    bool usable = false;
+    bool accepts_command = false;
+    /// Gets no further command before the open one has ended.
+    bool one_command_at_a_time = false;
+    std::vector<replica_view> replicas;
+    /// Adapters whose load command is open.
+    std::set<adapter_id> adapters_coming;
+
+    auto operator<=>(const engine_view&) const = default;
+};
+
+struct adapter_demand
+{
+    adapter_id id;
+    std::string version;
+    std::int64_t bytes = 0;
+    double tokens_per_second = 0;
+    std::int64_t waiting = 0;
+
+    auto operator<=>(const adapter_demand&) const = default;
+};
+
+struct model_view
+{
+    model_id id;
+    std::string version;
+    std::int64_t bytes = 0;
+    double tokens_per_second = 0;
+    std::int64_t waiting = 0;
+    /// Age of the longest wait; 0 when nothing waits.
+    double waiting_s = 0;
+    /// Time since the last load or unload of a replica of this model.
+    double settled_s = 0;
+    std::vector<adapter_demand> adapters;
+
+    auto operator<=>(const model_view&) const = default;
+};
+
+/// Everything that a plan depends on.
+struct cluster_view
+{
+    std::vector<engine_view> engines;
+    std::vector<model_view> models;
+    std::int64_t loads_open = 0;
+    std::int64_t unloads_open = 0;
+    std::int64_t adapter_loads_open = 0;
+    /// Loads that the rate limit allows to start now.
+    std::int64_t loads_allowed = 0;
+
+    auto operator<=>(const cluster_view&) const = default;
+};
+
+struct planner_limits
+{
+    double loads_per_second = 1.0;
+    std::int64_t concurrent_loads = 2;
+    std::int64_t adapters_in_flight = 15;
+    /// Tokens that one replica serves in a second within the latency target.
+    double replica_tokens_per_second = 2000;
+    /// A replica is added above this utilisation of the model's replicas.
+    double add_above = 0.7;
+    /// A replica may be given up when the rest stays below this utilisation.
+    /// The gap to `add_above` is the hysteresis.
+    double give_up_below = 0.4;
+    /// Gain in tokens per second served in time that a moved gigabyte must
+    /// bring; the cost of the move.
+    double least_gain_per_gigabyte = 5;
+    /// Replicas younger than this are not taken away from a model.
+    double least_residence_s = 4;
+};
+
+/// Decides which commands to give next, from the view alone.
+template <class Planner>
+concept placement_planner = requires(const Planner& planner,
+    const cluster_view& view, const planner_limits& limits)
+{
+    {
+        planner.plan(view, limits)
+        } -> std::same_as<std::vector<move>>;
+};
+
+/// One replica for each model first, then the replica with the highest gain
+/// per byte. A load that needs memory is planned only once the memory is
+/// free. Takes the last replica of a model only for another model that waits,
+/// and only when all models do not fit at once (`move::swap`).
+std::vector<move> plan(const cluster_view& view, const planner_limits& limits);
+
+class demand_planner
+{
+public:
+    std::vector<move> plan(
+        const cluster_view& view, const planner_limits& limits) const
+    {
+        return placement::plan(view, limits);
+    }
+};
+
+/// Baseline: gives each model one replica while there is memory and never
+/// moves it afterwards.
+class static_planner
+{
+public:
+    std::vector<move> plan(
+        const cluster_view& view, const planner_limits& limits) const;
+};
+
+static_assert(placement_planner<demand_planner>);
+static_assert(placement_planner<static_planner>);
+
+} // namespace tarragonquay::placement
--- /dev/null
+++ b/src/placement/view_builder.cpp
@@ -0,0 +1,138 @@
+#include "placement/view_builder.hpp"
+
+#include <algorithm>
+
+namespace tarragonquay::placement
+{
+namespace
+{
+
+replica_view& replica_of(engine_view& engine, const model_id& model)
+{
+    for (auto& each : engine.replicas)
+        if (each.model == model)
+            return each;
+    replica_view fresh;
+    fresh.model = model;
+    return engine.replicas.emplace_back(std::move(fresh));
+}
+
+void add_residents(engine_view& engine, const ledger& accounts,
+    const routing::endpoint_report& report)
+{
+    for (const auto& resident : report.models)
+    {
+        auto& replica = replica_of(engine, resident.model);
+        replica.bytes = resident.bytes;
+        replica.ready = accounts.counts_as_ready(engine.id, resident.model);
+        replica.coming = resident.state == routing::residence_state::loading;
+        replica.going = resident.state == routing::residence_state::unloading;
+    }
+    for (const auto& resident : report.adapters)
+        replica_of(engine, resident.model).adapters.insert(resident.adapter);
+}
+
+void add_intent(engine_view& engine, cluster_view& view, const intent& value,
+    bool open, bool recent)
+{
+    switch (value.kind)
+    {
+    case command_kind::load_model:
+    {
+        auto& replica = replica_of(engine, value.model);
+        replica.bytes = std::max(replica.bytes, value.bytes);
+        replica.coming = !replica.ready && open && recent;
+        view.loads_open += open && recent ? 1 : 0;
+        break;
+    }
+    case command_kind::unload_model:
+    {
+        auto& replica = replica_of(engine, value.model);
+        replica.bytes = std::max(replica.bytes, value.bytes);
+        replica.going = replica.going || open;
+        view.unloads_open += open && recent ? 1 : 0;
+        break;
+    }
+    case command_kind::load_adapter:
+        if (open)
+            engine.adapters_coming.insert(value.adapter);
+        view.adapter_loads_open += open && recent ? 1 : 0;
+        break;
+    case command_kind::unload_adapter:
+        break;
+    }
+}
+
+std::vector<model_view> model_views(const view_inputs& inputs)
+{
+    std::map<model_id, model_view> models;
+    for (const auto& each : inputs.models)
+    {
+        auto& out = models[each.id];
+        out.id = each.id;
+        out.version = each.version;
+        out.bytes = each.bytes;
+        constexpr double never_moved_s = 1e6;
+        const auto moved = inputs.moved_at.find(each.id);
+        out.settled_s =
+            moved == inputs.moved_at.end()
+                ? never_moved_s
+                : std::chrono::duration<double>(inputs.now - moved->second)
+                      .count();
+    }
+    for (const auto& each : inputs.adapters)
+        if (const auto it = models.find(each.model); it != models.end())
+            it->second.adapters.push_back(
+                {each.id, each.version, each.bytes, 0, 0});
+    for (const auto& each : inputs.demand)
+    {
+        const auto it = models.find(each.model);
+        if (it == models.end())
+            continue;
+        auto& out = it->second;
+        out.tokens_per_second += each.tokens_per_second;
+        out.waiting += each.waiting;
+        if (each.waiting_since)
+            out.waiting_s = std::max(out.waiting_s,
+                std::chrono::duration<double>(inputs.now - *each.waiting_since)
+                    .count());
+        for (auto& adapter : out.adapters)
+            if (adapter.id == each.adapter)
+            {
+                adapter.tokens_per_second += each.tokens_per_second;
+                adapter.waiting += each.waiting;
+            }
+    }
+    std::vector<model_view> out;
+    for (auto& [id, model] : models)
+        out.push_back(std::move(model));
+    return out;
+}
+
+} // namespace
+
+cluster_view build_view(const ledger& accounts, const view_inputs& inputs)
+{
+    cluster_view view;
+    view.models = model_views(inputs);
+    for (const auto& [id, account] : accounts.engines())
+    {
+        engine_view engine;
+        engine.id = id;
+        engine.usable = inputs.listed.contains(id) &&
+                        !inputs.unusable.contains(id) && accounts.fresh(id) &&
+                        !account.report->leaving;
+        engine.accepts_command = accounts.accepts_command(id);
+        engine.one_command_at_a_time = !account.honours_fencing;
+        engine.free_bytes = accounts.free_bytes(id);
+        if (account.report)
+            add_residents(engine, accounts, *account.report);
+        for (const auto& [command_id, value] : account.intents)
+            add_intent(engine, view, value, accounts.open(value),
+                inputs.recent.contains(command_id));
+        view.engines.push_back(std::move(engine));
+    }
+    return view;
+}
+
+} // namespace tarragonquay::placement
