--- /dev/null
+++ b/src/placement/engine_model_test.hpp
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "placement/controller.hpp"
+
+namespace tarragonquay::placement
+{
+
+/// An engine for tests: takes any command it gets, without a check of its
+/// memory, so that a mistake of the controller shows as an overcommit.
+class engine_model
+{
+public:
+    engine_model(std::string id, std::int64_t capacity, bool fencing)
+        : id_(std::move(id)), capacity_(capacity), fencing_(fencing)
+    {
+    }
+
+    /// Copies are tied to the incarnation that they were sent to, as TCP
+    /// connections are.
+    std::optional<command_answer> receive(const intent& command)
+    {
+        if (command.engine_incarnation != incarnation())
+            return std::nullopt;
+        if (known_.contains(command.command_id))
+            return command_answer::already_known;
+        if (fencing_ && command.fencing <= highest_)
+            return command_answer::stale_fencing;
+        highest_ = std::max(highest_, command.fencing);
+        known_.insert(command.command_id);
+        if (command.kind == command_kind::load_model)
+            models_.try_emplace(command.model, command.bytes, false);
+        else if (command.kind == command_kind::unload_model)
+            models_.erase(command.model);
+        peak_ = std::max(peak_, used());
+        return command_answer::accepted;
+    }
+
+    void finish_loads()
+    {
+        for (auto& [model, state] : models_)
+            state.second = true;
+    }
+
+    void restart()
+    {
+        ++restarts_;
+        models_.clear();
+        known_.clear();
+        highest_ = 0;
+    }
+
+    std::int64_t used() const
+    {
+        std::int64_t total = 0;
+        for (const auto& [model, state] : models_)
+            total += state.first;
+        return total;
+    }
+    std::int64_t peak() const { return peak_; }
+    std::int64_t capacity() const { return capacity_; }
+    bool fencing() const { return fencing_; }
+    const std::string& id() const { return id_; }
+    std::string incarnation() const { return std::to_string(restarts_); }
+    bool ready(const model_id& model) const
+    {
+        const auto it = models_.find(model);
+        return it != models_.end() && it->second.second;
+    }
+
+    routing::endpoint_report report() const
+    {
+        routing::endpoint_report out;
+        out.endpoint = endpoint_id(id_);
+        out.incarnation = incarnation();
+        out.capacity_bytes = capacity_;
+        out.used_bytes = used();
+        out.highest_fencing = highest_;
+        for (const auto& [model, state] : models_)
+            out.models.push_back({model, "1", state.first,
+                state.second ? routing::residence_state::ready
+                             : routing::residence_state::loading});
+        for (const auto& command : known_)
+            out.commands.push_back({command, routing::command_outcome::done});
+        return out;
+    }
+
+private:
+    std::string id_;
+    std::int64_t capacity_;
+    bool fencing_;
+    std::int64_t highest_ = 0;
+    std::int64_t peak_ = 0;
+    int restarts_ = 0;
+    std::map<model_id, std::pair<std::int64_t, bool>> models_;
+    std::set<std::string> known_;
+};
+
+/// Commands on their way; the test decides which arrive, when and how often.
+class command_network
+{
+public:
+    struct copy
+    {
+        intent command;
+        platform::handler<command_answer> on_done;
+    };
+
+    void send(const intent& command, platform::handler<command_answer> on_done)
+    {
+        copies_.push_back({command, std::move(on_done)});
+    }
+    std::vector<copy>& copies() { return copies_; }
+
+private:
+    std::vector<copy> copies_;
+};
+
+static_assert(command_transport<command_network>);
+
+} // namespace tarragonquay::placement
--- a/src/placement/ledger.cpp
+++ b/src/placement/ledger.cpp
@@ -124,6 +124,8 @@
             return *outcome != command_outcome::pending;
         return report.highest_fencing >= value.fencing;
     }
+    if (report.incarnation != value.engine_incarnation)
+        return true;
     return engine.answered.contains(value.command_id) &&
            finished(report, value);
 }
--- /dev/null
+++ b/src/placement/ledger_test.cpp
@@ -0,0 +1,129 @@
+#include "placement/ledger.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tarragonquay::placement
+{
+namespace
+{
+
+const endpoint_id engine("e");
+const model_id poet("poet");
+
+intent load_of(std::int64_t fencing, const std::string& incarnation = "1")
+{
+    return {"c" + std::to_string(fencing), engine, incarnation, fencing,
+        command_kind::load_model, poet, {}, "1", 60, 0};
+}
+
+routing::endpoint_report report_of(const std::string& incarnation,
+    std::int64_t highest, std::vector<routing::resident_model> models = {})
+{
+    routing::endpoint_report out;
+    out.endpoint = engine;
+    out.incarnation = incarnation;
+    out.capacity_bytes = 100;
+    out.highest_fencing = highest;
+    out.models = std::move(models);
+    return out;
+}
+
+} // namespace
+
+class ledger_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ledger_test);
+    CPPUNIT_TEST(open_load_is_accounted_until_a_higher_number_is_seen);
+    CPPUNIT_TEST(restart_does_not_conclude_a_fenced_command);
+    CPPUNIT_TEST(unanswered_load_without_fencing_stays_until_restart);
+    CPPUNIT_TEST(unanswered_unload_without_fencing_keeps_memory_reserved);
+    CPPUNIT_TEST(answered_command_without_fencing_ends_with_its_effect);
+    CPPUNIT_TEST(report_from_before_a_takeover_is_ignored);
+    CPPUNIT_TEST_SUITE_END();
+
+    ledger accounts_;
+
+    void start(bool fencing)
+    {
+        accounts_.set_engine(engine, fencing);
+        accounts_.apply(report_of("1", 0));
+        accounts_.apply(report_of("1", 0));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(100), accounts_.free_bytes(engine));
+    }
+
+public:
+    void open_load_is_accounted_until_a_higher_number_is_seen()
+    {
+        start(true);
+        accounts_.add(load_of(5));
+        CPPUNIT_ASSERT(accounts_.apply(report_of("1", 4)).empty());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(40), accounts_.free_bytes(engine));
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t(1), accounts_.apply(report_of("1", 6)).size());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(100), accounts_.free_bytes(engine));
+    }
+
+    // A holder that was paused may send the command to the new incarnation.
+    void restart_does_not_conclude_a_fenced_command()
+    {
+        start(true);
+        accounts_.add(load_of(5));
+        CPPUNIT_ASSERT(accounts_.apply(report_of("2", 0)).empty());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(40), accounts_.free_bytes(engine));
+    }
+
+    void unanswered_load_without_fencing_stays_until_restart()
+    {
+        start(false);
+        accounts_.add(load_of(5));
+        CPPUNIT_ASSERT(!accounts_.accepts_command(engine));
+        CPPUNIT_ASSERT(accounts_.apply(report_of("1", 9)).empty());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(40), accounts_.free_bytes(engine));
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t(1), accounts_.apply(report_of("2", 0)).size());
+        CPPUNIT_ASSERT(accounts_.accepts_command(engine));
+    }
+
+    void unanswered_unload_without_fencing_keeps_memory_reserved()
+    {
+        start(false);
+        auto unload = load_of(5);
+        unload.kind = command_kind::unload_model;
+        accounts_.add(unload);
+        CPPUNIT_ASSERT(accounts_.apply(report_of("1", 5)).empty());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(40), accounts_.free_bytes(engine));
+        // The copy may still arrive, so a new replica is not a safe last one.
+        accounts_.apply(report_of(
+            "1", 5, {{poet, "1", 60, routing::residence_state::ready}}));
+        CPPUNIT_ASSERT(!accounts_.counts_as_ready(engine, poet));
+    }
+
+    void answered_command_without_fencing_ends_with_its_effect()
+    {
+        start(false);
+        accounts_.add(load_of(5));
+        accounts_.mark_answered("c5");
+        CPPUNIT_ASSERT(accounts_.apply(report_of("1", 0)).empty());
+        const auto done = accounts_.apply(report_of(
+            "1", 0, {{poet, "1", 60, routing::residence_state::ready}}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), done.size());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(40), accounts_.free_bytes(engine));
+    }
+
+    // Such a report may lack a load that the previous holder concluded, or
+    // show an incarnation from before the intent.
+    void report_from_before_a_takeover_is_ignored()
+    {
+        start(false);
+        accounts_.require_fresh_reports();
+        accounts_.add(load_of(5, "2"));
+        CPPUNIT_ASSERT(accounts_.apply(report_of("1", 0)).empty());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), accounts_.free_bytes(engine));
+        CPPUNIT_ASSERT(accounts_.apply(report_of("2", 0)).empty());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(40), accounts_.free_bytes(engine));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ledger_test);
+
+} // namespace tarragonquay::placement
