Add the stand-ins for the platform, services and TCP faults

Integration tests need the components around the daemon as processes on loopback addresses. Built with scripts/build.sh; no test was run yet.

--- /dev/null
+++ b/standins/main.cpp
@@ -0,0 +1,31 @@
+#include <iostream>
+
+#include <CLI/CLI.hpp>
+
+#include "standins/programs.hpp"
+
+int main(int argc, char** argv)
+{
+    CLI::App app{"Stand-ins for the components that surround the daemon. Each "
+                 "prints \"listening <name> <ip:port>\" for every address it "
+                 "listens on and ends on SIGTERM."};
+    app.require_subcommand(1);
+    tarragonquay::standins::add_platform(app);
+    tarragonquay::standins::add_engine(app);
+    tarragonquay::standins::add_service(app);
+    tarragonquay::standins::add_proxy(app);
+    try
+    {
+        app.parse(argc, argv);
+    }
+    catch (const CLI::ParseError& failure)
+    {
+        return app.exit(failure);
+    }
+    catch (const std::exception& failure)
+    {
+        std::cerr << "tq-standin: " << failure.what() << '\n';
+        return 1;
+    }
+    return 0;
+}
