--- a/standins/engine_server.cpp
+++ b/standins/engine_server.cpp
@@ -2,6 +2,8 @@
 
 #include "standins/engine_server.hpp"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 
 #include "common/clock.hpp"
@@ -141,17 +143,19 @@
 {
     const std::string id = request.path.substr(streams_prefix.size());
     const auto stream = streams_.find(id);
+    const std::string header = request.header("X-Request-Id");
+    const std::string echo = header.empty() ? id : header;
     if (!stream)
     {
         http_answer unknown = error_answer(404, "not_found", "no such stream");
-        co_await peer.answer(with_echo(std::move(unknown), id));
+        co_await peer.answer(with_echo(std::move(unknown), echo));
         co_return;
     }
     if (request.method == "DELETE")
     {
         streams_.cancel(id);
         const json body = {{"cancelled", stream->cancelled}};
-        co_await peer.answer(with_echo(json_answer(body), id));
+        co_await peer.answer(with_echo(json_answer(body), echo));
         co_return;
     }
     const auto offset = request.number("offset", 0);
@@ -159,10 +163,10 @@
     {
         http_answer wrong = error_answer(
             400, "invalid_argument", "the offset is beyond the stream");
-        co_await peer.answer(with_echo(std::move(wrong), id));
+        co_await peer.answer(with_echo(std::move(wrong), echo));
         co_return;
     }
-    co_await send_events(stream, id, static_cast<int>(offset), peer);
+    co_await send_events(stream, echo, static_cast<int>(offset), peer);
 }
 
 asio::awaitable<void> engine_server::send_events(
--- a/standins/http.cpp
+++ b/standins/http.cpp
@@ -9,6 +9,8 @@
 #include <iostream>
 #include <stdexcept>
 
+#include <unistd.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -246,6 +248,17 @@
     }
 }
 
+// A test program that is killed can't end the stand-ins that it started.
+int parent_pid = 0;
+
+asio::awaitable<void> watch_parent(asio::io_context& io)
+{
+    constexpr double poll_ms = 500;
+    while (getppid() == parent_pid)
+        co_await sleep_ms(poll_ms);
+    io.stop();
+}
+
 } // namespace
 
 std::string http_request::header(const std::string& name) const
@@ -342,8 +355,15 @@
     print_listening(name, *bound);
 }
 
+void set_parent_pid(int pid)
+{
+    parent_pid = pid;
+}
+
 void run_until_signal(asio::io_context& io)
 {
+    if (parent_pid != 0)
+        asio::co_spawn(io, watch_parent(io), asio::detached);
     asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&io](error_code, int) { io.stop(); });
     io.run();
--- a/standins/http.hpp
+++ b/standins/http.hpp
@@ -100,6 +100,9 @@
 void listen_or_throw(asio::io_context& io, const std::string& name,
     const std::string& address, const http_handler& handler);
 
+/// Makes run_until_signal end as well when the parent is another process.
+void set_parent_pid(int pid);
+
 /// Runs until SIGTERM or SIGINT.
 void run_until_signal(asio::io_context& io);
 
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -2,6 +2,7 @@
 
 #include <CLI/CLI.hpp>
 
+#include "standins/http.hpp"
 #include "standins/programs.hpp"
 
 int main(int argc, char** argv)
@@ -10,6 +11,12 @@
                  "prints \"listening <name> <ip:port>\" for every address it "
                  "listens on and ends on SIGTERM."};
     app.require_subcommand(1);
+    int parent_pid = 0;
+    app.add_option("--parent-pid", parent_pid,
+           "End when the parent is no longer this process; before the "
+           "subcommand")
+        ->each([](const std::string& pid)
+            { tarragonquay::standins::set_parent_pid(std::stoi(pid)); });
     tarragonquay::standins::add_platform(app);
     tarragonquay::standins::add_engine(app);
     tarragonquay::standins::add_service(app);
--- /dev/null
+++ b/tests/standins_test.cpp
@@ -0,0 +1,195 @@
+#include <cppunit/extensions/HelperMacros.h>
+#include <grpcpp/grpcpp.h>
+
+#include "platform.grpc.pb.h"
+#include "support/http_client.hpp"
+#include "support/process.hpp"
+
+namespace tarragonquay::test_support
+{
+namespace
+{
+
+using nlohmann::json;
+namespace api = tarragonquay::platform;
+
+json completion(int max_tokens, bool stream)
+{
+    json message = {{"role", "user"}, {"content", "write a verse"}};
+    return {{"model", "m"}, {"messages", json::array({message})},
+        {"max_tokens", max_tokens}, {"stream", stream}};
+}
+
+json load_command(const std::string& id, int fencing, int bytes)
+{
+    return {{"command_id", id}, {"fencing", fencing}, {"kind", "load_model"},
+        {"model", id}, {"version", "1"}, {"bytes", bytes}};
+}
+
+grpc::Status transact(api::Platform::Stub& stub, const std::string& key,
+    std::int64_t version, api::Transact_reply& reply)
+{
+    api::Transact_request request;
+    auto* condition = request.add_conditions();
+    condition->set_key(key);
+    condition->set_version(version);
+    auto* write = request.add_writes();
+    write->set_key(key);
+    write->set_value("value");
+    grpc::ClientContext context;
+    context.set_deadline(std::chrono::system_clock::now() + milliseconds(1000));
+    return stub.Transact(&context, request, &reply);
+}
+
+class standins_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(standins_test);
+    CPPUNIT_TEST(transaction_applies_only_when_conditions_hold);
+    CPPUNIT_TEST(lost_answer_leaves_the_effect);
+    CPPUNIT_TEST(resumed_stream_equals_the_uninterrupted_one);
+    CPPUNIT_TEST(engine_counts_overcommits_and_refuses_stale_fencing);
+    CPPUNIT_TEST(service_counts_a_run_whose_answer_is_lost);
+    CPPUNIT_TEST(frozen_connection_stays_silent_while_new_ones_work);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a store that writes although a condition failed.
+    void transaction_applies_only_when_conditions_hold()
+    {
+        const auto server = process::start_standin("platform", {});
+        const auto stub = stub_of(*server);
+        api::Transact_reply first;
+        CPPUNIT_ASSERT(transact(*stub, "a", 0, first).ok());
+        CPPUNIT_ASSERT(first.applied());
+        api::Transact_reply second;
+        CPPUNIT_ASSERT(transact(*stub, "a", 0, second).ok());
+        CPPUNIT_ASSERT(!second.applied());
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), second.failed_key());
+        CPPUNIT_ASSERT_EQUAL(first.revision(), second.failed_version());
+        api::Transact_reply third;
+        CPPUNIT_ASSERT(transact(*stub, "a", first.revision(), third).ok());
+        CPPUNIT_ASSERT(third.applied());
+    }
+
+    // Guards against an answer_lost mode that loses the write as well.
+    void lost_answer_leaves_the_effect()
+    {
+        const auto server = process::start_standin("platform", {});
+        const auto stub = stub_of(*server);
+        post(server->address("admin"), "/admin/mode",
+            {{"mode", "answer_lost"}, {"count", 1}});
+        api::Transact_reply reply;
+        CPPUNIT_ASSERT(!transact(*stub, "a", 0, reply).ok());
+        const auto rows =
+            fetch(server->address("admin"), "/admin/rows?prefix=a").json();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), rows.at("rows").size());
+        api::Transact_reply next;
+        CPPUNIT_ASSERT(transact(*stub, "b", 0, next).ok());
+    }
+
+    // Guards against output that depends on the connection or the offset.
+    void resumed_stream_equals_the_uninterrupted_one()
+    {
+        const auto engine = start_engine({});
+        const auto address = engine->address("engine");
+        const auto whole = post(address, "/v1/chat/completions",
+            completion(8, true), {{"X-Request-Id", "whole"}});
+        CPPUNIT_ASSERT(whole.complete);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(10), whole.events.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("[DONE]"), whole.events.back().data);
+
+        post(address, "/admin/faults", {{"cut_streams", 1}, {"at_event", 3}});
+        const auto cut = post(address, "/v1/chat/completions",
+            completion(8, true), {{"X-Request-Id", "cut"}});
+        CPPUNIT_ASSERT(!cut.complete);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), cut.events.size());
+        const auto rest = fetch(address, "/v1/streams/cut?offset=3");
+        CPPUNIT_ASSERT_EQUAL(whole.body, cut.body + rest.body);
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("cut"), rest.headers.at("x-request-id"));
+    }
+
+    // Guards against memory that is not counted from the start of a load.
+    void engine_counts_overcommits_and_refuses_stale_fencing()
+    {
+        const auto engine = start_engine({"--capacity-bytes", "2000"});
+        const auto address = engine->address("engine");
+        const std::string path = "/control/commands";
+        CPPUNIT_ASSERT_EQUAL(
+            202, post(address, path, load_command("a", 5, 1000)).status);
+        CPPUNIT_ASSERT_EQUAL(
+            200, post(address, path, load_command("a", 5, 1000)).status);
+        CPPUNIT_ASSERT_EQUAL(
+            409, post(address, path, load_command("b", 4, 1)).status);
+        CPPUNIT_ASSERT_EQUAL(2000, memory_of(address).first);
+        CPPUNIT_ASSERT_EQUAL(0, memory_of(address).second);
+        CPPUNIT_ASSERT_EQUAL(
+            202, post(address, path, load_command("c", 6, 1)).status);
+        CPPUNIT_ASSERT_EQUAL(2001, memory_of(address).first);
+        CPPUNIT_ASSERT_EQUAL(1, memory_of(address).second);
+    }
+
+    // Guards against a lost answer that hides that the order ran.
+    void service_counts_a_run_whose_answer_is_lost()
+    {
+        const auto service = process::start_standin("service", {});
+        const auto address = service->address("service");
+        post(address, "/admin/faults", {{"lose_answers", 1}});
+        const auto lost = post(address, "/send", {{"order", "o1"}});
+        CPPUNIT_ASSERT_EQUAL(0, lost.status);
+        const auto again = post(address, "/send", {{"order", "o1"}});
+        CPPUNIT_ASSERT_EQUAL(200, again.status);
+        const auto orders = fetch(address, "/admin/orders").json();
+        CPPUNIT_ASSERT_EQUAL(2, orders.at("orders").at("o1").get<int>());
+    }
+
+    // Guards against a freeze that closes the connection or affects new ones.
+    void frozen_connection_stays_silent_while_new_ones_work()
+    {
+        const auto service = process::start_standin("service", {});
+        const auto proxy = process::start_standin(
+            "proxy", {"--listen", "127.0.0.1:0", "--target",
+                         service->address("service")});
+        const auto address = proxy->address("proxy-0");
+        http_client kept(address);
+        http_call call;
+        call.target = "/status/a";
+        call.time = milliseconds(1000);
+        CPPUNIT_ASSERT_EQUAL(200, kept.send(call).status);
+        CPPUNIT_ASSERT(kept.connected());
+        post(proxy->address("admin"), "/admin/routes",
+            {{"freeze_open", "both"}});
+        CPPUNIT_ASSERT_EQUAL(0, kept.send(call).status);
+        CPPUNIT_ASSERT_EQUAL(200, fetch(address, "/status/a").status);
+        CPPUNIT_ASSERT(proxy->terminate());
+        CPPUNIT_ASSERT_EQUAL(0, proxy->exit_code());
+    }
+
+private:
+    static std::unique_ptr<api::Platform::Stub> stub_of(const process& server)
+    {
+        return api::Platform::NewStub(grpc::CreateChannel(
+            server.address("platform"), grpc::InsecureChannelCredentials()));
+    }
+
+    static std::unique_ptr<process> start_engine(
+        std::vector<std::string> arguments)
+    {
+        arguments.insert(
+            arguments.end(), {"--model", "m:1:1000", "--token-ms", "2"});
+        return process::start_standin("engine", arguments);
+    }
+
+    /// Used bytes and overcommits.
+    static std::pair<int, int> memory_of(const std::string& address)
+    {
+        const auto state = fetch(address, "/control/state").json();
+        return {state.at("used_bytes").get<int>(),
+            state.at("overcommits").get<int>()};
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(standins_test);
+
+} // namespace
+} // namespace tarragonquay::test_support
