--- a/tests/support/deployment.hpp
+++ b/tests/support/deployment.hpp
@@ -71,8 +71,8 @@
 
     // All calls of tqctl that set up the configuration. Each throws when the
     // command fails.
-    void put_workspace(const std::string& id, std::int64_t rate,
-        std::int64_t burst);
+    void put_workspace(
+        const std::string& id, std::int64_t rate, std::int64_t burst);
     void put_key(const std::string& id, const std::string& workspace,
         const std::string& secret);
     void withdraw_key(const std::string& id);
