--- /dev/null
+++ b/src/endpoints/endpoint_state.cpp
@@ -0,0 +1,164 @@
+#include "endpoints/endpoint_state.hpp"
+
+#include <limits>
+
+#include <nlohmann/json.hpp>
+
+namespace tarragonquay::endpoints
+{
+
+using json = nlohmann::json;
+
+namespace
+{
+
+// More entries than any engine holds; a larger list is a broken answer.
+constexpr std::size_t max_list_entries = 10'000;
+constexpr std::size_t max_text_bytes = 512;
+
+// Reads typed members and remembers the first failure.
+class reader
+{
+public:
+    explicit reader(const json& source) : source_(source) {}
+
+    std::string text(const char* name)
+    {
+        const auto* value = member(name);
+        if (value == nullptr || !value->is_string() ||
+            value->get_ref<const std::string&>().size() > max_text_bytes)
+            return note(name), std::string();
+        return value->get<std::string>();
+    }
+
+    std::int64_t count(const char* name)
+    {
+        const auto* value = member(name);
+        if (value == nullptr || !value->is_number_integer() ||
+            *value > std::numeric_limits<std::int64_t>::max() || *value < 0)
+            return note(name), 0;
+        return value->get<std::int64_t>();
+    }
+
+    bool flag(const char* name)
+    {
+        const auto* value = member(name);
+        if (value == nullptr || !value->is_boolean())
+            return note(name), false;
+        return value->get<bool>();
+    }
+
+    // Calls `take` with a reader for each object of the list.
+    template <class Take>
+    void list(const char* name, Take take)
+    {
+        const auto* value = member(name);
+        if (value == nullptr || !value->is_array() ||
+            value->size() > max_list_entries)
+            return note(name);
+        for (const auto& entry : *value)
+        {
+            reader part(entry);
+            take(part);
+            if (!part.wrong_.empty())
+                return note(name + ("." + part.wrong_));
+        }
+    }
+
+    void note(const std::string& name)
+    {
+        if (wrong_.empty())
+            wrong_ = name;
+    }
+    const std::string& wrong() const { return wrong_; }
+
+private:
+    const json* member(const char* name) const
+    {
+        const auto it =
+            source_.is_object() ? source_.find(name) : source_.end();
+        return it == source_.end() ? nullptr : &*it;
+    }
+
+    const json& source_;
+    std::string wrong_;
+};
+
+routing::residence_state residence_of(reader& source)
+{
+    const auto name = source.text("state");
+    if (name == "loading")
+        return routing::residence_state::loading;
+    if (name == "unloading")
+        return routing::residence_state::unloading;
+    if (name != "ready")
+        source.note("state");
+    return routing::residence_state::ready;
+}
+
+routing::command_outcome outcome_of(reader& source)
+{
+    const auto name = source.text("outcome");
+    if (name == "done")
+        return routing::command_outcome::done;
+    if (name == "rejected")
+        return routing::command_outcome::rejected;
+    if (name != "pending")
+        source.note("outcome");
+    return routing::command_outcome::pending;
+}
+
+std::int32_t bounded_int32(std::int64_t value)
+{
+    return static_cast<std::int32_t>(std::min<std::int64_t>(
+        value, std::numeric_limits<std::int32_t>::max()));
+}
+
+} // namespace
+
+result<routing::endpoint_report> decode_endpoint_state(
+    const endpoint_id& endpoint, const std::string& body,
+    time_point received_at)
+{
+    const auto parsed = json::parse(body, nullptr, false);
+    if (!parsed.is_object())
+        return fail(error_code::malformed_message,
+            "the state of the endpoint is not a JSON object");
+    reader source(parsed);
+    routing::endpoint_report report;
+    report.endpoint = endpoint;
+    report.received_at = received_at;
+    report.incarnation = source.text("incarnation");
+    report.capacity_bytes = source.count("capacity_bytes");
+    report.used_bytes = source.count("used_bytes");
+    report.overcommits = source.count("overcommits");
+    report.running = bounded_int32(source.count("running"));
+    report.waiting = bounded_int32(source.count("waiting"));
+    report.leaving = source.flag("leaving");
+    report.highest_fencing = source.count("highest_fencing");
+    report.reported_unix_ms = source.count("reported_unix_ms");
+    source.list("residents",
+        [&](reader& entry)
+        {
+            report.models.push_back(
+                {model_id(entry.text("model")), entry.text("version"),
+                    entry.count("bytes"), residence_of(entry)});
+        });
+    source.list("adapters",
+        [&](reader& entry)
+        {
+            report.adapters.push_back({adapter_id(entry.text("adapter")),
+                model_id(entry.text("model"))});
+        });
+    source.list("commands",
+        [&](reader& entry) {
+            report.commands.push_back(
+                {entry.text("command_id"), outcome_of(entry)});
+        });
+    if (!source.wrong().empty())
+        return fail(error_code::malformed_message,
+            "the state of the endpoint has a wrong member " + source.wrong());
+    return report;
+}
+
+} // namespace tarragonquay::endpoints
--- /dev/null
+++ b/src/endpoints/http_connection.cpp
@@ -0,0 +1,226 @@
+#include "endpoints/http_connection.hpp"
+
+#include <array>
+#include <charconv>
+#include <optional>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace tarragonquay::endpoints
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace
+{
+
+constexpr std::size_t header_limit_bytes = 16UL << 10U;
+constexpr std::size_t read_size_bytes = 16UL << 10U;
+
+result<tcp::endpoint> parse_address(const std::string& address)
+{
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos)
+        return fail(error_code::connect_failed, "address without a port");
+    unsigned short port = 0;
+    const char* end = address.data() + address.size();
+    const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
+    boost::system::error_code ec;
+    const auto ip = asio::ip::make_address(address.substr(0, colon), ec);
+    if (ec || parsed.ec != std::errc() || parsed.ptr != end)
+        return fail(error_code::connect_failed, "malformed address");
+    return tcp::endpoint(ip, port);
+}
+
+tl::unexpected<error> read_failure(const boost::system::error_code& ec)
+{
+    if (ec == beast::error::timeout)
+        return fail(error_code::deadline_exceeded,
+            "the endpoint did not answer in time", execution_state::unknown);
+    if (ec == http::error::body_limit || ec == http::error::header_limit)
+        return fail(error_code::payload_too_large,
+            "the answer of the endpoint is too large",
+            execution_state::unknown);
+    return fail(
+        error_code::connection_broken, ec.message(), execution_state::unknown);
+}
+
+} // namespace
+
+std::string answer_head::find(std::string_view name) const
+{
+    for (const auto& candidate : headers)
+    {
+        if (beast::iequals({candidate.name.data(), candidate.name.size()},
+                {name.data(), name.size()}))
+            return candidate.value;
+    }
+    return {};
+}
+
+struct http_connection::implementation
+{
+    explicit implementation(asio::any_io_executor executor)
+        : stream(std::move(executor))
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    std::optional<http::response_parser<http::buffer_body>> parser;
+    bool answer_started = false;
+    bool failed = false;
+};
+
+http_connection::http_connection(std::unique_ptr<implementation> parts)
+    : implementation_(std::move(parts))
+{
+}
+
+http_connection::http_connection(http_connection&&) noexcept = default;
+http_connection& http_connection::operator=(
+    http_connection&&) noexcept = default;
+http_connection::~http_connection() = default;
+
+asio::awaitable<result<http_connection>> http_connection::open(
+    std::string address, time_point deadline)
+{
+    const auto target = parse_address(address);
+    if (!target)
+        co_return tl::unexpected<error>(target.error());
+    const auto executor = co_await asio::this_coro::executor;
+    auto parts = std::make_unique<implementation>(executor);
+    parts->stream.expires_at(deadline);
+    boost::system::error_code ec;
+    co_await parts->stream.async_connect(
+        *target, asio::redirect_error(asio::use_awaitable, ec));
+    if (ec == beast::error::timeout)
+        co_return fail(error_code::connect_failed,
+            "connecting to the endpoint took too long");
+    if (ec)
+        co_return fail(error_code::connect_failed, ec.message());
+    parts->stream.socket().set_option(tcp::no_delay(true), ec);
+    co_return http_connection(std::move(parts));
+}
+
+asio::awaitable<result<answer_head>> http_connection::send(
+    const exchange_request& request)
+{
+    auto& parts = *implementation_;
+    http::request<http::string_body> message;
+    message.method_string({request.method.data(), request.method.size()});
+    message.target({request.target.data(), request.target.size()});
+    message.version(11);
+    for (const auto& [name, value] : request.headers)
+        message.insert(name, value);
+    message.set(http::field::host, request.address);
+    message.set("X-Request-Id", request.request_id);
+    message.body() = request.body;
+    if (!request.body.empty() || request.method != "GET")
+        message.content_length(request.body.size());
+
+    parts.answer_started = false;
+    parts.failed = true;
+    parts.parser.emplace();
+    parts.parser->header_limit(header_limit_bytes);
+    parts.parser->body_limit(request.body_limit);
+    if (request.method == "HEAD")
+        parts.parser->skip(true);
+
+    boost::system::error_code ec;
+    parts.stream.expires_at(request.deadline);
+    co_await http::async_write(
+        parts.stream, message, asio::redirect_error(asio::use_awaitable, ec));
+    if (ec)
+        co_return read_failure(ec);
+    co_await http::async_read_header(parts.stream, parts.buffer, *parts.parser,
+        asio::redirect_error(asio::use_awaitable, ec));
+    parts.answer_started = parts.parser->got_some() || parts.buffer.size() != 0;
+    if (ec)
+        co_return read_failure(ec);
+
+    const auto& answer = parts.parser->get();
+    const auto echo = answer["X-Request-Id"];
+    if (std::string_view(echo.data(), echo.size()) != request.request_id)
+    {
+        close();
+        co_return fail(error_code::wrong_answer,
+            "the answer belongs to another request", execution_state::unknown);
+    }
+    // Without a length, a cut body can't be told from a complete one.
+    if (request.method != "HEAD" && parts.parser->need_eof() &&
+        !parts.parser->is_done())
+    {
+        close();
+        co_return fail(error_code::incomplete_answer,
+            "the answer has no length", execution_state::unknown);
+    }
+    answer_head head;
+    head.status = static_cast<int>(answer.result_int());
+    for (const auto& field : answer)
+        head.headers.push_back(
+            {std::string(field.name_string()), std::string(field.value())});
+    parts.failed = false;
+    co_return head;
+}
+
+asio::awaitable<result<std::string>> http_connection::read_some(
+    time_point deadline)
+{
+    auto& parts = *implementation_;
+    while (!parts.parser->is_done())
+    {
+        std::array<char, read_size_bytes> space;
+        auto& body = parts.parser->get().body();
+        body.data = space.data();
+        body.size = space.size();
+        boost::system::error_code ec;
+        parts.stream.expires_at(deadline);
+        co_await http::async_read_some(parts.stream, parts.buffer,
+            *parts.parser, asio::redirect_error(asio::use_awaitable, ec));
+        if (ec == http::error::need_buffer)
+            ec = {};
+        if (ec)
+        {
+            parts.failed = true;
+            if (ec == beast::error::timeout || ec == http::error::body_limit)
+                co_return read_failure(ec);
+            co_return fail(error_code::incomplete_answer,
+                "the answer ended early: " + ec.message(),
+                execution_state::unknown);
+        }
+        const auto count = space.size() - body.size;
+        if (count != 0)
+            co_return std::string(space.data(), count);
+    }
+    co_return std::string();
+}
+
+bool http_connection::answer_started() const
+{
+    return implementation_->answer_started;
+}
+
+bool http_connection::reusable() const
+{
+    const auto& parts = *implementation_;
+    // Bytes beyond the answer mean that the two ends disagree about it.
+    return !parts.failed && parts.parser && parts.parser->is_done() &&
+           parts.parser->get().keep_alive() && parts.buffer.size() == 0;
+}
+
+void http_connection::close()
+{
+    implementation_->failed = true;
+    implementation_->stream.close();
+}
+
+} // namespace tarragonquay::endpoints
--- /dev/null
+++ b/src/endpoints/http_connection.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <utility>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "common/clock.hpp"
+#include "common/error.hpp"
+
+namespace tarragonquay::endpoints
+{
+
+struct header
+{
+    std::string name;
+    std::string value;
+
+    auto operator<=>(const header&) const = default;
+};
+
+/// One request to an endpoint.
+struct exchange_request
+{
+    /// IP address and port, "10.0.0.1:9000".
+    std::string address;
+    std::string method = "GET";
+    std::string target = "/";
+    std::vector<header> headers;
+    std::string body;
+    std::string request_id;
+    time_point deadline;
+    /// Idempotent requests may use a pooled connection and be sent again
+    /// when it turns out to be closed.
+    bool idempotent = false;
+    /// Largest accepted body of the answer.
+    std::size_t body_limit = 64UL << 20U;
+};
+
+struct answer_head
+{
+    int status = 0;
+    std::vector<header> headers;
+
+    /// Value of the first header of this name (any case); empty for none.
+    std::string find(std::string_view name) const;
+};
+
+/// HTTP/1.1 client connection. Used by one coroutine at a time.
+class http_connection
+{
+public:
+    /// Fails with connect_failed or deadline_exceeded, always not_run.
+    static boost::asio::awaitable<result<http_connection>> open(
+        std::string address, time_point deadline);
+
+    http_connection(http_connection&&) noexcept;
+    http_connection& operator=(http_connection&&) noexcept;
+    ~http_connection();
+
+    /// Sends the request and reads the head of the answer. Any failure has
+    /// execution `unknown`, because a part of the request may have arrived.
+    /// An answer without the request's id fails with wrong_answer.
+    boost::asio::awaitable<result<answer_head>> send(
+        const exchange_request& request);
+
+    /// Next part of the body; empty once the body is complete. A body that
+    /// ends early fails with incomplete_answer.
+    boost::asio::awaitable<result<std::string>> read_some(time_point deadline);
+
+    /// Whether any byte of the current answer has arrived.
+    bool answer_started() const;
+    /// Whether another request may be sent after the complete answer.
+    bool reusable() const;
+    void close();
+
+private:
+    struct implementation;
+    explicit http_connection(std::unique_ptr<implementation> parts);
+
+    std::unique_ptr<implementation> implementation_;
+};
+
+} // namespace tarragonquay::endpoints
--- /dev/null
+++ b/src/endpoints/http_exchange.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "endpoints/http_connection.hpp"
+
+namespace tarragonquay::endpoints
+{
+
+/// Idle connections of one thread. Not thread-safe; it must be destroyed
+/// before the io_context of its connections.
+class connection_pool
+{
+public:
+    /// Connections that are idle for longer may be silently dead.
+    static constexpr std::chrono::seconds max_idle_age{5};
+    static constexpr std::size_t max_idle_per_endpoint = 8;
+
+    /// An idle connection to this address, if there is one.
+    std::optional<http_connection> take(
+        const std::string& address, time_point now);
+    /// Keeps a connection whose answer was read completely.
+    void put(
+        const std::string& address, http_connection connection, time_point now);
+
+private:
+    struct idle_connection
+    {
+        http_connection connection;
+        time_point since;
+    };
+    void discard_old(time_point now);
+
+    std::map<std::string, std::deque<idle_connection>> idle_;
+};
+
+struct exchange_answer
+{
+    answer_head head;
+    std::string body;
+};
+
+/// An answer whose body is still to be read.
+struct open_answer
+{
+    http_connection connection;
+    answer_head head;
+};
+
+/// Sends a request and reads the head of the answer. Failures before a byte
+/// could have been written have execution not_run, all others unknown.
+boost::asio::awaitable<result<open_answer>> start_exchange(
+    connection_pool& pool, const exchange_request& request);
+
+/// A whole exchange; the body is complete or the result is an error.
+boost::asio::awaitable<result<exchange_answer>> exchange(
+    connection_pool& pool, exchange_request request);
+
+} // namespace tarragonquay::endpoints
--- /dev/null
+++ b/src/orders/order_book_test.cpp
@@ -0,0 +1,206 @@
+#include "orders/order_test_support.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tarragonquay::orders
+{
+
+using namespace testing;
+
+namespace
+{
+
+result<begin_outcome> begin(instance& at, order_call call)
+{
+    result<begin_outcome> out = fail(error_code::internal, "no answer");
+    at.book.begin(std::move(call),
+        [&out](result<begin_outcome> outcome) { out = std::move(outcome); });
+    at.settle();
+    return out;
+}
+
+void assert_code(error_code expected, const result<begin_outcome>& actual)
+{
+    CPPUNIT_ASSERT(!actual);
+    CPPUNIT_ASSERT_EQUAL(std::string(to_string(expected)),
+        std::string(to_string(actual.error().code())));
+}
+
+dispatch_permit permit_of(const result<begin_outcome>& outcome)
+{
+    CPPUNIT_ASSERT_MESSAGE(
+        outcome ? "replayed" : outcome.error().message(), outcome.has_value());
+    CPPUNIT_ASSERT(std::holds_alternative<dispatch_permit>(*outcome));
+    return std::get<dispatch_permit>(*outcome);
+}
+
+} // namespace
+
+class order_book_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(order_book_test);
+    CPPUNIT_TEST(first_call_is_dispatched_and_repeat_gets_its_answer);
+    CPPUNIT_TEST(large_answer_is_replayed_from_the_object_store);
+    CPPUNIT_TEST(repeat_during_the_first_call_is_in_progress);
+    CPPUNIT_TEST(other_body_is_refused);
+    CPPUNIT_TEST(store_outage_refuses_without_dispatch);
+    CPPUNIT_TEST(lost_answer_is_read_back);
+    CPPUNIT_TEST(unsettled_write_is_marked_not_run_later);
+    CPPUNIT_TEST(answer_is_stored_after_an_outage);
+    CPPUNIT_TEST(abandoned_order_has_an_unknown_outcome);
+    CPPUNIT_TEST(operator_settles_an_unknown_outcome);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a second dispatch for a repeat.
+    void first_call_is_dispatched_and_repeat_gets_its_answer()
+    {
+        world all;
+        instance a(all, "a");
+        instance b(all, "b");
+        const auto permit = permit_of(begin(a, make_call(all)));
+        a.book.complete(permit, {201, "text/plain", "sent"}, ignore);
+        a.settle();
+        const auto repeat = begin(b, make_call(all));
+        CPPUNIT_ASSERT(repeat.has_value());
+        CPPUNIT_ASSERT(std::get<order_answer>(*repeat) ==
+                       (order_answer{201, "text/plain", "sent"}));
+    }
+
+    // Guards against a truncated replay of answers beyond the row limit.
+    void large_answer_is_replayed_from_the_object_store()
+    {
+        world all;
+        instance a(all, "a");
+        const std::string body((64U << 10U) + 1, 'x');
+        a.book.complete(permit_of(begin(a, make_call(all))),
+            {200, "text/plain", body}, ignore);
+        a.settle();
+        const auto repeat = begin(a, make_call(all));
+        CPPUNIT_ASSERT(repeat.has_value());
+        CPPUNIT_ASSERT_EQUAL(
+            body.size(), std::get<order_answer>(*repeat).body.size());
+    }
+
+    void repeat_during_the_first_call_is_in_progress()
+    {
+        world all;
+        instance a(all, "a");
+        instance b(all, "b");
+        permit_of(begin(a, make_call(all)));
+        const auto repeat = begin(b, make_call(all));
+        assert_code(error_code::order_in_progress, repeat);
+        CPPUNIT_ASSERT(repeat.error().execution() == execution_state::unknown);
+    }
+
+    // Guards against replaying an answer to a different request.
+    void other_body_is_refused()
+    {
+        world all;
+        instance a(all, "a");
+        permit_of(begin(a, make_call(all)));
+        assert_code(error_code::idempotency_key_reused,
+            begin(a, make_call(all, "other")));
+    }
+
+    void store_outage_refuses_without_dispatch()
+    {
+        world all;
+        instance a(all, "a");
+        all.store.set_fault(platform::fake_store::fault::down);
+        const auto refused = begin(a, make_call(all));
+        assert_code(error_code::store_unavailable, refused);
+        CPPUNIT_ASSERT(refused.error().execution() == execution_state::not_run);
+    }
+
+    // Guards against refusing, or running twice, after a lost answer.
+    void lost_answer_is_read_back()
+    {
+        world all;
+        instance a(all, "a");
+        all.store.set_fault(platform::fake_store::fault::answers_lost);
+        result<begin_outcome> out = fail(error_code::internal, "none");
+        a.book.begin(make_call(all),
+            [&](result<begin_outcome> got) { out = std::move(got); });
+        a.calls.run(0);
+        all.store.set_fault(platform::fake_store::fault::none);
+        a.settle();
+        permit_of(out);
+        assert_code(error_code::order_in_progress, begin(a, make_call(all)));
+    }
+
+    // Guards against an order that stays blocked by an attempt that was
+    // refused, and against a refusal whose late write is dispatched.
+    void unsettled_write_is_marked_not_run_later()
+    {
+        world all;
+        instance a(all, "a");
+        all.store.set_fault(platform::fake_store::fault::answers_lost);
+        result<begin_outcome> out = fail(error_code::internal, "none");
+        a.book.begin(make_call(all),
+            [&](result<begin_outcome> got) { out = std::move(got); });
+        a.calls.run(0);
+        all.clock.advance(std::chrono::seconds(11));
+        a.settle();
+        assert_code(error_code::store_unavailable, out);
+        CPPUNIT_ASSERT(out.error().execution() == execution_state::not_run);
+        all.store.set_fault(platform::fake_store::fault::none);
+        a.settle();
+        permit_of(begin(a, make_call(all)));
+    }
+
+    // Guards against a completed order whose answer is lost.
+    void answer_is_stored_after_an_outage()
+    {
+        world all;
+        instance a(all, "a");
+        const auto permit = permit_of(begin(a, make_call(all)));
+        all.store.set_fault(platform::fake_store::fault::down);
+        bool stored = true;
+        a.book.complete(permit, {200, "text/plain", "ok"},
+            [&](result<void> done) { stored = done.has_value(); });
+        a.settle();
+        CPPUNIT_ASSERT(!stored);
+        all.store.set_fault(platform::fake_store::fault::none);
+        a.settle();
+        CPPUNIT_ASSERT(begin(a, make_call(all)).has_value());
+    }
+
+    void abandoned_order_has_an_unknown_outcome()
+    {
+        world all;
+        instance a(all, "a");
+        instance b(all, "b");
+        permit_of(begin(a, make_call(all)));
+        all.gone.insert("a");
+        assert_code(error_code::outcome_unknown, begin(b, make_call(all)));
+    }
+
+    // Guards against a decision that was based on an old version.
+    void operator_settles_an_unknown_outcome()
+    {
+        world all;
+        instance a(all, "a");
+        a.book.mark_unknown(permit_of(begin(a, make_call(all))), ignore);
+        a.settle();
+        const auto settle_with = [&](std::int64_t version)
+        {
+            result<order_book<queued_store>::shown_order> out =
+                fail(error_code::internal, "none");
+            a.book.resolve(workspace_id("w"), "key", version,
+                resolution::did_not_run, "ana",
+                [&](auto got) { out = std::move(got); });
+            a.settle();
+            return out;
+        };
+        const auto version = all.store.revision();
+        CPPUNIT_ASSERT(
+            settle_with(version - 1).error().code() == error_code::conflict);
+        CPPUNIT_ASSERT(settle_with(version).has_value());
+        permit_of(begin(a, make_call(all)));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(order_book_test);
+
+} // namespace tarragonquay::orders
--- /dev/null
+++ b/src/orders/order_interleaving_test.cpp
@@ -0,0 +1,112 @@
+#include "orders/order_test_support.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace tarragonquay::orders
+{
+
+using namespace testing;
+
+namespace
+{
+
+// One random run: three instances repeat one order while calls are late,
+// answers are lost, the store is down and instances crash.
+void check_interleaving()
+{
+    world all;
+    std::vector<std::unique_ptr<instance>> instances;
+    for (int i = 0; i < 3; ++i)
+        instances.push_back(
+            std::make_unique<instance>(all, "i" + std::to_string(i)));
+    int dispatches = 0;
+    // Per caller: whether it was refused as not run, and was dispatched.
+    std::map<int, bool> refused;
+    std::map<int, bool> dispatched;
+    int callers = 0;
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        120, rc::gen::pair(rc::gen::inRange(0, 12), rc::gen::inRange(0, 1000)));
+    for (const auto& [action, choice] : steps)
+    {
+        auto& at = instances[static_cast<std::size_t>(choice) % 3];
+        const int caller = callers;
+        switch (action)
+        {
+        case 0:
+        case 1:
+            ++callers;
+            at->book.begin(make_call(all),
+                [&, caller, choice, book = &at->book](
+                    result<begin_outcome> outcome)
+                {
+                    if (!outcome)
+                    {
+                        refused[caller] = outcome.error().execution() ==
+                                          execution_state::not_run;
+                        return;
+                    }
+                    auto* permit = std::get_if<dispatch_permit>(&*outcome);
+                    if (permit == nullptr)
+                        return;
+                    const int fate = choice / 3 % 4;
+                    if (fate == 0)
+                        return book->mark_not_run(*permit, ignore);
+                    ++dispatches;
+                    dispatched[caller] = true;
+                    if (fate == 1)
+                        book->mark_unknown(*permit, ignore);
+                    if (fate == 2)
+                        book->complete(
+                            *permit, {200, "text/plain", "ok"}, ignore);
+                });
+            break;
+        case 2:
+            all.store.set_fault(
+                static_cast<platform::fake_store::fault>(choice / 3 % 3));
+            break;
+        case 3:
+            all.clock.advance(std::chrono::milliseconds(choice * 10));
+            break;
+        case 4:
+            // A crash loses everything but the rows and calls under way.
+            if (choice % 5 == 0)
+            {
+                const auto name = "i" + std::to_string(choice % 3);
+                all.gone.insert(name);
+            }
+            break;
+        case 5:
+        case 6:
+            at->run_timer();
+            break;
+        default:
+            at->calls.run(static_cast<std::size_t>(choice / 3));
+            break;
+        }
+        RC_ASSERT(dispatches <= 1);
+        for (const auto& [who, was_refused] : refused)
+            RC_ASSERT(!(was_refused && dispatched[who]));
+    }
+}
+
+} // namespace
+
+class order_interleaving_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(order_interleaving_test);
+    CPPUNIT_TEST(one_dispatch_and_true_refusals);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a second dispatch of a record and against a refusal
+    // with not_run whose attempt was dispatched.
+    void one_dispatch_and_true_refusals()
+    {
+        CPPUNIT_ASSERT(rc::check("at most one dispatch", check_interleaving));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(order_interleaving_test);
+
+} // namespace tarragonquay::orders
--- /dev/null
+++ b/src/orders/order_test_support.hpp
@@ -0,0 +1,133 @@
+#pragma once
+
+#include <map>
+#include <set>
+
+#include "orders/order_book.hpp"
+#include "platform/fake_store.hpp"
+
+namespace tarragonquay::orders::testing
+{
+
+// Delays the calls of an instance until the test lets them reach the store,
+// so that calls of several instances interleave and arrive late.
+class queued_store
+{
+public:
+    explicit queued_store(platform::fake_store& target) : target_(target) {}
+
+    void transact(std::vector<platform::condition> conditions,
+        std::vector<platform::write> writes, time_point deadline,
+        platform::handler<platform::transact_outcome> on_done)
+    {
+        calls_.push_back([=, this]
+            { target_.transact(conditions, writes, deadline, on_done); });
+    }
+    void read(std::vector<std::string> keys, time_point deadline,
+        platform::handler<std::vector<platform::row>> on_done)
+    {
+        calls_.push_back([=, this] { target_.read(keys, deadline, on_done); });
+    }
+    void scan(std::string prefix, std::string after, std::int32_t limit,
+        time_point deadline, platform::handler<platform::scan_page> on_done)
+    {
+        calls_.push_back([=, this]
+            { target_.scan(prefix, after, limit, deadline, on_done); });
+    }
+
+    bool run(std::size_t choice)
+    {
+        if (calls_.empty())
+            return false;
+        const auto it = calls_.begin() +
+                        static_cast<std::ptrdiff_t>(choice % calls_.size());
+        auto call = std::move(*it);
+        calls_.erase(it);
+        call();
+        return true;
+    }
+
+private:
+    platform::fake_store& target_;
+    std::vector<std::function<void()>> calls_;
+};
+
+// State that all instances of a test share.
+struct world
+{
+    platform::fake_store store;
+    fake_clock clock;
+    int last_id = 0;
+    std::set<std::string> gone;
+    std::map<std::string, std::string> objects;
+};
+
+struct instance
+{
+    instance(world& surroundings, std::string name)
+        : calls(surroundings.store),
+          book(calls, environment(surroundings, std::move(name)))
+    {
+    }
+
+    order_environment environment(world& all, std::string name)
+    {
+        order_environment out;
+        out.instance = name;
+        out.incarnation = "1";
+        out.now = [&all] { return all.clock.now(); };
+        out.unix_ms = [] { return 0; };
+        out.new_id = [&all] { return std::to_string(++all.last_id); };
+        out.after = [this](duration, std::function<void()> action)
+        { timers.push_back(std::move(action)); };
+        out.is_gone = [&all](const std::string& who, const std::string&)
+        { return all.gone.contains(who); };
+        out.put_object = [&all](std::string object, std::string content,
+                             std::function<void(result<void>)> done)
+        {
+            all.objects[object] = std::move(content);
+            done({});
+        };
+        out.fetch_object = [&all](std::string object,
+                               std::function<void(result<std::string>)> done)
+        { done(all.objects.at(object)); };
+        return out;
+    }
+
+    // Runs everything that is due, in order, a bounded number of times.
+    void settle()
+    {
+        for (int i = 0; i < 50; ++i)
+        {
+            if (calls.run(0))
+                continue;
+            if (timers.empty())
+                return;
+            run_timer();
+        }
+    }
+
+    bool run_timer()
+    {
+        if (timers.empty())
+            return false;
+        auto action = std::move(timers.front());
+        timers.erase(timers.begin());
+        action();
+        return true;
+    }
+
+    std::vector<std::function<void()>> timers;
+    queued_store calls;
+    order_book<queued_store> book;
+};
+
+inline order_call make_call(const world& all, std::string digest = "d")
+{
+    return {workspace_id("w"), "key", std::move(digest), "florist", "POST",
+        "/confirm", all.clock.now() + std::chrono::seconds(10)};
+}
+
+inline void ignore(result<void>) {}
+
+} // namespace tarragonquay::orders::testing
