--- a/src/limits/limiter.cpp
+++ b/src/limits/limiter.cpp
@@ -286,8 +286,10 @@
 void basic_limiter<Policy>::serve_waiters(time_point now)
 {
     std::vector<std::pair<admit_handler, result<reservation>>> done;
-    for (auto& [workspace, queue] : waiters_)
+    for (auto& entry : waiters_)
     {
+        const auto& workspace = entry.first;
+        auto& queue = entry.second;
         const auto found = buckets_.find(workspace);
         while (!queue.empty())
         {
--- a/src/limits/limiter_test.cpp
+++ b/src/limits/limiter_test.cpp
@@ -53,10 +53,15 @@
     {
         for (int i = 0; i < instances; ++i)
             restart(i);
-        log_.push_back(view_of(3, 1, false));
-        for (int i = 0; i < instances; ++i)
-            catch_up(i, 1);
+        // The workspace is created in an open epoch, so buckets start full.
+        auto view = view_of(3, 1, false);
+        view.workspaces.clear();
+        log_.push_back(view);
+        view.epoch_open = true;
+        log_.push_back(view);
         log_.push_back(view_of(3, 1, true));
+        for (int i = 0; i < instances; ++i)
+            catch_up(i, 3);
         check();
     }
 
@@ -68,7 +73,7 @@
         {
         case 0:
         case 1:
-            now_ += milliseconds(b * 8);
+            now_ += milliseconds(b * 32);
             break;
         case 2:
         case 3:
@@ -90,18 +95,21 @@
             deliver(b);
             break;
         case 10:
-            catch_up(a, b % 3);
+            catch_up(a, b % 4 == 0 ? 1 : 100);
             break;
         case 11:
-            change_members(a, b);
+            if (log_.back().epoch_open || b % 8 == 0)
+                change_members(a, b);
             break;
         case 12:
+            for (int i = 0; b % 4 != 0 && i < instances; ++i)
+                catch_up(i, 100);
             open_epoch();
             break;
         default:
-            if (b % 8 == 0)
+            if (b % 16 == 0)
                 restart(a);
-            else if (b % 8 == 1)
+            else if (b % 16 == 1)
                 toggle_workspace();
             else
                 self.admit_before(acme, b * 12, now_ + seconds(b), now_,
@@ -130,6 +138,12 @@
         outgoing_message out;
     };
 
+    struct in_transit
+    {
+        int to;
+        std::int64_t epoch, shares;
+    };
+
     void restart(int index)
     {
         auto& target = nodes_[index];
@@ -200,7 +214,14 @@
         nodes_[b % instances].limits->on_demands(
             member_of(a).instance, heartbeat);
         for (auto& out : from.tick(now_))
+        {
+            const auto& transfer = out.message.share_transfer();
+            const auto& id = transfer.transfer_id();
+            if (!id.empty() && !accepted_.contains(id))
+                in_transit_[id] = {out.to.str().back() - '0', transfer.epoch(),
+                    transfer.shares()};
             network_.push_back({a, std::move(out)});
+        }
     }
 
     // Messages stay in the network, so any can arrive again at any time.
@@ -222,6 +243,8 @@
         if (!message.has_share_transfer() ||
             !target.on_transfer(message.share_transfer(), now_))
             return;
+        accepted_.insert(message.share_transfer().transfer_id());
+        in_transit_.erase(message.share_transfer().transfer_id());
         peer::Envelope ack;
         ack.mutable_share_transfer_ack()->set_transfer_id(
             message.share_transfer().transfer_id());
@@ -281,6 +304,13 @@
             shares += state.shares;
             level += std::max<std::int64_t>(state.level_millitokens, 0);
         }
+        for (const auto& [id, transfer] : in_transit_)
+        {
+            const auto applied = nodes_[transfer.to].applied;
+            const auto epoch = applied > 0 ? log_[applied - 1].epoch : 0;
+            if (may_serve(transfer.to) && transfer.epoch >= epoch)
+                shares += transfer.shares;
+        }
         RC_ASSERT(shares <= total_shares);
         RC_ASSERT(level <= burst * 1000);
         // Every window that ends now; earlier ends were checked before.
@@ -298,6 +328,8 @@
     std::vector<limits_view> log_;
     std::array<node, instances> nodes_;
     std::vector<sent> network_;
+    std::map<std::string, in_transit> in_transit_;
+    std::set<std::string> accepted_;
     std::vector<held> reserved_;
     std::vector<std::pair<time_point, std::int64_t>> admitted_;
 };
--- a/src/membership/view_lease_test.cpp
+++ b/src/membership/view_lease_test.cpp
@@ -51,7 +51,7 @@
         {
         case 0:
         case 1:
-            clock_.advance(milliseconds(b * 40));
+            clock_.advance(milliseconds(b * 32));
             break;
         case 2:
         case 3:
@@ -66,10 +66,11 @@
             break;
         case 7:
         case 8:
-            catch_up(a, b);
+            catch_up(a, b % 4 == 0 ? 1 : 100);
             break;
         case 9:
-            log_.push_back({head().members, false, {}});
+            if (head().acknowledged || b % 8 == 0)
+                log_.push_back({head().members, false, {}});
             break;
         case 10:
             change_membership(a, b);
@@ -124,25 +125,30 @@
     void catch_up(int index, int count)
     {
         auto& target = nodes_[index];
-        target.applied = std::min(last(), target.applied + count % 4);
+        target.applied = std::min(last(), target.applied + count);
         target.lease->update(log_[target.applied].members, target.applied);
     }
 
+    // Advances some of the newest messages of one instance by one hop.
     void deliver(int a, int b)
     {
-        if (requests_.empty())
-            return;
-        auto& item = requests_[(a * 31 + b) % requests_.size()];
-        if (!item.replied)
-        {
-            item.replied = nodes_[item.to].applied;
-            item.replier_incarnation = nodes_[item.to].incarnation;
-        }
-        else if (item.incarnation == nodes_[item.from].incarnation)
+        const auto newest = std::min<std::size_t>(requests_.size(), 48);
+        for (auto at = requests_.size() - newest; at < requests_.size(); ++at)
         {
-            const auto peer = member_of(item.to, item.replier_incarnation);
-            nodes_[item.from].lease->record_peer_reply(
-                peer.instance, peer.incarnation, item.sent_at, *item.replied);
+            auto& item = requests_[at];
+            if (item.from != a || ((b >> item.to) & 1) == 0)
+                continue;
+            if (!item.replied)
+            {
+                item.replied = nodes_[item.to].applied;
+                item.replier_incarnation = nodes_[item.to].incarnation;
+            }
+            else if (item.incarnation == nodes_[item.from].incarnation)
+            {
+                const auto peer = member_of(item.to, item.replier_incarnation);
+                nodes_[item.from].lease->record_peer_reply(peer.instance,
+                    peer.incarnation, item.sent_at, *item.replied);
+            }
         }
     }
 
@@ -303,6 +309,7 @@
     static std::vector<catalog::member> members(int count)
     {
         std::vector<catalog::member> result;
+        result.reserve(count);
         for (int i = 0; i < count; ++i)
             result.push_back(member_of(i));
         return result;
--- a/src/peering/transport.cpp
+++ b/src/peering/transport.cpp
@@ -19,7 +19,7 @@
 
 namespace asio = boost::asio;
 
-constexpr std::int64_t max_message_bytes = 8 * 1024 * 1024;
+constexpr std::int64_t max_message_bytes = std::int64_t(8) << 20;
 // Messages per socket; a full queue drops new messages instead of growing.
 constexpr int high_water_mark = 256;
 constexpr int heartbeat_interval_ms = 500;
--- a/src/peering/transport_test.cpp
+++ b/src/peering/transport_test.cpp
@@ -14,6 +14,8 @@
 // Only ends a test that would hang; no test asserts a time.
 constexpr auto hang_limit = std::chrono::seconds(20);
 
+constexpr std::size_t oversized_bytes = std::size_t(9) << 20;
+
 struct node
 {
     node(boost::asio::io_context& context, const std::string& name)
@@ -108,14 +110,14 @@
         zmq::socket_t raw(zmq_context, zmq::socket_type::dealer);
         raw.set(zmq::sockopt::linger, 0);
         raw.connect("tcp://" + b_.link->listen_address());
-        raw.send(zmq::message_t(9 * 1024 * 1024), zmq::send_flags::none);
+        raw.send(zmq::message_t(oversized_bytes), zmq::send_flags::none);
         connect();
         a_.link->send(instance_id("b"), heartbeat(1));
         run_until([&] { return b_.received.size() == 1; });
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), b_.link->counters().received);
         peer::Envelope large;
         large.mutable_events_reply()->add_events()->set_detail(
-            std::string(9 * 1024 * 1024, 'x'));
+            std::string(oversized_bytes, 'x'));
         const auto sent = a_.link->send(instance_id("b"), large);
         CPPUNIT_ASSERT(sent.error().code() == error_code::payload_too_large);
     }
