--- /dev/null
+++ b/src/ctl/program.cpp
@@ -0,0 +1,98 @@
+#include "ctl/program.hpp"
+
+#include <cstdlib>
+#include <map>
+#include <ostream>
+#include <string>
+
+#include "ctl/commands.hpp"
+#include "ctl/connection.hpp"
+
+namespace tarragonquay::ctl
+{
+
+namespace
+{
+
+constexpr const char* footer =
+    "The address comes from --address, else TQCTL_ADDRESS, else the key\n"
+    "'address' of the settings file (YAML; also: ca_file).\n\n"
+    "Errors go to stderr as 'tqctl: <code>: <message>'. Exit codes:\n"
+    "  0  done\n"
+    "  1  the call failed\n"
+    "  2  wrong usage or settings\n"
+    "  3  conflict: the entity has changed or is in use\n"
+    "  4  committed, but not yet applied by a majority of the members\n"
+    "  5  no answer; a change may or may not be committed";
+
+void add_global_options(CLI::App& app, global_options& options)
+{
+    app.add_option("--address", options.address,
+        "ip:port of an instance's operator service");
+    app.add_option("--settings", options.settings_file, "YAML settings file");
+    app.add_option("--ca-file", options.ca_file,
+        "Use TLS and trust this certificate authority (PEM)");
+    app.add_option("--output", options.format, "table (default) or json")
+        ->transform(
+            CLI::CheckedTransformer(std::map<std::string, output_format>{
+                {"table", output_format::table},
+                {"json", output_format::json}}));
+    app.add_option("--expected-revision", options.expected_revision,
+           "Only change the entity if this is its revision; 0: it must not "
+           "exist, -1: any (default)")
+        ->check(CLI::Range(std::int64_t(-1), INT64_MAX));
+    app.add_option("--timeout", options.timeout_ms,
+           "Milliseconds until a call without an answer is given up")
+        ->check(CLI::Range(1, 3'600'000))
+        ->capture_default_str();
+}
+
+exit_code report(const error& reason, std::ostream& problems)
+{
+    problems << "tqctl: " << to_string(reason.code()) << ": "
+             << reason.message() << '\n';
+    return exit_code_of(reason.code());
+}
+
+} // namespace
+
+exit_code run(int argc, const char* const* argv, std::ostream& out,
+    std::ostream& problems)
+{
+    CLI::App app("Operators' tool of tarragonquay", "tqctl");
+    app.fallthrough();
+    app.require_subcommand(1);
+    app.footer(footer);
+    global_options given;
+    action chosen;
+    add_global_options(app, given);
+    add_entity_commands(app, chosen);
+    add_key_commands(app, chosen);
+    add_service_commands(app, chosen);
+    add_operation_commands(app, chosen);
+    try
+    {
+        app.parse(argc, argv);
+    }
+    catch (const CLI::ParseError& problem)
+    {
+        if (problem.get_exit_code() == 0)
+        {
+            app.exit(problem, out, problems);
+            return exit_code::ok;
+        }
+        problems << "tqctl: usage: " << problem.what() << '\n';
+        return exit_code::usage;
+    }
+    const auto options = resolve(given, std::getenv("TQCTL_ADDRESS"));
+    if (!options)
+        return report(options.error(), problems);
+    const auto server = connection::create(*options);
+    if (!server)
+        return report(server.error(), problems);
+    session at{*options, **server, out};
+    const auto done = chosen(at);
+    return done ? exit_code::ok : report(done.error(), problems);
+}
+
+} // namespace tarragonquay::ctl
--- /dev/null
+++ b/src/operators/service.cpp
@@ -0,0 +1,246 @@
+#include "operators/service.hpp"
+
+#include <atomic>
+#include <chrono>
+#include <fstream>
+#include <iterator>
+#include <utility>
+
+#include <fmt/format.h>
+#include <grpcpp/security/server_credentials.h>
+#include <grpcpp/server.h>
+#include <grpcpp/server_builder.h>
+
+#include "operator.grpc.pb.h"
+
+namespace tarragonquay::operators
+{
+
+namespace
+{
+
+// Larger than the limit that gives a typed failure.
+constexpr int message_limit_bytes = 1024 * 1024;
+
+/// One call in progress. Finishes its reactor exactly once: with the reply,
+/// or in the destructor when the control port dropped the call.
+template <class Reply>
+class pending_call
+{
+public:
+    pending_call(grpc::ServerUnaryReactor* reactor, Reply* reply)
+        : reactor_(reactor), reply_(reply)
+    {
+    }
+
+    ~pending_call()
+    {
+        fail_with(error(error_code::stopping, "the instance is stopping"));
+    }
+
+    pending_call(const pending_call&) = delete;
+    pending_call& operator=(const pending_call&) = delete;
+
+    void finish(Reply reply)
+    {
+        if (finished_.exchange(true))
+            return;
+        *reply_ = std::move(reply);
+        reactor_->Finish(grpc::Status::OK);
+    }
+
+    void fail_with(const error& reason)
+    {
+        Reply reply;
+        *reply.mutable_failure() = to_failure(reason);
+        finish(std::move(reply));
+    }
+
+private:
+    grpc::ServerUnaryReactor* reactor_;
+    Reply* reply_;
+    std::atomic<bool> finished_{false};
+};
+
+template <class Request>
+result<void> check(const Request& request)
+{
+    if constexpr (requires { validate(request); })
+        return validate(request);
+    else
+        return {};
+}
+
+class grpc_service final : public Operator::CallbackService
+{
+public:
+    explicit grpc_service(control_port port) : port_(std::move(port)) {}
+
+    grpc::ServerUnaryReactor* Apply(grpc::CallbackServerContext* context,
+        const Apply_request* request, Apply_reply* reply) override
+    {
+        return run(port_.apply, context, request, reply);
+    }
+
+    grpc::ServerUnaryReactor* Describe(grpc::CallbackServerContext* context,
+        const Describe_request* request, Describe_reply* reply) override
+    {
+        return run(port_.describe, context, request, reply);
+    }
+
+    grpc::ServerUnaryReactor* Status(grpc::CallbackServerContext* context,
+        const Status_request* request, Status_reply* reply) override
+    {
+        return run(port_.status, context, request, reply);
+    }
+
+    grpc::ServerUnaryReactor* ShowOrder(grpc::CallbackServerContext* context,
+        const Show_order_request* request, Show_order_reply* reply) override
+    {
+        return run(port_.show_order, context, request, reply);
+    }
+
+    grpc::ServerUnaryReactor* ResolveOrder(grpc::CallbackServerContext* context,
+        const Resolve_order_request* request,
+        Resolve_order_reply* reply) override
+    {
+        return run(port_.resolve_order, context, request, reply);
+    }
+
+    grpc::ServerUnaryReactor* Timeline(grpc::CallbackServerContext* context,
+        const Timeline_request* request, Timeline_reply* reply) override
+    {
+        return run(port_.timeline, context, request, reply);
+    }
+
+    grpc::ServerUnaryReactor* Drain(grpc::CallbackServerContext* context,
+        const Drain_request* request, Drain_reply* reply) override
+    {
+        return run(port_.drain, context, request, reply);
+    }
+
+private:
+    template <class Request, class Reply>
+    static grpc::ServerUnaryReactor* run(const operation<Request, Reply>& call,
+        grpc::CallbackServerContext* context, const Request* request,
+        Reply* reply)
+    {
+        auto* reactor = context->DefaultReactor();
+        auto pending = std::make_shared<pending_call<Reply>>(reactor, reply);
+        if (const auto checked = check(*request); !checked)
+            pending->fail_with(checked.error());
+        else if (!call)
+            pending->fail_with(
+                error(error_code::unsupported, "this call is not supported"));
+        else
+            call(*request, [pending](Reply answer)
+                { pending->finish(std::move(answer)); });
+        return reactor;
+    }
+
+    const control_port port_;
+};
+
+result<std::string> read_file(const std::string& path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file)
+        return fail(error_code::invalid_settings,
+            fmt::format("file '{}' can't be read", path));
+    return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+result<std::shared_ptr<grpc::ServerCredentials>> make_credentials(
+    const listen_settings& settings)
+{
+    if (settings.certificate_file.empty() != settings.key_file.empty())
+        return fail(error_code::invalid_settings,
+            "TLS needs both a certificate file and a key file");
+    if (settings.certificate_file.empty())
+        return grpc::InsecureServerCredentials();
+    const auto certificate = read_file(settings.certificate_file);
+    if (!certificate)
+        return tl::unexpected(certificate.error());
+    const auto key = read_file(settings.key_file);
+    if (!key)
+        return tl::unexpected(key.error());
+    grpc::SslServerCredentialsOptions options;
+    options.pem_key_cert_pairs.push_back({*key, *certificate});
+    return grpc::SslServerCredentials(options);
+}
+
+} // namespace
+
+class service::implementation
+{
+public:
+    explicit implementation(control_port port) : handlers_(std::move(port)) {}
+
+    result<void> listen(const listen_settings& settings)
+    {
+        const auto credentials = make_credentials(settings);
+        if (!credentials)
+            return tl::unexpected(credentials.error());
+        grpc::ServerBuilder builder;
+        // A second process on the same port must fail, not share it.
+        builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+        builder.SetMaxReceiveMessageSize(message_limit_bytes);
+        builder.AddListeningPort(settings.address, *credentials, &bound_port_);
+        builder.RegisterService(&handlers_);
+        server_ = builder.BuildAndStart();
+        if (!server_ || bound_port_ == 0)
+            return fail(error_code::connect_failed,
+                fmt::format("address '{}' can't be bound", settings.address));
+        return {};
+    }
+
+    int port() const { return bound_port_; }
+
+    void shutdown(time_point deadline)
+    {
+        if (!server_)
+            return;
+        const auto remaining = deadline - std::chrono::steady_clock::now();
+        server_->Shutdown(
+            std::chrono::system_clock::now() +
+            std::chrono::duration_cast<std::chrono::system_clock::duration>(
+                remaining));
+        server_.reset();
+    }
+
+private:
+    grpc_service handlers_;
+    int bound_port_ = 0;
+    std::unique_ptr<grpc::Server> server_;
+};
+
+service::service(std::unique_ptr<implementation> parts)
+    : implementation_(std::move(parts))
+{
+}
+
+service::~service()
+{
+    shutdown(std::chrono::steady_clock::now());
+}
+
+result<std::unique_ptr<service>> service::create(
+    const listen_settings& settings, control_port port)
+{
+    auto parts = std::make_unique<implementation>(std::move(port));
+    if (const auto listening = parts->listen(settings); !listening)
+        return tl::unexpected(listening.error());
+    return std::unique_ptr<service>(new service(std::move(parts)));
+}
+
+int service::port() const
+{
+    return implementation_->port();
+}
+
+void service::shutdown(time_point deadline)
+{
+    implementation_->shutdown(deadline);
+}
+
+} // namespace tarragonquay::operators
--- /dev/null
+++ b/src/operators/service.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "common/clock.hpp"
+#include "common/error.hpp"
+#include "operator.pb.h"
+
+namespace tarragonquay::operators
+{
+
+template <class Request, class Reply>
+using operation =
+    std::function<void(const Request&, std::function<void(Reply)> on_done)>;
+
+/// What the service calls. Functions run on gRPC's threads; they take copies
+/// of what they need from the request and may call `on_done` on any thread.
+/// A call whose `on_done` is dropped ends with the failure `stopping`.
+struct control_port
+{
+    operation<Apply_request, Apply_reply> apply;
+    operation<Describe_request, Describe_reply> describe;
+    operation<Status_request, Status_reply> status;
+    operation<Show_order_request, Show_order_reply> show_order;
+    operation<Resolve_order_request, Resolve_order_reply> resolve_order;
+    operation<Timeline_request, Timeline_reply> timeline;
+    operation<Drain_request, Drain_reply> drain;
+};
+
+/// Where the service listens. TLS is used when both files are named.
+struct listen_settings
+{
+    /// "ip:port"; port 0 takes any free port.
+    std::string address;
+    std::string certificate_file;
+    std::string key_file;
+};
+
+/// The failure of a reply. `current_revision` belongs to conflicts.
+Failure to_failure(const error& reason, std::int64_t current_revision = 0);
+
+/// Check a request before the control port sees it.
+result<void> validate(const Apply_request& request);
+result<void> validate(const Show_order_request& request);
+result<void> validate(const Resolve_order_request& request);
+result<void> validate(const Timeline_request& request);
+
+/// gRPC server for operators.
+class service
+{
+public:
+    /// Starts to listen. Fails with `invalid_settings` when a TLS file can't
+    /// be read and with `connect_failed` when the address can't be bound.
+    static result<std::unique_ptr<service>> create(
+        const listen_settings& settings, control_port port);
+
+    /// Ends as `shutdown` with a deadline that has passed.
+    ~service();
+    service(const service&) = delete;
+    service& operator=(const service&) = delete;
+
+    /// The bound port.
+    int port() const;
+
+    /// Accepts no new calls, lets those in progress end until the deadline,
+    /// then cancels them. Blocks until each has called its `on_done` or
+    /// dropped it, so the control thread must keep running meanwhile.
+    void shutdown(time_point deadline);
+
+private:
+    class implementation;
+    explicit service(std::unique_ptr<implementation> parts);
+
+    std::unique_ptr<implementation> implementation_;
+};
+
+} // namespace tarragonquay::operators
