--- a/src/endpoints/command_client.cpp
+++ b/src/endpoints/command_client.cpp
@@ -73,8 +73,8 @@
     return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-asio::awaitable<result<command_answer>> send_command(std::string address,
-    records::Command_intent intent, time_point deadline)
+asio::awaitable<result<command_answer>> send_command(
+    std::string address, records::Command_intent intent, time_point deadline)
 {
     if (*kind_name(intent.kind()) == '\0')
         co_return fail(error_code::invalid_argument, "the command has no kind");
--- a/src/endpoints/command_client.hpp
+++ b/src/endpoints/command_client.hpp
@@ -26,8 +26,8 @@
 /// Sends one command over a new connection. Fails with stale_fencing,
 /// no_memory or endpoint_rejected when the engine refused it (not_run), and
 /// with execution `unknown` when the engine may have taken it.
-boost::asio::awaitable<result<command_answer>> send_command(std::string address,
-    records::Command_intent intent, time_point deadline);
+boost::asio::awaitable<result<command_answer>> send_command(
+    std::string address, records::Command_intent intent, time_point deadline);
 
 /// Body of POST /control/commands.
 std::string encode_command(const records::Command_intent& intent);
--- a/src/endpoints/completion_stream.cpp
+++ b/src/endpoints/completion_stream.cpp
@@ -152,6 +152,11 @@
     if (abort_reason_)
         co_return tl::unexpected<error>(
             abort_reason_->with_execution(execution_state::not_run));
+    if (request_.before_send)
+    {
+        if (auto checked = request_.before_send(); !checked)
+            co_return checked;
+    }
     connection_ = std::move(*opened);
     exchange_request post;
     post.address = request_.address;
@@ -302,17 +307,18 @@
         connection_->close();
 }
 
-asio::awaitable<result<void>> completion_stream::cancel()
+asio::awaitable<result<void>> cancel_stream(
+    std::string address, std::string request_id)
 {
     const auto deadline = std::chrono::steady_clock::now() + cancel_limit;
-    auto opened = co_await http_connection::open(request_.address, deadline);
+    auto opened = co_await http_connection::open(address, deadline);
     if (!opened)
         co_return tl::unexpected<error>(opened.error());
     exchange_request cancel_request;
-    cancel_request.address = request_.address;
+    cancel_request.address = address;
     cancel_request.method = "DELETE";
-    cancel_request.target = "/v1/streams/" + request_.request_id;
-    cancel_request.request_id = request_.request_id;
+    cancel_request.target = "/v1/streams/" + request_id;
+    cancel_request.request_id = request_id;
     cancel_request.deadline = deadline;
     auto head = co_await opened->send(cancel_request);
     if (!head)
--- a/src/endpoints/completion_stream.hpp
+++ b/src/endpoints/completion_stream.hpp
@@ -32,6 +32,8 @@
     duration first_event_gap = std::chrono::seconds(10);
     /// Resumptions in a row that bring no new event.
     int max_resumes = 4;
+    /// See exchange_request::before_send; for the first connection.
+    std::function<result<void>()> before_send;
 };
 
 struct stream_event
@@ -91,9 +93,6 @@
     /// thread that runs the stream.
     void abort(error reason);
 
-    /// Tells the engine to stop, over a new connection.
-    boost::asio::awaitable<result<void>> cancel();
-
     /// Reported by the engine before [DONE].
     const std::optional<token_usage>& usage() const
     {
@@ -117,4 +116,8 @@
     bool done_ = false;
 };
 
+/// Tells an engine to stop a stream, over a new connection.
+boost::asio::awaitable<result<void>> cancel_stream(
+    std::string address, std::string request_id);
+
 } // namespace tarragonquay::endpoints
--- a/src/endpoints/http_connection.hpp
+++ b/src/endpoints/http_connection.hpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -36,6 +37,9 @@
     /// Idempotent requests may use a pooled connection and be sent again
     /// when it turns out to be closed.
     bool idempotent = false;
+    /// Called when a connection is open, immediately before the first byte
+    /// is written; a failure ends the exchange as not_run.
+    std::function<result<void>()> before_send;
     /// Largest accepted body of the answer.
     std::size_t body_limit = 64UL << 20U;
 };
--- a/src/endpoints/http_exchange.cpp
+++ b/src/endpoints/http_exchange.cpp
@@ -1,5 +1,7 @@
 #include "endpoints/http_exchange.hpp"
 
+#include <algorithm>
+
 #include <boost/asio/use_awaitable.hpp>
 
 namespace tarragonquay::endpoints
@@ -42,6 +44,21 @@
     }
 }
 
+namespace
+{
+
+// An endpoint that does not accept within this time is as good as down.
+constexpr std::chrono::seconds connect_limit{2};
+
+result<void> check_before_send(const exchange_request& request)
+{
+    if (!request.before_send)
+        return {};
+    return request.before_send();
+}
+
+} // namespace
+
 asio::awaitable<result<open_answer>> start_exchange(
     connection_pool& pool, const exchange_request& request)
 {
@@ -51,6 +68,8 @@
             pool.take(request.address, std::chrono::steady_clock::now());
         if (pooled)
         {
+            if (auto checked = check_before_send(request); !checked)
+                co_return tl::unexpected<error>(checked.error());
             auto head = co_await pooled->send(request);
             if (head)
                 co_return open_answer{std::move(*pooled), std::move(*head)};
@@ -59,10 +78,13 @@
                 co_return tl::unexpected<error>(head.error());
         }
     }
-    auto opened =
-        co_await http_connection::open(request.address, request.deadline);
+    auto opened = co_await http_connection::open(
+        request.address, std::min(request.deadline,
+                             std::chrono::steady_clock::now() + connect_limit));
     if (!opened)
         co_return tl::unexpected<error>(opened.error());
+    if (auto checked = check_before_send(request); !checked)
+        co_return tl::unexpected<error>(checked.error());
     auto head = co_await opened->send(request);
     if (!head)
         co_return tl::unexpected<error>(head.error());
--- a/src/ingress/completion_route.cpp
+++ b/src/ingress/completion_route.cpp
@@ -1,5 +1,7 @@
 #include <utility>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
 #include "common/digest.hpp"
@@ -178,6 +180,26 @@
         call.request.request_id, std::string(to_string(cause.code())));
 }
 
+// Distinct per attempt, so that a late answer of another engine does not
+// match.
+std::string upstream_id(
+    const completion& call, const assignment_guard& assignment)
+{
+    return call.request.request_id + "-" + std::to_string(assignment.held().id);
+}
+
+// The process may have been paused since the last check.
+result<void> check_again(const completion& call)
+{
+    const auto still =
+        authorize_digest(*call.on.services().state, call.who.secret_sha256);
+    if (!still)
+        return tl::unexpected<error>(still.error());
+    if (call.out.caller_gone())
+        return fail(error_code::cancelled, "the caller has gone");
+    return {};
+}
+
 // Runs the completion on one engine. `charged` collects the tokens of all
 // engines that were tried.
 asio::awaitable<result<void>> run_at(
@@ -186,10 +208,8 @@
     endpoints::stream_request request;
     request.address = assignment.held().address;
     request.body = engine_body(call.body, call.request.priority);
-    // Distinct per attempt, so that a late answer of another engine does
-    // not match.
-    request.request_id =
-        call.request.request_id + "-" + std::to_string(assignment.held().id);
+    request.request_id = upstream_id(call, assignment);
+    request.before_send = [&call] { return check_again(call); };
     request.deadline = call.request.deadline;
     endpoints::completion_stream stream(std::move(request));
     stream_authorization authorization(
@@ -222,7 +242,11 @@
     if (call.out.stream_started() &&
         outcome.error().code() != error_code::cancelled)
         co_await answer_error(call.on, call.request, call.out, outcome.error());
-    co_await stream.cancel();
+    // Not awaited: another engine may take over while this one is silent.
+    asio::co_spawn(call.on.executor,
+        endpoints::cancel_stream(
+            assignment.held().address, upstream_id(call, assignment)),
+        asio::detached);
     co_return outcome;
 }
 
@@ -252,14 +276,7 @@
         {
             assignment_guard assignment(
                 call.on.services().control, std::move(*assigned));
-            const auto still = authorize_digest(
-                *call.on.services().state, call.who.secret_sha256);
-            if (!still)
-                outcome = tl::unexpected<error>(still.error());
-            else if (call.out.caller_gone())
-                outcome = fail(error_code::cancelled, "the caller has gone");
-            else
-                outcome = co_await run_at(call, assignment, charged);
+            outcome = co_await run_at(call, assignment, charged);
             spec.excluded.push_back(assignment.held().endpoint);
         }
         else
--- a/src/ingress/connection.cpp
+++ b/src/ingress/connection.cpp
@@ -63,8 +63,7 @@
             const request_scope scope(on_->shared->requests);
             co_await serve_next();
         }
-        boost::system::error_code ignored;
-        stream_.socket().shutdown(asio::socket_base::shutdown_send, ignored);
+        co_await linger();
     }
 
     asio::awaitable<result<void>> respond(caller_answer answer) override
@@ -79,7 +78,7 @@
             text += name + ": " + value + "\r\n";
         // Answers with these statuses have no body and no length.
         const bool bodiless = answer.status == 204 || answer.status == 304;
-        if (!bodiless)
+        if (!bodiless && !head_only_)
             text += fmt::format("Content-Length: {}\r\n", answer.body.size());
         text += connection_header();
         if (!bodiless && !head_only_)
@@ -146,6 +145,23 @@
             execution_state::unknown);
     }
 
+    // Closing a socket with unread input resets the connection, which can
+    // destroy the last answer before the caller has read it.
+    asio::awaitable<void> linger()
+    {
+        constexpr std::chrono::seconds limit{1};
+        constexpr std::size_t read_size = 64UL << 10U;
+        boost::system::error_code ec;
+        stream_.socket().shutdown(asio::socket_base::shutdown_send, ec);
+        stream_.expires_after(limit);
+        while (!ec)
+        {
+            buffer_.clear();
+            co_await stream_.async_read_some(buffer_.prepare(read_size),
+                asio::redirect_error(asio::use_awaitable, ec));
+        }
+    }
+
     // Waits for the first byte of a request.
     asio::awaitable<bool> wait_for_request()
     {
--- a/src/ingress/service_route.cpp
+++ b/src/ingress/service_route.cpp
@@ -70,6 +70,7 @@
     return call;
 }
 
+// The process may have been paused since the last check.
 result<void> check_again(const service_call& call)
 {
     if (!call.who)
@@ -123,14 +124,12 @@
 asio::awaitable<result<endpoints::exchange_answer>> attempt_at(
     service_call& call, assignment_guard& assignment, int attempt)
 {
-    const auto still = check_again(call);
-    if (!still)
-        co_return tl::unexpected<error>(still.error());
     if (std::chrono::steady_clock::now() >= call.request.deadline)
         co_return fail(
             error_code::deadline_exceeded, "the deadline has passed");
     auto request = make_exchange(call, assignment.held());
     request.deadline = attempt_deadline(call, attempt);
+    request.before_send = [&call] { return check_again(call); };
     auto answer =
         co_await endpoints::exchange(call.on.pool, std::move(request));
     if (answer)
