Wire the daemon

One control thread owns the replica, membership, lease, limiter, scheduler and placement; traffic threads reach it by posted messages.

--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -10,7 +10,9 @@
 target_compile_definitions(tq_options INTERFACE
   BOOST_LOG_DYN_LINK BOOST_ASIO_NO_DEPRECATED BOOST_BIND_GLOBAL_PLACEHOLDERS
   BOOST_ASIO_DISABLE_CONCEPTS)
-target_compile_options(tq_options INTERFACE -Wall -Wextra -Wno-missing-field-initializers)
+# g++ 12 reports the frames of Asio coroutines as mismatched allocations.
+target_compile_options(tq_options INTERFACE -Wall -Wextra
+  -Wno-missing-field-initializers -Wno-mismatched-new-delete)
 target_link_libraries(tq_options INTERFACE
   Threads::Threads Boost::log Boost::thread Boost::system OpenSSL::SSL
   OpenSSL::Crypto yaml-cpp CLI11::CLI11 tl::expected nlohmann_json::nlohmann_json
--- a/src/catalog/snapshot.hpp
+++ b/src/catalog/snapshot.hpp
@@ -145,12 +145,22 @@
         lease_deadline_ns_.store(steady_ns, std::memory_order_release);
     }
 
+    /// What this instance waits for before it can serve; empty when ready.
+    std::string waiting_for() const { return *waiting_for_.load(); }
+    void publish_waiting_for(std::string text)
+    {
+        waiting_for_.store(
+            std::make_shared<const std::string>(std::move(text)));
+    }
+
     bool stopping() const { return stopping_.load(); }
     void publish_stopping() { stopping_.store(true); }
 
 private:
     std::atomic<snapshot_ptr> current_;
     std::atomic<std::int64_t> lease_deadline_ns_{0};
+    std::atomic<std::shared_ptr<const std::string>> waiting_for_{
+        std::make_shared<const std::string>("the start")};
     std::atomic<bool> stopping_{false};
 };
 
--- /dev/null
+++ b/src/daemon/control_store.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <utility>
+
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include "platform/client.hpp"
+
+namespace tarragonquay::daemon
+{
+
+/// The platform's table with handlers that run on the control thread.
+class control_store
+{
+public:
+    control_store(platform::client& client, boost::asio::io_context& control)
+        : client_(client), control_(control)
+    {
+    }
+
+    void transact(std::vector<platform::condition> conditions,
+        std::vector<platform::write> writes, time_point deadline,
+        platform::handler<platform::transact_outcome> on_done)
+    {
+        client_.transact(std::move(conditions), std::move(writes), deadline,
+            on_control(std::move(on_done)));
+    }
+
+    void read(std::vector<std::string> keys, time_point deadline,
+        platform::handler<std::vector<platform::row>> on_done)
+    {
+        client_.read(std::move(keys), deadline, on_control(std::move(on_done)));
+    }
+
+    void scan(std::string prefix, std::string after, std::int32_t limit,
+        time_point deadline, platform::handler<platform::scan_page> on_done)
+    {
+        client_.scan(std::move(prefix), std::move(after), limit, deadline,
+            on_control(std::move(on_done)));
+    }
+
+private:
+    template <class T>
+    platform::handler<T> on_control(platform::handler<T> on_done)
+    {
+        return [this, on_done = std::move(on_done)](result<T> value)
+        {
+            boost::asio::post(control_,
+                [on_done, value = std::move(value)]() mutable
+                { on_done(std::move(value)); });
+        };
+    }
+
+    platform::client& client_;
+    boost::asio::io_context& control_;
+};
+
+static_assert(platform::table_store<control_store>);
+
+} // namespace tarragonquay::daemon
--- /dev/null
+++ b/src/daemon/timeline.cpp
@@ -0,0 +1,129 @@
+#include "daemon/timeline.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "common/error.hpp"
+
+namespace tarragonquay::daemon
+{
+
+namespace
+{
+
+constexpr std::chrono::seconds answer_limit{1};
+// Bounds the answer to one peer: an event is about 100 bytes.
+constexpr std::size_t max_events = 10'000;
+
+events::event from_proto(const peer::Event& message)
+{
+    events::event value;
+    value.time = {message.wall_ms(), message.logical()};
+    value.instance = message.instance();
+    value.kind = events::kind_from_string(message.kind());
+    value.subject = message.subject();
+    value.detail = message.detail();
+    return value;
+}
+
+// The latest events, since the newest ones matter when there are too many.
+std::vector<events::event> latest(
+    std::vector<events::event> all, std::size_t limit)
+{
+    if (all.size() > limit)
+        all.erase(all.begin(), all.end() - static_cast<std::ptrdiff_t>(limit));
+    return all;
+}
+
+} // namespace
+
+timeline::timeline(
+    boost::asio::io_context& control, events::recorder& own, sender send)
+    : control_(control), own_(own), send_(std::move(send))
+{
+}
+
+peer::Event timeline::to_proto(const events::event& value)
+{
+    peer::Event message;
+    message.set_wall_ms(value.time.wall_ms);
+    message.set_logical(value.time.logical);
+    message.set_instance(value.instance);
+    message.set_kind(events::to_string(value.kind));
+    message.set_subject(value.subject);
+    message.set_detail(value.detail);
+    return message;
+}
+
+void timeline::collect(const std::vector<instance_id>& peers,
+    std::int64_t after, std::size_t limit, handler on_done)
+{
+    const auto id = next_request_++;
+    auto& started = running_[id];
+    started.parts.push_back(
+        latest(own_.since(after, max_events).events, limit));
+    started.missing = peers;
+    started.limit = limit;
+    started.on_done = std::move(on_done);
+    if (peers.empty())
+        return finish(id);
+    started.timer = std::make_unique<boost::asio::steady_timer>(control_);
+    started.timer->expires_after(answer_limit);
+    started.timer->async_wait(
+        [this, id](const boost::system::error_code& cancelled)
+        {
+            if (!cancelled)
+                finish(id);
+        });
+    for (const auto& peer : peers)
+    {
+        peer::Envelope envelope;
+        auto& request = *envelope.mutable_events_request();
+        request.set_request_id(id);
+        request.set_after_cursor(after);
+        request.set_limit(static_cast<std::int32_t>(limit));
+        send_(peer, std::move(envelope));
+    }
+}
+
+void timeline::on_request(
+    const instance_id& from, const peer::Events_request& request)
+{
+    peer::Envelope envelope;
+    auto& reply = *envelope.mutable_events_reply();
+    reply.set_request_id(request.request_id());
+    auto page = own_.since(request.after_cursor(), max_events);
+    reply.set_cursor(page.cursor);
+    const auto limit = std::clamp<std::int64_t>(request.limit(), 0, max_events);
+    for (const auto& value :
+        latest(std::move(page.events), static_cast<std::size_t>(limit)))
+        *reply.add_events() = to_proto(value);
+    send_(from, std::move(envelope));
+}
+
+void timeline::on_reply(
+    const instance_id& from, const peer::Events_reply& reply)
+{
+    const auto found = running_.find(reply.request_id());
+    if (found == running_.end() || std::erase(found->second.missing, from) == 0)
+        return;
+    std::vector<events::event> part;
+    for (const auto& message : reply.events())
+        part.push_back(from_proto(message));
+    found->second.parts.push_back(std::move(part));
+    if (found->second.missing.empty())
+        finish(reply.request_id());
+}
+
+void timeline::finish(std::int64_t request_id)
+{
+    const auto found = running_.find(request_id);
+    if (found == running_.end())
+        return;
+    auto ended = std::move(found->second);
+    running_.erase(found);
+    ended.on_done({latest(events::merge(std::move(ended.parts)), ended.limit),
+        std::move(ended.missing)});
+}
+
+} // namespace tarragonquay::daemon
--- /dev/null
+++ b/src/daemon/timeline.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "common/ids.hpp"
+#include "events/recorder.hpp"
+#include "peer.pb.h"
+
+namespace tarragonquay::daemon
+{
+
+/// Collects the events of all members into one time line. For the control
+/// thread.
+class timeline
+{
+public:
+    using sender = std::function<void(const instance_id&, peer::Envelope)>;
+    struct collected
+    {
+        std::vector<events::event> events;
+        std::vector<instance_id> missing;
+    };
+    using handler = std::function<void(collected)>;
+
+    timeline(
+        boost::asio::io_context& control, events::recorder& own, sender send);
+
+    /// Asks the peers and calls the handler when all answered or after 1 s.
+    void collect(const std::vector<instance_id>& peers, std::int64_t after,
+        std::size_t limit, handler on_done);
+
+    void on_request(
+        const instance_id& from, const peer::Events_request& request);
+    void on_reply(const instance_id& from, const peer::Events_reply& reply);
+
+    static peer::Event to_proto(const events::event& value);
+
+private:
+    struct collection
+    {
+        std::vector<std::vector<events::event>> parts;
+        std::vector<instance_id> missing;
+        std::size_t limit = 0;
+        handler on_done;
+        std::unique_ptr<boost::asio::steady_timer> timer;
+    };
+    void finish(std::int64_t request_id);
+
+    boost::asio::io_context& control_;
+    events::recorder& own_;
+    sender send_;
+    std::map<std::int64_t, collection> running_;
+    std::int64_t next_request_ = 1;
+};
+
+} // namespace tarragonquay::daemon
--- a/src/events/recorder.cpp
+++ b/src/events/recorder.cpp
@@ -58,6 +58,16 @@
     return "unknown";
 }
 
+kind kind_from_string(const std::string& name)
+{
+    for (const auto& [value, candidate] : kind_names)
+    {
+        if (candidate == name)
+            return value;
+    }
+    return kind::process_started;
+}
+
 recorder::recorder(std::string instance, std::size_t capacity)
     : instance_(std::move(instance)),
       capacity_(std::max<std::size_t>(1, capacity))
--- a/src/events/recorder.hpp
+++ b/src/events/recorder.hpp
@@ -54,6 +54,8 @@
 };
 
 std::string to_string(kind value);
+/// The kind with this name; process_started when there is none.
+kind kind_from_string(const std::string& name);
 
 struct event
 {
