--- a/standins/http.cpp
+++ b/standins/http.cpp
@@ -171,7 +171,7 @@
     static void append(std::string& text, const header_list& headers)
     {
         for (const auto& [name, value] : headers)
-            text += name + ": " + value + "\r\n";
+            text += fmt::format("{}: {}\r\n", name, value);
     }
 
     std::string head(const http_answer& answer) const
