Draft the quickstart and tell model versions apart in the engine

A stream holds its own version, so that unloading an old version does not wait for streams of the new one.

--- a/load/generator.cpp
+++ b/load/generator.cpp
@@ -2,6 +2,7 @@
 
 #include "load/generator.hpp"
 
+#include <algorithm>
 #include <cmath>
 
 #include <boost/asio/co_spawn.hpp>
@@ -16,6 +17,13 @@
 namespace tarragonquay::load
 {
 
+namespace
+{
+
+constexpr std::size_t max_connects = 3;
+
+} // namespace
+
 namespace asio = boost::asio;
 using json = nlohmann::json;
 
@@ -136,13 +144,6 @@
 asio::awaitable<incoming> generator::send(const workspace_load& load,
     outgoing request, std::string id, time_point scheduled)
 {
-    request.address = co_await address_for(load);
-    if (request.address.empty())
-    {
-        incoming none;
-        none.finished = steady_clock_source().now();
-        co_return none;
-    }
     request.method = "POST";
     request.deadline = scheduled + std::chrono::milliseconds(load.deadline_ms);
     request.headers.emplace_back("Content-Type", "application/json");
@@ -154,14 +155,31 @@
     request.headers.emplace_back(
         "X-Deadline-Ms", std::to_string(load.deadline_ms));
     ++in_flight_;
-    incoming answer = co_await run_exchange(request);
+    incoming answer;
+    // Nothing was sent when the connect failed, so the next address is safe.
+    for (std::size_t tries = 0; tries < max_connects && !answer.connected;
+         ++tries)
+    {
+        request.address = co_await address_for(load);
+        if (request.address.empty())
+            break;
+        answer = co_await run_exchange(request);
+        if (!answer.connected)
+            drop_address(load.name, request.address);
+    }
     --in_flight_;
-    // An address that refuses connections is not kept until it expires.
     if (!answer.connected)
-        entries_.erase(load.name);
+        answer.finished = steady_clock_source().now();
     co_return answer;
 }
 
+void generator::drop_address(
+    const std::string& workspace, const std::string& address)
+{
+    auto& known = entries_[workspace].addresses;
+    known.erase(std::remove(known.begin(), known.end(), address), known.end());
+}
+
 asio::awaitable<void> generator::send_completion(const workspace_load& load,
     std::string body, time_point scheduled, std::string id)
 {
--- a/load/generator.hpp
+++ b/load/generator.hpp
@@ -39,6 +39,8 @@
     boost::asio::awaitable<std::string> address_for(const workspace_load& load);
     boost::asio::awaitable<incoming> send(const workspace_load& load,
         outgoing request, std::string id, time_point scheduled);
+    /// Forgets an address that refused a connection.
+    void drop_address(const std::string& workspace, const std::string& address);
     std::string draw_body(const workspace_load& load, std::mt19937_64& random);
 
     boost::asio::io_context& io_;
--- a/load/main.cpp
+++ b/load/main.cpp
@@ -18,6 +18,7 @@
     std::string scenario_path;
     std::string json_path;
     std::string output = "text";
+    int accelerators = 1;
 };
 
 void add_options(CLI::App& app, flags& given)
@@ -57,6 +58,8 @@
     app.add_option("--order-share", given.single.order_share,
         "Share of the arrivals that are orders");
     app.add_option("--service", given.single.service, "Service of the orders");
+    app.add_option("--accelerators", given.accelerators,
+        "Accelerators of the deployment, for attainment per accelerator");
     app.add_option("--json", given.json_path, "Also writes the JSON report");
     app.add_option("--output", given.output, "Report on stdout")
         ->check(CLI::IsMember({"text", "json"}));
@@ -105,7 +108,7 @@
     generator load(io, *plan, given.run, results);
     load.start();
     io.run();
-    const auto json = results.to_json(given.run.duration_s);
+    const auto json = results.to_json(given.run.duration_s, given.accelerators);
     if (!given.json_path.empty())
         std::ofstream(given.json_path) << json.dump(2) << '\n';
     if (given.output == "json")
--- a/load/report.cpp
+++ b/load/report.cpp
@@ -128,9 +128,11 @@
         figures.between_tokens.add(gap);
 }
 
-json report::to_json(double seconds) const
+json report::to_json(double seconds, int accelerators) const
 {
     json workspaces = json::object();
+    double worst = 1;
+    std::int64_t all_attained = 0;
     for (const auto& [name, figures] : by_workspace_)
     {
         const double attainment =
@@ -138,6 +140,9 @@
                 ? 0
                 : static_cast<double>(figures->attained) /
                       static_cast<double>(figures->completions);
+        if (figures->completions > 0)
+            worst = std::min(worst, attainment);
+        all_attained += figures->attained;
         workspaces[name] = {{"sent", figures->sent},
             {"complete", figures->complete}, {"orders", figures->orders},
             {"not_sent", figures->not_sent}, {"tokens", figures->tokens},
@@ -147,7 +152,11 @@
             {"between_tokens", figures->between_tokens.to_json()},
             {"total", figures->total.to_json()}};
     }
-    return {{"seconds", seconds}, {"workspaces", workspaces}};
+    const double per_accelerator = static_cast<double>(all_attained) /
+                                   (seconds * std::max(1, accelerators));
+    return {{"seconds", seconds}, {"accelerators", accelerators},
+        {"attained_per_accelerator_second", per_accelerator},
+        {"worst_attainment", worst}, {"workspaces", workspaces}};
 }
 
 std::string report::to_text(const json& report)
@@ -177,6 +186,10 @@
             text += fmt::format("  not sent, too many in flight: {}\n",
                 one.at("not_sent").get<std::int64_t>());
     }
+    text += fmt::format("attained per accelerator and second: {:.2f}, worst "
+                        "workspace: {:.1f}%\n",
+        report.at("attained_per_accelerator_second").get<double>(),
+        100 * report.at("worst_attainment").get<double>());
     return text;
 }
 
--- a/load/report.hpp
+++ b/load/report.hpp
@@ -46,7 +46,8 @@
     void add(const std::string& workspace, const outcome& one);
     /// Arrivals over the limit of requests in flight, which were not sent.
     void add_not_sent(const std::string& workspace);
-    nlohmann::json to_json(double seconds) const;
+    /// The figures; attained requests are also counted per accelerator.
+    nlohmann::json to_json(double seconds, int accelerators) const;
 
     /// The JSON report as a table for people.
     static std::string to_text(const nlohmann::json& report);
--- /dev/null
+++ b/scripts/quickstart.sh
@@ -0,0 +1,180 @@
+#!/usr/bin/env bash
+# Builds, starts a small deployment on loopback addresses, sends a streamed
+# completion and an order, and stops everything. With --keep, leaves it
+# running and prints the addresses.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+keep=false
+case "${1:-}" in
+--keep) keep=true ;;
+"") ;;
+*)
+    echo "usage: scripts/quickstart.sh [--keep]" >&2
+    exit 2
+    ;;
+esac
+
+scripts/install.sh
+scripts/build.sh
+bin=${TQ_BUILD_DIR:-build}/bin
+work=$(mktemp -d)
+pids=()
+
+stop_all() {
+    local pid
+    for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+    for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+    rm -rf "$work"
+}
+finish() {
+    local code=$?
+    if [ $code -ne 0 ]; then
+        tail -n 20 "$work"/*.err >&2 || true
+    fi
+    if [ $code -ne 0 ] || [ $keep = false ]; then stop_all; fi
+    exit $code
+}
+trap finish EXIT
+
+# start LABEL PROGRAM ARGUMENT...: output goes to LABEL.out and LABEL.err.
+start() {
+    local label=$1
+    shift
+    "$@" >"$work/$label.out" 2>"$work/$label.err" </dev/null &
+    pids+=($!)
+}
+
+# address LABEL NAME: waits for "listening NAME ADDRESS" and prints ADDRESS.
+address() {
+    local found=
+    for _ in $(seq 150); do
+        found=$(awk -v name="$2" '$1 == "listening" && $2 == name {print $3}' \
+            "$work/$1.out")
+        if [ -n "$found" ]; then
+            echo "$found"
+            return
+        fi
+        sleep 0.1
+    done
+    echo "quickstart: $1 printed no address \"$2\"" >&2
+    return 1
+}
+
+# wait_ok WHAT COMMAND...: repeats the command until it succeeds.
+wait_ok() {
+    local what=$1
+    shift
+    for _ in $(seq 100); do
+        if "$@" >/dev/null 2>&1; then return; fi
+        sleep 0.3
+    done
+    echo "quickstart: gave up waiting for $what" >&2
+    return 1
+}
+
+# call METHOD TARGET KEY BODY [HEADER]: one request to the first daemon.
+call() {
+    curl --silent --show-error --fail-with-body --no-buffer --max-time 30 \
+        --request "$1" --header "Authorization: Bearer $3" \
+        --header "Content-Type: application/json" \
+        ${5:+--header "$5"} --data "$4" "http://$entry$2"
+}
+
+tqctl() {
+    "$bin/tqctl" --address "$operator" --output json "$@"
+}
+
+echo "== stand-ins: platform, three engines, one order service"
+start platform "$bin/tq-standin" platform
+admin=$(address platform admin)
+for i in 1 2 3; do
+    start "engine$i" "$bin/tq-standin" engine --capacity-bytes 40000000000 \
+        --weight-store "$admin"
+done
+start orders "$bin/tq-standin" service
+
+# list ID ADDRESS: puts an instance or endpoint on the platform's list.
+list() {
+    curl --silent --show-error --fail --max-time 5 --output /dev/null \
+        --data "{\"id\": \"$1\", \"address\": \"$2\"}" \
+        "http://$admin/admin/instances"
+}
+for i in 1 2 3; do list "e$i" "$(address "engine$i" engine)"; done
+list s1 "$(address orders service)"
+
+echo "== three daemons in two availability zones"
+zones=(z1 z2 z1)
+base=${TQ_QUICKSTART_PORT:-17000}
+for i in 1 2 3; do
+    peers=
+    for j in 1 2 3; do
+        if [ $j != $i ]; then peers+="\"127.0.0.1:$((base + 200 + j))\", "; fi
+    done
+    cat >"$work/i$i.yaml" <<YAML
+instance: i$i
+availability_zone: ${zones[i - 1]}
+region: r1
+listen:
+  entry: "127.0.0.1:$((base + i))"
+  operator: "127.0.0.1:$((base + 100 + i))"
+  peer: "127.0.0.1:$((base + 200 + i))"
+platform: {address: "$(address platform platform)"}
+peers: [${peers%, }]
+traffic_threads: 2
+log: {level: info}
+YAML
+    list "i$i" "127.0.0.1:$((base + i))"
+    start "i$i" "$bin/tarragonquayd" --settings "$work/i$i.yaml"
+done
+entry=$(address i1 entry)
+operator=$(address i1 operator)
+wait_ok "a view lease" curl --silent --fail "http://$entry/healthz"
+
+echo "== configuration: two workspaces with keys, models, endpoints"
+tqctl workspace put spomincek --rate 1000 --burst 5000
+tqctl workspace put sundarban --rate 2000 --burst 8000
+tqctl key put spomincek-1 --workspace spomincek --secret spomincek-secret
+tqctl key put sundarban-1 --workspace sundarban --secret sundarban-secret
+tqctl model put verses --version 1 --bytes 16000000000
+tqctl model put contracts --version 1 --bytes 16000000000
+tqctl model put chat --version 1 --bytes 16000000000
+tqctl service put orders
+for i in 1 2 3; do
+    tqctl endpoint put "e$i" --endpoint-address "$(address "engine$i" engine)" \
+        --zone "${zones[i - 1]}" --region r1 --kind engine --accelerators 1 \
+        --capacity-bytes 40000000000 --honours-fencing
+done
+tqctl endpoint put s1 --endpoint-address "$(address orders service)" \
+    --zone z1 --region r1 --kind service --service orders
+
+prompt='{"model": "verses", "max_tokens": 8, "stream": true, "messages":
+  [{"role": "user", "content": "A verse for a silver wedding."}]}'
+wait_ok "the model to be placed" call POST /v1/chat/completions \
+    spomincek-secret "$prompt"
+
+echo "== a streamed completion"
+call POST /v1/chat/completions spomincek-secret "$prompt"
+
+echo "== an order, sent twice with one idempotency key: it runs once"
+for _ in 1 2; do
+    call POST /services/orders/send sundarban-secret '{"order": "o-1"}' \
+        "Idempotency-Key: o-1"
+    echo
+done
+curl --silent "http://$(address orders service)/admin/orders"
+
+echo "== status"
+tqctl status
+
+if [ $keep = true ]; then
+    echo "entries:   $(address i1 entry) $(address i2 entry) $(address i3 entry)"
+    echo "operators: $(address i1 operator) $(address i2 operator)" \
+        "$(address i3 operator)"
+    echo "platform:  $(address platform platform)," \
+        "admin $admin"
+    echo "logs in $work; stop with: kill ${pids[*]}"
+else
+    stop_all
+    pids=()
+fi
+echo "quickstart: ok"
--- a/standins/engine_memory.cpp
+++ b/standins/engine_memory.cpp
@@ -151,6 +151,7 @@
     if (incarnation != incarnation_)
         co_return false;
     residents_.at(key).state = "ready";
+    residents_.at(key).ready_sequence = ++ready_sequence_;
     co_return true;
 }
 
@@ -168,7 +169,9 @@
     const std::string target = "/weights/" + command.model + "/" +
                                command.version +
                                "?bytes=" + std::to_string(command.bytes);
-    while (co_await fetch_http(options_.weight_store, target) != ok)
+    const std::string incarnation = incarnation_;
+    while (incarnation == incarnation_ &&
+           co_await fetch_http(options_.weight_store, target) != ok)
         co_await sleep_ms(retry_ms);
 }
 
@@ -182,8 +185,7 @@
         co_return false;
     found->second.state = "unloading";
     const std::string incarnation = incarnation_;
-    // Another ready version of the model can't take over running streams.
-    while (incarnation == incarnation_ && holds_[command.model] > 0)
+    while (incarnation == incarnation_ && holds_[key] > 0)
         co_await sleep_ms(poll_ms);
     co_await sleep_ms(options_.unload_ms);
     if (incarnation != incarnation_)
@@ -253,6 +255,20 @@
         });
 }
 
+std::string engine_memory::ready_version(const std::string& model) const
+{
+    std::string version;
+    std::int64_t newest = -1;
+    for (const auto& [key, entry] : residents_)
+        if (key.first == model && entry.state == "ready" &&
+            entry.ready_sequence > newest)
+        {
+            newest = entry.ready_sequence;
+            version = key.second;
+        }
+    return version;
+}
+
 bool engine_memory::has_room(std::int64_t bytes) const
 {
     return used_bytes_ + bytes <= options_.capacity_bytes;
--- a/standins/engine_memory.hpp
+++ b/standins/engine_memory.hpp
@@ -43,9 +43,18 @@
     http_answer submit(const engine_command& command);
     /// Whether requests for the model, and the adapter if any, can run.
     bool serves(const std::string& model, const std::string& adapter) const;
-    /// A running stream keeps its model from being unloaded.
-    void hold(const std::string& model) { ++holds_[model]; }
-    void release(const std::string& model) { --holds_[model]; }
+    /// Version of the model that new streams use: the last one that became
+    /// ready.
+    std::string ready_version(const std::string& model) const;
+    /// A running stream keeps its model version from being unloaded.
+    void hold(const std::string& model, const std::string& version)
+    {
+        ++holds_[{model, version}];
+    }
+    void release(const std::string& model, const std::string& version)
+    {
+        --holds_[{model, version}];
+    }
     /// Loses all memory and all commands and takes a new incarnation.
     void restart();
 
@@ -62,6 +71,8 @@
     {
         std::int64_t bytes = 0;
         std::string state;
+        /// Grows with each resident that becomes ready.
+        std::int64_t ready_sequence = 0;
     };
     struct loaded_adapter
     {
@@ -93,10 +104,11 @@
     std::int64_t highest_fencing_ = 0;
     std::map<pair_key, resident> residents_;
     std::map<pair_key, loaded_adapter> adapters_;
-    std::map<std::string, int> holds_;
+    std::map<pair_key, int> holds_;
     std::map<std::string, std::string> outcomes_;
     std::deque<std::string> command_order_;
     int adapters_loading_ = 0;
+    std::int64_t ready_sequence_ = 0;
     std::map<std::string, int> executions_;
 };
 
--- a/standins/engine_streams.cpp
+++ b/standins/engine_streams.cpp
@@ -130,7 +130,8 @@
     order_.push_back(request_id);
     forget_oldest();
     ++started_;
-    memory_.hold(stream->model);
+    stream->version = memory_.ready_version(stream->model);
+    memory_.hold(stream->model, stream->version);
     queues_.at(stream->priority).push_back(stream);
     admit_waiting();
     asio::co_spawn(io_, generate(stream), asio::detached);
@@ -175,7 +176,7 @@
         co_await produce(stream);
         --running_;
     }
-    memory_.release(stream->model);
+    memory_.release(stream->model, stream->version);
     admit_waiting();
     if (!stream->finished())
     {
--- a/standins/engine_streams.hpp
+++ b/standins/engine_streams.hpp
@@ -47,6 +47,7 @@
 
     std::string request_id;
     std::string model;
+    std::string version;
     std::string adapter;
     std::string prompt;
     std::size_t priority = 1;
--- a/standins/proxy.cpp
+++ b/standins/proxy.cpp
@@ -43,6 +43,8 @@
     tcp::socket server;
     bool frozen_up = false;
     bool frozen_down = false;
+    /// Directions in which the end of the connection was passed on.
+    int ended_directions = 0;
 };
 
 /// One listening address, its target and its present faults.
@@ -97,7 +99,9 @@
         co_await asio::async_write(to, asio::buffer(bytes.data(), count),
             asio::redirect_error(asio::use_awaitable, failure));
     }
-    if (failure == asio::error::eof)
+    const bool half_closed =
+        failure == asio::error::eof && ++connection->ended_directions < 2;
+    if (half_closed)
         to.shutdown(tcp::socket::shutdown_send, failure);
     else
         close(*connection);
--- a/standins/service.cpp
+++ b/standins/service.cpp
@@ -68,7 +68,7 @@
 
     static std::string order_of(const http_request& request)
     {
-        const std::string header = request.header("order");
+        std::string header = request.header("order");
         if (!header.empty())
             return header;
         return request.body_json().value("order", std::string());
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -95,14 +95,22 @@
 }
 
 void deployment::list_instance(
-    const std::string& id, const std::string& address)
+    const std::string& id, const std::string& address, bool leaving)
 {
     const auto reply = post(platform_admin(), "/admin/instances",
-        {{"id", id}, {"address", address}, {"leaving", false}});
+        {{"id", id}, {"address", address}, {"leaving", leaving}});
     if (reply.status != 200)
         throw std::runtime_error("cannot list instance " + id);
 }
 
+void deployment::unlist_instance(const std::string& id)
+{
+    if (post(
+            platform_admin(), "/admin/instances", {{"id", id}, {"erase", true}})
+            .status != 200)
+        throw std::runtime_error("cannot unlist instance " + id);
+}
+
 void deployment::write_settings(std::size_t i) const
 {
     const auto& instance = daemons_.at(i);
--- a/tests/support/deployment.hpp
+++ b/tests/support/deployment.hpp
@@ -53,6 +53,11 @@
     std::string service_address(std::size_t i) const;
     std::string platform_admin() const;
 
+    /// Puts an instance or endpoint on the platform's list, or changes it.
+    void list_instance(const std::string& id, const std::string& address,
+        bool leaving = false);
+    void unlist_instance(const std::string& id);
+
     /// Applies faults to one proxy route; see "tq-standin proxy --help".
     void fault_platform(nlohmann::json fault);
     void fault_engine(std::size_t i, nlohmann::json fault);
@@ -101,7 +106,6 @@
     void start_endpoints();
     void start_proxies();
     void write_settings(std::size_t i) const;
-    void list_instance(const std::string& id, const std::string& address);
     void apply(std::size_t i, std::vector<std::string> arguments) const;
     void put_endpoint(const std::string& id, const std::string& address,
         std::size_t i, std::vector<std::string> more);
