--- a/standins/platform_state.cpp
+++ b/standins/platform_state.cpp
@@ -182,7 +182,8 @@
 void platform_state::set_instance(const json& change)
 {
     const auto id = change.at("id").get<std::string>();
-    old_lists_[unix_ms()] = instances_;
+    // Of several changes in one millisecond, the first list was shown before.
+    old_lists_.emplace(unix_ms(), instances_);
     if (change.value("erase", false))
         instances_.erase(id);
     else
--- a/tests/standins_test.cpp
+++ b/tests/standins_test.cpp
@@ -1,6 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <grpcpp/grpcpp.h>
 
+#include "common/clock.hpp"
 #include "platform.grpc.pb.h"
 #include "support/http_client.hpp"
 #include "support/process.hpp"
@@ -48,6 +49,10 @@
     CPPUNIT_TEST(lost_answer_leaves_the_effect);
     CPPUNIT_TEST(resumed_stream_equals_the_uninterrupted_one);
     CPPUNIT_TEST(engine_counts_overcommits_and_refuses_stale_fencing);
+    CPPUNIT_TEST(unload_frees_memory_after_running_streams);
+    CPPUNIT_TEST(crossed_answer_carries_another_request_id);
+    CPPUNIT_TEST(store_refuses_writes_beyond_its_queue);
+    CPPUNIT_TEST(instance_list_lags);
     CPPUNIT_TEST(service_counts_a_run_whose_answer_is_lost);
     CPPUNIT_TEST(frozen_connection_stays_silent_while_new_ones_work);
     CPPUNIT_TEST_SUITE_END();
@@ -129,6 +134,90 @@
         CPPUNIT_ASSERT_EQUAL(1, memory_of(address).second);
     }
 
+    // Guards against memory that is freed under a running stream or never.
+    void unload_frees_memory_after_running_streams()
+    {
+        const auto engine = start_engine({});
+        const auto address = engine->address("engine");
+        const json unload = {{"command_id", "u"}, {"fencing", 1},
+            {"kind", "unload_model"}, {"model", "m"}, {"version", "1"}};
+        http_call call;
+        call.method = "POST";
+        call.target = "/v1/chat/completions";
+        call.headers["X-Request-Id"] = "r1";
+        call.body = completion(20, true).dump();
+        int used_while_running = -1;
+        call.on_event = [&](const sse_event& event)
+        {
+            if (event.id == "1")
+            {
+                post(address, "/control/commands", unload);
+                used_while_running = memory_of(address).first;
+            }
+            return true;
+        };
+        const auto reply = send_once(address, call);
+        CPPUNIT_ASSERT(reply.complete);
+        CPPUNIT_ASSERT_EQUAL(1000, used_while_running);
+        CPPUNIT_ASSERT(
+            eventually([&] { return memory_of(address).first == 0; }));
+        const auto refused = post(address, "/v1/chat/completions",
+            completion(1, false), {{"X-Request-Id", "r2"}});
+        CPPUNIT_ASSERT_EQUAL(409, refused.status);
+    }
+
+    // Guards against a fault switch that has no effect, which would let
+    // correlation tests pass without a crossed answer.
+    void crossed_answer_carries_another_request_id()
+    {
+        const auto engine = start_engine({});
+        const auto address = engine->address("engine");
+        post(address, "/admin/faults", {{"crossed_answers", 1}});
+        for (const std::string id : {"first", "second"})
+        {
+            const auto reply = post(address, "/v1/chat/completions",
+                completion(1, false), {{"X-Request-Id", id}});
+            CPPUNIT_ASSERT_EQUAL(id == "first" ? "crossed-" + id : id,
+                reply.headers.at("x-request-id"));
+        }
+    }
+
+    // Guards against a stand-in store without limits, which would hide that
+    // the system writes too often.
+    void store_refuses_writes_beyond_its_queue()
+    {
+        const auto server = process::start_standin(
+            "platform", {"--writes-per-second", "1", "--queue-ms", "10"});
+        const auto stub = stub_of(*server);
+        api::Transact_reply first;
+        CPPUNIT_ASSERT(transact(*stub, "a", 0, first).ok());
+        api::Transact_reply second;
+        CPPUNIT_ASSERT_EQUAL(int(grpc::StatusCode::RESOURCE_EXHAUSTED),
+            int(transact(*stub, "b", 0, second).error_code()));
+    }
+
+    // Guards against a list that shows changes before its lag has passed.
+    void instance_list_lags()
+    {
+        const auto server =
+            process::start_standin("platform", {"--list-lag-ms", "500"});
+        const auto stub = stub_of(*server);
+        const auto before_change = unix_ms();
+        post(server->address("admin"), "/admin/instances",
+            {{"id", "i1"}, {"address", "127.0.0.1:1"}});
+        const auto shown = [&]
+        {
+            api::List_instances_reply reply;
+            grpc::ClientContext context;
+            CPPUNIT_ASSERT(stub->ListInstances(&context, {}, &reply).ok());
+            CPPUNIT_ASSERT(reply.as_of_unix_ms() + 500 <= unix_ms());
+            if (reply.as_of_unix_ms() < before_change)
+                CPPUNIT_ASSERT_EQUAL(0, reply.instances_size());
+            return reply.instances_size() == 1;
+        };
+        CPPUNIT_ASSERT(eventually(shown));
+    }
+
     // Guards against a lost answer that hides that the order ran.
     void service_counts_a_run_whose_answer_is_lost()
     {
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -18,8 +18,6 @@
 #include <stdexcept>
 #include <thread>
 
-extern char** environ;
-
 namespace tarragonquay::test_support
 {
 namespace
@@ -122,6 +120,7 @@
     const std::string path = program_path(program);
     arguments.insert(arguments.begin(), path);
     std::vector<char*> raw;
+    raw.reserve(arguments.size() + 1);
     for (auto& argument : arguments)
         raw.push_back(argument.data());
     raw.push_back(nullptr);
