--- a/tests/standins_test.cpp
+++ b/tests/standins_test.cpp
@@ -3,6 +3,7 @@
 
 #include "common/clock.hpp"
 #include "platform.grpc.pb.h"
+#include "support/deployment.hpp"
 #include "support/http_client.hpp"
 #include "support/process.hpp"
 
@@ -55,6 +56,7 @@
     CPPUNIT_TEST(instance_list_lags);
     CPPUNIT_TEST(service_counts_a_run_whose_answer_is_lost);
     CPPUNIT_TEST(frozen_connection_stays_silent_while_new_ones_work);
+    CPPUNIT_TEST(deployment_applies_faults_to_one_route);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -254,6 +256,29 @@
         CPPUNIT_ASSERT_EQUAL(0, proxy->exit_code());
     }
 
+    // Guards against a fault that strikes another route than the test meant.
+    void deployment_applies_faults_to_one_route()
+    {
+        deployment_options options;
+        options.daemons = 0;
+        options.engines = 2;
+        options.proxies = true;
+        const auto system = deployment::start(options);
+        system->fault_engine(1, {{"drop_new", true}});
+        const std::string path = "/control/state";
+        CPPUNIT_ASSERT_EQUAL(
+            200, fetch(system->engine_route_address(0), path).status);
+        CPPUNIT_ASSERT_EQUAL(
+            0, fetch(system->engine_route_address(1), path).status);
+        CPPUNIT_ASSERT_EQUAL(
+            200, fetch(system->engine_address(1), path).status);
+        CPPUNIT_ASSERT_EQUAL(
+            200, fetch(system->service_route_address(0), path).status);
+        system->fault_engine(1, {{"heal", true}});
+        CPPUNIT_ASSERT_EQUAL(
+            200, fetch(system->engine_route_address(1), path).status);
+    }
+
 private:
     static std::unique_ptr<api::Platform::Stub> stub_of(const process& server)
     {
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -175,6 +175,16 @@
     return platform_->address("admin");
 }
 
+std::string deployment::engine_route_address(std::size_t i) const
+{
+    return route_address(engine_route(i), engine_address(i));
+}
+
+std::string deployment::service_route_address(std::size_t i) const
+{
+    return route_address(service_route(i), service_address(i));
+}
+
 std::string deployment::zone(std::size_t i) const
 {
     const auto zones = static_cast<std::size_t>(options_.availability_zones);
@@ -274,14 +284,12 @@
 void deployment::put_endpoints(const std::string& service_name)
 {
     for (std::size_t i = 0; i < engines_.size(); ++i)
-        put_endpoint(fmt::format("e{}", i + 1),
-            route_address(engine_route(i), engine_address(i)), i,
+        put_endpoint(fmt::format("e{}", i + 1), engine_route_address(i), i,
             {"--kind", "engine", "--accelerators", "1", "--capacity-bytes",
                 std::to_string(options_.engine_capacity_bytes),
                 "--honours-fencing"});
     for (std::size_t i = 0; i < services_.size(); ++i)
-        put_endpoint(fmt::format("s{}", i + 1),
-            route_address(service_route(i), service_address(i)), i,
+        put_endpoint(fmt::format("s{}", i + 1), service_route_address(i), i,
             {"--kind", "service", "--service", service_name});
 }
 
--- a/tests/support/deployment.hpp
+++ b/tests/support/deployment.hpp
@@ -52,6 +52,9 @@
     std::string engine_address(std::size_t i) const;
     std::string service_address(std::size_t i) const;
     std::string platform_admin() const;
+    /// Addresses by which the daemons reach an endpoint; the proxy's, if any.
+    std::string engine_route_address(std::size_t i) const;
+    std::string service_route_address(std::size_t i) const;
 
     /// Puts an instance or endpoint on the platform's list, or changes it.
     void list_instance(const std::string& id, const std::string& address,
