Keep listed-out members that still send and test re-created workspaces

The platform's list lags, so a member that joins could be removed before the list shows it. A member now counts as absent only when it has also been silent for F and the margin.

--- a/src/limits/limiter_test.cpp
+++ b/src/limits/limiter_test.cpp
@@ -367,6 +367,7 @@
     CPPUNIT_TEST(refund_does_not_exceed_what_the_window_allows);
     CPPUNIT_TEST(use_above_the_reservation_becomes_debt);
     CPPUNIT_TEST(restarted_instance_has_no_share_of_its_predecessor);
+    CPPUNIT_TEST(workspace_created_again_gets_no_further_shares);
     CPPUNIT_TEST(errors_are_typed);
     CPPUNIT_TEST(hand_over_leaves_nothing_behind);
     CPPUNIT_TEST_SUITE_END();
@@ -448,6 +449,27 @@
         CPPUNIT_ASSERT(restarted.state(acme, now_) == bucket_state{});
     }
 
+    // A transfer that was on its way when the workspace was removed arrives
+    // after it has been created again in the same epoch.
+    void workspace_created_again_gets_no_further_shares()
+    {
+        start(2);
+        nodes_[1].hand_over();
+        const auto sent = nodes_[1].tick(now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), sent.size());
+        auto without = view_of(2, 1, true);
+        without.workspaces.clear();
+        for (auto& each : nodes_)
+        {
+            each.apply(without, now_);
+            each.apply(view_of(2, 1, true), now_);
+        }
+        nodes_[0].on_transfer(sent[0].message.share_transfer(), now_);
+        CPPUNIT_ASSERT_EQUAL(
+            total_shares, nodes_[0].state(acme, now_).shares +
+                              nodes_[1].state(acme, now_).shares);
+    }
+
     void errors_are_typed()
     {
         start(2);
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -400,6 +400,10 @@
     const auto replaced = replaced_since_.find(member.incarnation);
     if (replaced != replaced_since_.end() && long_ago(replaced->second))
         return true;
+    // The platform's list lags, so a member that still sends is not absent.
+    const auto* state = find_peer(member);
+    if (state != nullptr && !long_ago(state->last_heard))
+        return false;
     const auto found = absent_since_.find(member.instance);
     return found != absent_since_.end() && long_ago(found->second);
 }
--- a/src/membership/membership_test.cpp
+++ b/src/membership/membership_test.cpp
@@ -246,8 +246,11 @@
     void member_missing_from_the_platform_list_is_removed()
     {
         start(3);
-        node(0).running = node(1).running = false;
         fleet_.hidden_from_list = {"a", "b"};
+        fleet_.run(seconds(30));
+        // The list lags: members that still send stay.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), fleet_.head().members.size());
+        node(0).running = node(1).running = false;
         fleet_.run(view_lease_validity + fencing_margin + seconds(3));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet_.head().members.size());
     }
