Ask only the owner under the owner-grant policy

Requests to every member would count messages that this policy does not need when the policies are compared.

Run: scripts/build.sh, ctest (unit tests), scripts/lint.sh on limiter.cpp.

--- a/src/limits/limiter.cpp
+++ b/src/limits/limiter.cpp
@@ -552,6 +552,13 @@
 std::vector<instance_id> basic_limiter<Policy>::donors(
     const workspace_id& workspace) const
 {
+    if constexpr (Policy::grant_time > duration::zero())
+    {
+        // Only the owner grants; it asks the others for what it has granted.
+        const auto owner = Policy::owner(workspace, members_);
+        if (owner && *owner != local_)
+            return {*owner};
+    }
     std::vector<instance_id> result;
     for (const auto& member : members_)
     {
