Estimate waiting times by workspace

The estimate counted only what was queued, so that a workspace above its share was refused at its deadline and not before. It now uses what the others leave of the queue's rate, at least an equal share, and the usual service time.

--- a/experiment/fairness_experiment.cpp
+++ b/experiment/fairness_experiment.cpp
@@ -23,11 +23,12 @@
     // Larger batches would exceed 33 ms between tokens.
     out.limits.initial_in_flight = 10;
     out.limits.largest_in_flight = 10;
-    // Five workspaces with a rate of 5 requests a second, of about 30 that
-    // the engines can serve; the first sends five times as much.
-    constexpr double rate = 5;
-    out.sources = {{"heavy", 5 * rate}, {"a", rate}, {"b", rate}, {"c", rate},
-        {"d", rate}};
+    // The engines serve about 34 requests a second. Each workspace has a rate
+    // of 6; the first sends five times as much, the others send half.
+    constexpr double rate = 6;
+    constexpr double within = rate / 2;
+    out.sources = {{"heavy", 5 * rate}, {"a", within}, {"b", within},
+        {"c", within}, {"d", within}};
     return out;
 }
 
--- a/src/routing/queue.cpp
+++ b/src/routing/queue.cpp
@@ -99,15 +99,22 @@
     return removed;
 }
 
-std::int64_t fair_queue::tokens_ahead(const request_spec& spec) const
+std::int64_t fair_queue::own_tokens_ahead(const request_spec& spec) const
 {
     std::int64_t own = 0;
     const auto mine = lanes_.find(spec.workspace);
-    if (mine != lanes_.end())
-        for (std::size_t level = 0;
-             level <= static_cast<std::size_t>(spec.priority); ++level)
-            for (const auto& item : mine->second.by_priority.at(level))
-                own += cost_of(item.spec);
+    if (mine == lanes_.end())
+        return own;
+    for (std::size_t level = 0;
+         level <= static_cast<std::size_t>(spec.priority); ++level)
+        for (const auto& item : mine->second.by_priority.at(level))
+            own += cost_of(item.spec);
+    return own;
+}
+
+std::int64_t fair_queue::tokens_ahead(const request_spec& spec) const
+{
+    const auto own = own_tokens_ahead(spec);
     // Each other workspace is served at most as much as this one meanwhile.
     auto ahead = own;
     for (const auto& [workspace, other] : lanes_)
--- a/src/routing/queue.hpp
+++ b/src/routing/queue.hpp
@@ -46,6 +46,11 @@
     {
         queue.tokens_ahead(spec)
         } -> std::convertible_to<std::int64_t>;
+    // Those of them that belong to the same workspace and take their turns
+    // among the other workspaces; 0 where there are no turns.
+    {
+        queue.own_tokens_ahead(spec)
+        } -> std::convertible_to<std::int64_t>;
     {
         queue.size()
         } -> std::convertible_to<std::size_t>;
@@ -62,6 +67,7 @@
     std::optional<queued_request> pop(const request_filter& filter);
     std::vector<queued_request> remove_if(const request_filter& filter);
     std::int64_t tokens_ahead(const request_spec& spec) const;
+    std::int64_t own_tokens_ahead(const request_spec& spec) const;
     std::size_t size() const { return size_; }
 
 private:
@@ -96,6 +102,7 @@
     std::optional<queued_request> pop(const request_filter& filter);
     std::vector<queued_request> remove_if(const request_filter& filter);
     std::int64_t tokens_ahead(const request_spec& spec) const;
+    std::int64_t own_tokens_ahead(const request_spec&) const { return 0; }
     std::size_t size() const { return items_.size(); }
 
 private:
--- a/src/routing/scheduler.hpp
+++ b/src/routing/scheduler.hpp
@@ -99,11 +99,14 @@
     {
         Queue queue;
         wait_estimate estimate;
+        share_meter shares;
+        service_time service;
     };
     struct held
     {
         endpoint_id endpoint;
         target for_target;
+        time_point since;
     };
     // Handlers run after the state is consistent, since they may call back.
     using completions = std::vector<std::pair<handler, result<assignment>>>;
--- a/src/routing/scheduler_calls.ipp
+++ b/src/routing/scheduler_calls.ipp
@@ -57,6 +57,9 @@
         return;
     const auto released = std::move(it->second);
     assignments_.erase(it);
+    if (how == outcome::completed)
+        line_of(released.for_target)
+            .service.completed(clock_.now() - released.since);
     const auto at = endpoints_.find(released.endpoint);
     if (at != endpoints_.end())
     {
@@ -184,10 +187,9 @@
         }
     }
     std::erase_if(lines_,
-        [](const auto& entry)
-        {
+        [](const auto& entry) {
             return entry.second.queue.size() == 0 &&
-                   !entry.second.estimate.time_for(1);
+                   !entry.second.estimate.rate();
         });
     drain_all(done);
     run(std::move(done));
--- a/src/routing/scheduler_choice.ipp
+++ b/src/routing/scheduler_choice.ipp
@@ -82,7 +82,7 @@
     auto& state = *states.at(chosen.index);
     ++state.own_in_flight;
     const auto id = next_id_++;
-    assignments_.emplace(id, held{state.settings.id, target_of(spec)});
+    assignments_.emplace(id, held{state.settings.id, target_of(spec), now});
     return assignment{
         id, state.settings.id, state.settings.address, chosen.prefix_expected};
 }
@@ -104,8 +104,13 @@
             "Every endpoint that could serve the request was tried.");
     if (line.queue.size() == 0)
         return std::nullopt;
-    const auto wait = line.estimate.time_for(line.queue.tokens_ahead(spec));
-    if (wait && now + *wait > spec.deadline)
+    const auto rate = line.estimate.rate();
+    if (!rate)
+        return std::nullopt;
+    const auto own_rate = line.shares.available(spec.workspace, *rate, now);
+    const auto wait = std::max(time_for(line.queue.tokens_ahead(spec), *rate),
+        time_for(line.queue.own_tokens_ahead(spec), own_rate));
+    if (now + wait + line.service.mean() > spec.deadline)
         return error(error_code::overloaded,
             "The estimated waiting time exceeds the deadline.");
     return std::nullopt;
@@ -147,6 +152,8 @@
         tickets_.erase(item->ticket);
         meter_.stopped_waiting(item->spec, item->enqueued_at);
         line.estimate.dispatched(item->spec.cost_tokens);
+        line.shares.dispatched(
+            item->spec.workspace, item->spec.cost_tokens, clock_.now());
         done.emplace_back(std::move(item->on_done), std::move(*placed_at));
     }
 }
--- a/src/routing/wait_estimate.hpp
+++ b/src/routing/wait_estimate.hpp
@@ -2,16 +2,19 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <cstdint>
+#include <map>
 #include <optional>
 
 #include "common/clock.hpp"
+#include "common/ids.hpp"
 
 namespace tarragonquay::routing
 {
 
 /// Measures how many tokens of a queue are dispatched in a second while
-/// requests wait, and estimates waiting times from that.
+/// requests wait.
 class wait_estimate
 {
 public:
@@ -50,18 +53,8 @@
         tokens_ = 0;
     }
 
-    /// Time until this many tokens are dispatched; no value when unknown.
-    std::optional<duration> time_for(std::int64_t tokens) const
-    {
-        if (!rate_)
-            return std::nullopt;
-        // Avoids an overflow of the duration at a rate near zero.
-        constexpr double longest_s = 3600;
-        const auto seconds = std::min(
-            longest_s, static_cast<double>(tokens) / std::max(1e-3, *rate_));
-        return std::chrono::duration_cast<duration>(
-            std::chrono::duration<double>(seconds));
-    }
+    /// Tokens per second; no value when unknown.
+    std::optional<double> rate() const { return rate_; }
 
 private:
     std::optional<double> rate_;
@@ -70,4 +63,87 @@
     std::int64_t tokens_ = 0;
 };
 
+/// Time until this many tokens are dispatched.
+inline duration time_for(std::int64_t tokens, double tokens_per_second)
+{
+    // Avoids an overflow of the duration at a rate near zero.
+    constexpr double longest_s = 3600;
+    constexpr double least_rate = 1e-3;
+    const auto seconds = std::min(longest_s,
+        static_cast<double>(tokens) / std::max(least_rate, tokens_per_second));
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(seconds));
+}
+
+/// Measures what each workspace has dispatched lately, and tells what is left
+/// of a queue's rate for one of them.
+class share_meter
+{
+public:
+    void dispatched(
+        const workspace_id& workspace, std::int64_t tokens, time_point now)
+    {
+        auto& value = usage_[workspace];
+        value.rate =
+            decayed(value, now) + static_cast<double>(tokens) / averaging_s;
+        value.updated_at = now;
+    }
+
+    /// What the others leave, but at least an equal share: the queue gives
+    /// each workspace its turn, whatever the others ask for.
+    double available(
+        const workspace_id& workspace, double rate, time_point now) const
+    {
+        double others = 0;
+        int active = 1;
+        for (const auto& [id, value] : usage_)
+        {
+            const auto used = decayed(value, now);
+            if (id == workspace || used < least_active_rate)
+                continue;
+            others += used;
+            ++active;
+        }
+        return std::max(rate / active, rate - others);
+    }
+
+private:
+    static constexpr double averaging_s = 5.0;
+    static constexpr double least_active_rate = 1.0;
+    struct usage
+    {
+        double rate = 0;
+        time_point updated_at;
+    };
+    static double decayed(const usage& value, time_point now)
+    {
+        const std::chrono::duration<double> age = now - value.updated_at;
+        return value.rate * std::exp(-age.count() / averaging_s);
+    }
+
+    std::map<workspace_id, usage> usage_;
+};
+
+/// Usual time between the dispatch of a request and its end.
+class service_time
+{
+public:
+    void completed(duration taken)
+    {
+        constexpr double newest_weight = 0.05;
+        const std::chrono::duration<double> seconds = taken;
+        mean_s_ = mean_s_
+                      ? *mean_s_ + newest_weight * (seconds.count() - *mean_s_)
+                      : seconds.count();
+    }
+    duration mean() const
+    {
+        return std::chrono::duration_cast<duration>(
+            std::chrono::duration<double>(mean_s_.value_or(0)));
+    }
+
+private:
+    std::optional<double> mean_s_;
+};
+
 } // namespace tarragonquay::routing
