--- a/src/placement/engine_model_test.hpp
+++ b/src/placement/engine_model_test.hpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
--- /dev/null
+++ b/src/placement/region_model_test.hpp
@@ -0,0 +1,274 @@
+#pragma once
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "placement/engine_model_test.hpp"
+#include "platform/fake_store.hpp"
+
+namespace tarragonquay::placement
+{
+
+using namespace std::chrono_literals;
+
+// Runs the calls to a store later and in any order, so that a holder can be
+// paused between its decision and the effect of its write.
+class deferring_store
+{
+public:
+    void transact(std::vector<platform::condition> conditions,
+        std::vector<platform::write> writes, time_point deadline,
+        platform::handler<platform::transact_outcome> on_done)
+    {
+        calls_.push_back([=, this]
+            { store.transact(conditions, writes, deadline, on_done); });
+        settle();
+    }
+    void read(std::vector<std::string> keys, time_point deadline,
+        platform::handler<std::vector<platform::row>> on_done)
+    {
+        calls_.push_back([=, this] { store.read(keys, deadline, on_done); });
+        settle();
+    }
+    void scan(std::string prefix, std::string after, std::int32_t limit,
+        time_point deadline, platform::handler<platform::scan_page> on_done)
+    {
+        calls_.push_back(
+            [=, this] { store.scan(prefix, after, limit, deadline, on_done); });
+        settle();
+    }
+    void run_one(std::size_t pick)
+    {
+        if (calls_.empty())
+            return;
+        const auto index = static_cast<std::ptrdiff_t>(pick % calls_.size());
+        const auto call = calls_[pick % calls_.size()];
+        calls_.erase(calls_.begin() + index);
+        call();
+    }
+    void set_deferring(bool value)
+    {
+        deferring_ = value;
+        settle();
+    }
+
+    platform::fake_store store;
+
+private:
+    void settle()
+    {
+        while (!deferring_ && !calls_.empty())
+            run_one(0);
+    }
+    std::vector<std::function<void()>> calls_;
+    bool deferring_ = false;
+};
+
+using test_controller =
+    controller<deferring_store, fake_clock, command_network>;
+
+inline constexpr std::int64_t capacity = 100;
+
+// Two holders, engines of both kinds and a network that loses, delays,
+// duplicates and reorders. Every random decision comes from RapidCheck.
+class region
+{
+public:
+    explicit region(std::size_t model_count = 4)
+    {
+        for (int i = 0; i < 4; ++i)
+        {
+            engines_.emplace_back(
+                "e" + std::to_string(i), capacity, i < 2, i < 3);
+            catalog::endpoint settings;
+            settings.id = endpoint_id(engines_.back().id());
+            settings.region = "r";
+            settings.honours_fencing = i < 2;
+            settings_.push_back(settings);
+        }
+        for (std::size_t i = 0; i < model_count; ++i)
+            models_.push_back({model_id("m" + std::to_string(i)), "1", 40});
+        for (std::size_t i = 0; i < 2; ++i)
+        {
+            const std::string name(1, static_cast<char>('a' + i));
+            controller_settings own{"r", name, "1", {}};
+            own.limits.loads_per_second = 5;
+            own.limits.concurrent_loads = 4;
+            own.limits.replica_tokens_per_second = 100;
+            own.limits.least_residence_s = 1;
+            holders_.push_back(std::make_unique<test_controller>(
+                own, store_, clocks_.at(i), network_));
+            holders_.back()->update(settings_, models_, {});
+        }
+        queued_reports_.resize(holders_.size());
+        asked_reports_.resize(holders_.size());
+    }
+
+    void demand(std::size_t hot)
+    {
+        std::vector<routing::demand_entry> all;
+        for (std::size_t i = 0; i < models_.size(); ++i)
+            all.push_back({models_[i].id, {}, 0, i == hot ? 250.0 : 5.0, 0,
+                std::nullopt});
+        for (auto& holder : holders_)
+            holder->set_demand(all);
+    }
+
+    void tick(std::size_t holder) { holders_[holder]->tick(); }
+
+    // Asks all engines, or receives the answers that were asked for. One poll
+    // follows another; a paused holder takes what was received later.
+    void poll(std::size_t holder)
+    {
+        auto& asked = asked_reports_[holder];
+        if (asked.empty())
+        {
+            for (const auto& engine : engines_)
+                asked.push_back(engine.report());
+            return;
+        }
+        for (auto& each : std::exchange(asked, {}))
+        {
+            each.received_at = clocks_.at(holder).now();
+            queued_reports_[holder].push_back(std::move(each));
+        }
+    }
+    void take_reports(std::size_t holder)
+    {
+        for (const auto& each : std::exchange(queued_reports_[holder], {}))
+            holders_[holder]->report(each);
+    }
+
+    void deliver(std::size_t pick, bool lose, bool keep, bool answer)
+    {
+        auto& copies = network_.copies();
+        if (copies.empty())
+            return;
+        const auto index = pick % copies.size();
+        auto copy = copies[index];
+        if (!keep || lose)
+            copies.erase(copies.begin() + static_cast<std::ptrdiff_t>(index));
+        if (lose)
+            return copy.on_done(fail(error_code::connection_broken, "lost"));
+        auto& engine = at(copy.command.endpoint);
+        const auto before = ready_counts();
+        // An engine that forgets ids can't be protected from copies of
+        // commands that it has answered.
+        answer = answer && (engine.remembers() || !keep);
+        const auto reply = engine.receive(copy.command);
+        note_lost_replicas(before);
+        if (answer && reply)
+            copy.on_done(*reply);
+    }
+
+    void advance(duration by)
+    {
+        for (auto& clock : clocks_)
+            clock.advance(by);
+    }
+
+    // One holder works for a while, and the other one is paused.
+    void run_alone(std::size_t holder, int seconds, bool takes_reports)
+    {
+        for (int i = 0; i < seconds; ++i)
+        {
+            tick(holder);
+            for (std::size_t call = 0; call < 3; ++call)
+                store_.run_one(static_cast<std::size_t>(i) + call);
+            // The newest command arrives, an older one stays on its way.
+            if (!network_.copies().empty())
+                deliver(network_.copies().size() - 1, false, false, true);
+            finish_loads();
+            poll(holder);
+            if (takes_reports)
+                take_reports(holder);
+            clocks_.at(holder).advance(1s);
+        }
+    }
+
+    void finish_loads()
+    {
+        for (auto& engine : engines_)
+            engine.finish_loads();
+    }
+    void restart(std::size_t engine) { engines_[engine].restart(); }
+
+    // One second of normal operation.
+    void run_quietly(int seconds)
+    {
+        for (int i = 0; i < seconds; ++i)
+        {
+            for (std::size_t h = 0; h < holders_.size(); ++h)
+                tick(h);
+            while (!network_.copies().empty())
+                deliver(0, false, false, true);
+            finish_loads();
+            for (std::size_t h = 0; h < holders_.size(); ++h)
+            {
+                poll(h);
+                poll(h);
+                take_reports(h);
+            }
+            advance(1s);
+        }
+    }
+
+    std::string violations() const
+    {
+        std::string out = lost_;
+        for (const auto& engine : engines_)
+            if (engine.peak() > engine.capacity())
+                out += engine.id() +
+                       " overcommitted: " + std::to_string(engine.peak()) +
+                       "; ";
+        return out;
+    }
+    std::size_t ready_models() const
+    {
+        std::size_t count = 0;
+        for (const auto& [model, replicas] : ready_counts())
+            count += replicas > 0 ? 1 : 0;
+        return count;
+    }
+
+    // A paused process may not see the time pass.
+    std::array<fake_clock, 2> clocks_;
+    deferring_store store_;
+    command_network network_;
+    std::vector<std::unique_ptr<test_controller>> holders_;
+
+private:
+    engine_model& at(const endpoint_id& id)
+    {
+        return *std::find_if(engines_.begin(), engines_.end(),
+            [&](const engine_model& each) { return each.id() == id.str(); });
+    }
+    std::map<model_id, int> ready_counts() const
+    {
+        std::map<model_id, int> out;
+        for (const auto& model : models_)
+            for (const auto& engine : engines_)
+                out[model.id] += engine.ready(model.id) ? 1 : 0;
+        return out;
+    }
+    void note_lost_replicas(const std::map<model_id, int>& before)
+    {
+        const auto after = ready_counts();
+        for (const auto& [model, count] : before)
+            if (count > 0 && after.at(model) == 0)
+                lost_ += model.str() + " lost its last replica; ";
+    }
+
+    std::vector<engine_model> engines_;
+    std::vector<catalog::endpoint> settings_;
+    std::vector<catalog::model> models_;
+    std::vector<std::vector<routing::endpoint_report>> asked_reports_;
+    std::vector<std::vector<routing::endpoint_report>> queued_reports_;
+    std::string lost_;
+};
+
+} // namespace tarragonquay::placement
