Test the platform client, the operators' service and tqctl

The client destroys finished calls on a thread of its own. The first version destroyed a replaced channel inside the channel's own callback, and gRPC aborted (ref_counted.h, prior > 0); the test of a write without an answer found it. The replica repeats a commit at once when its own instance applied a newer change after the head was read.

--- a/src/catalog/replica.hpp
+++ b/src/catalog/replica.hpp
@@ -169,7 +169,7 @@
                 "digits and -_.:"));
         change.set_operation_id(std::move(operation_id));
         step(std::make_shared<commit_task>(commit_task{std::move(change),
-            expected_revision, deadline, std::move(on_done), {}, {}}));
+            expected_revision, deadline, std::move(on_done), {}, {}, 0}));
     }
 
 private:
@@ -183,6 +183,8 @@
         /// Version of the head row that a transaction without an answer
         /// depends on; while the head keeps it, the transaction may apply.
         std::optional<std::int64_t> unanswered_version;
+        /// Heads read in a row that were older than the applied revision.
+        int stale_heads = 0;
     };
     using task_ptr = std::shared_ptr<commit_task>;
     using completion = std::function<void(result<void>)>;
@@ -392,10 +394,15 @@
 
     void write(const task_ptr& task)
     {
-        // A peer sent newer changes after the head was read. Among them may
+        // Newer changes were applied after the head was read. Among them may
         // be this very change, which must not be taken for a conflict.
         if (revision() != task->head.revision)
+        {
+            if (task->stale_heads++ < stale_head_limit)
+                return step(task);
+            task->stale_heads = 0;
             return waiting_.push_back(task);
+        }
         if (auto checked = check_expected(*task); !checked)
             return task->on_done(tl::unexpected(checked.error()));
         auto& change = task->change;
@@ -459,6 +466,8 @@
                 "the change was not committed before the deadline"));
     }
 
+    /// A store that answers with old heads must not cause a busy loop.
+    static constexpr int stale_head_limit = 3;
     /// Bound of storing a snapshot object, which may be large.
     static constexpr std::chrono::seconds snapshot_limit{10};
 
--- a/src/catalog/replica_test.cpp
+++ b/src/catalog/replica_test.cpp
@@ -107,6 +107,7 @@
     CPPUNIT_TEST_SUITE(replica_test);
     CPPUNIT_TEST(of_two_racing_operators_one_gets_a_conflict);
     CPPUNIT_TEST(racing_changes_of_different_entities_both_commit);
+    CPPUNIT_TEST(concurrent_commits_of_one_instance_end_without_a_poll);
     CPPUNIT_TEST(a_lost_answer_is_settled_by_the_operation_row);
     CPPUNIT_TEST(an_unsettled_commit_ends_at_its_deadline);
     CPPUNIT_TEST(a_repeated_operation_returns_its_first_revision);
@@ -147,6 +148,21 @@
         CPPUNIT_ASSERT(a_.get().current() == b_.get().current());
     }
 
+    // Guards against commits of one instance that wait for the next poll.
+    void concurrent_commits_of_one_instance_end_without_a_poll()
+    {
+        std::optional<result<std::int64_t>> first;
+        std::optional<result<std::int64_t>> second;
+        std::optional<result<std::int64_t>> repeat;
+        start(a_, workspace_change("w", 1), "op1", 0, first);
+        start(a_, workspace_change("v", 2), "op2", 0, second);
+        start(a_, workspace_change("w", 1), "op1", 0, repeat);
+        a_.run();
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), text_of(first));
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), text_of(second));
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), text_of(repeat));
+    }
+
     void a_lost_answer_is_settled_by_the_operation_row()
     {
         std::optional<result<std::int64_t>> outcome;
--- /dev/null
+++ b/src/ctl/program_test.cpp
@@ -0,0 +1,205 @@
+#include "ctl/program.hpp"
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <memory>
+#include <mutex>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "common/digest.hpp"
+#include "ctl/commands.hpp"
+#include "operators/service.hpp"
+
+namespace tarragonquay::ctl
+{
+
+/// Runs the tool against the real service with a scripted control port.
+class program_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(program_test);
+    CPPUNIT_TEST(a_key_sends_the_digest_of_the_printed_secret);
+    CPPUNIT_TEST(a_lost_answer_is_repeated_with_the_same_operation_id);
+    CPPUNIT_TEST(failures_set_the_exit_code_and_stderr);
+    CPPUNIT_TEST(a_version_change_keeps_the_other_fields);
+    CPPUNIT_TEST(routes_are_parsed_and_checked);
+    CPPUNIT_TEST(the_command_line_precedes_environment_and_file);
+    CPPUNIT_TEST(wrong_usage_exits_with_2);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        operators::control_port port;
+        port.apply =
+            [this](const operators::Apply_request& request, const auto& on_done)
+        {
+            const std::scoped_lock lock(mutex_);
+            requests_.push_back(request);
+            if (unsettled_-- > 0)
+            {
+                operators::Apply_reply lost;
+                *lost.mutable_failure() = operators::to_failure(
+                    error(error_code::store_outcome_unknown, "lost"));
+                return on_done(lost);
+            }
+            on_done(reply_);
+        };
+        port.describe =
+            [](const operators::Describe_request&, const auto& on_done)
+        {
+            operators::Describe_reply reply;
+            auto& model = *reply.mutable_snapshot()->add_models();
+            model.set_id("m");
+            model.set_version("1");
+            model.set_bytes(99);
+            (*reply.mutable_snapshot()->mutable_entity_revisions())["model/m"] =
+                12;
+            on_done(reply);
+        };
+        auto made = operators::service::create({"127.0.0.1:0", "", ""}, port);
+        CPPUNIT_ASSERT(made.has_value());
+        service_ = std::move(*made);
+        reply_.set_revision(5);
+        reply_.set_in_force(true);
+    }
+
+    void a_key_sends_the_digest_of_the_printed_secret()
+    {
+        CPPUNIT_ASSERT_EQUAL(0, call({"key", "issue", "k", "--workspace", "w",
+                                    "--output", "json"}));
+        const auto secret =
+            nlohmann::json::parse(out_.str()).at("secret").get<std::string>();
+        CPPUNIT_ASSERT_EQUAL(sha256_hex(secret),
+            requests_.at(0).change().put_key().secret_sha256());
+        CPPUNIT_ASSERT(requests_.at(0).SerializeAsString().find(secret) ==
+                       std::string::npos);
+        CPPUNIT_ASSERT(*make_secret() != *make_secret());
+    }
+
+    // Guards against a change that is committed twice.
+    void a_lost_answer_is_repeated_with_the_same_operation_id()
+    {
+        unsettled_ = 2;
+        CPPUNIT_ASSERT_EQUAL(0, call({"key", "withdraw", "k"}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), requests_.size());
+        CPPUNIT_ASSERT(!requests_[0].operation_id().empty());
+        CPPUNIT_ASSERT_EQUAL(
+            requests_[0].operation_id(), requests_[2].operation_id());
+    }
+
+    void failures_set_the_exit_code_and_stderr()
+    {
+        reply_.set_in_force(false);
+        reply_.add_missing_instances("i3");
+        CPPUNIT_ASSERT_EQUAL(4, call({"model", "remove", "m"}));
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("tqctl: not_in_force: revision 5 is committed, but "
+                        "not applied by: i3\n"),
+            problems_.str());
+        *reply_.mutable_failure() = operators::to_failure(
+            error(error_code::conflict, "model/m has changed"), 9);
+        CPPUNIT_ASSERT_EQUAL(3, call({"model", "remove", "m"}));
+        CPPUNIT_ASSERT_EQUAL(std::string("tqctl: conflict: model/m has changed "
+                                         "(current revision 9)\n"),
+            problems_.str());
+        *reply_.mutable_failure() =
+            operators::to_failure(error(error_code::not_found, "no model"));
+        CPPUNIT_ASSERT_EQUAL(1, call({"model", "remove", "m"}));
+        service_.reset();
+        CPPUNIT_ASSERT_EQUAL(
+            5, call({"model", "remove", "m", "--timeout", "300"}));
+    }
+
+    void a_version_change_keeps_the_other_fields()
+    {
+        CPPUNIT_ASSERT_EQUAL(0, call({"version", "model", "m", "2"}));
+        const auto& request = requests_.at(0);
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("2"), request.change().put_model().version());
+        CPPUNIT_ASSERT_EQUAL(
+            std::int64_t(99), request.change().put_model().bytes());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(12), request.expected_revision());
+    }
+
+    void routes_are_parsed_and_checked()
+    {
+        CPPUNIT_ASSERT_EQUAL(
+            0, call({"service", "put", "orders", "--route",
+                   "/status:GET:idempotent:open", "--route",
+                   "/send::not_idempotent", "--expected-revision", "0"}));
+        const auto& routes = requests_.at(0).change().put_service().routes();
+        CPPUNIT_ASSERT_EQUAL(2, routes.size());
+        CPPUNIT_ASSERT(routes[0].open_to_all() && !routes[1].open_to_all());
+        CPPUNIT_ASSERT_EQUAL(std::string("/send"), routes[1].path_prefix());
+        CPPUNIT_ASSERT(routes[1].repeat() == config::Route::NOT_IDEMPOTENT);
+        for (const auto* text :
+            {"", "/a", "/a:GET", "/a:GET:maybe", "/a:GET:idempotent:closed"})
+            CPPUNIT_ASSERT_MESSAGE(text, !parse_route(text));
+    }
+
+    void the_command_line_precedes_environment_and_file()
+    {
+        const std::string path = "tqctl_program_test.yaml";
+        std::ofstream(path) << "address: file:1\nca_file: ca.pem\n";
+        global_options given;
+        given.settings_file = path;
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("file:1"), resolve(given, nullptr)->address);
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("env:1"), resolve(given, "env:1")->address);
+        given.address = "line:1";
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("line:1"), resolve(given, "env:1")->address);
+        std::ofstream(path) << "address: file:1\nadress: typo\n";
+        const auto refused = resolve(given, nullptr);
+        CPPUNIT_ASSERT(!refused);
+        CPPUNIT_ASSERT_EQUAL(
+            path + ":2: unknown key 'adress'", refused.error().message());
+        std::remove(path.c_str());
+    }
+
+    void wrong_usage_exits_with_2()
+    {
+        CPPUNIT_ASSERT_EQUAL(2, call({"workspace", "put", "w"}));
+        CPPUNIT_ASSERT_EQUAL(2, call({"frobnicate"}));
+        CPPUNIT_ASSERT_EQUAL(2, call({"limit", "w"}));
+        CPPUNIT_ASSERT_EQUAL(0, call({"key", "issue", "--help"}));
+        CPPUNIT_ASSERT(requests_.empty());
+    }
+
+private:
+    int call(std::vector<std::string> arguments)
+    {
+        if (service_)
+            address_ = fmt::format("127.0.0.1:{}", service_->port());
+        arguments.insert(arguments.begin(), {"tqctl", "--address", address_});
+        std::vector<const char*> raw;
+        raw.reserve(arguments.size());
+        for (const auto& argument : arguments)
+            raw.push_back(argument.c_str());
+        out_.str("");
+        problems_.str("");
+        return static_cast<int>(
+            run(static_cast<int>(raw.size()), raw.data(), out_, problems_));
+    }
+
+    std::mutex mutex_;
+    std::vector<operators::Apply_request> requests_;
+    operators::Apply_reply reply_;
+    int unsettled_ = 0;
+    std::string address_;
+    std::ostringstream out_;
+    std::ostringstream problems_;
+    std::unique_ptr<operators::service> service_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(program_test);
+
+} // namespace tarragonquay::ctl
--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -2,9 +2,10 @@
 
 #include <algorithm>
 #include <condition_variable>
+#include <map>
 #include <mutex>
-#include <set>
 #include <string_view>
+#include <thread>
 #include <utility>
 
 #include <fmt/format.h>
@@ -82,11 +83,21 @@
            status.error_code() == grpc::StatusCode::UNAVAILABLE;
 }
 
-template <class Request, class Reply>
-struct call
+/// What gRPC uses during one call.
+struct call_base
 {
+    call_base() = default;
+    virtual ~call_base() = default;
+    call_base(const call_base&) = delete;
+    call_base& operator=(const call_base&) = delete;
+
     std::shared_ptr<stub_type> stub;
     grpc::ClientContext context;
+};
+
+template <class Request, class Reply>
+struct call : call_base
+{
     Request request;
     Reply reply;
 };
@@ -113,17 +124,23 @@
 {
 public:
     explicit implementation(std::string address)
-        : address_(std::move(address)), stub_(make_stub(address_))
+        : address_(std::move(address)),
+          stub_(make_stub(address_)),
+          reaper_([this] { destroy_finished(); })
     {
     }
 
     ~implementation()
     {
-        std::unique_lock lock(mutex_);
-        closing_ = true;
-        for (auto* context : active_)
-            context->TryCancel();
-        all_done_.wait(lock, [this] { return active_.empty(); });
+        {
+            std::unique_lock lock(mutex_);
+            closing_ = true;
+            for (const auto& entry : active_)
+                entry.first->context.TryCancel();
+            changed_.notify_all();
+        }
+        // Ends when no call is active any more.
+        reaper_.join();
     }
 
     implementation(const implementation&) = delete;
@@ -140,17 +157,15 @@
         if (deadline <= std::chrono::steady_clock::now())
             return on_done(fail(error_code::store_unavailable,
                 fmt::format("{}: the deadline passed before the call", name)));
-        auto state = std::make_shared<call<Request, Reply>>();
+        auto owned = std::make_unique<call<Request, Reply>>();
+        auto* state = owned.get();
         state->request = std::move(request);
         state->context.set_deadline(to_grpc(deadline));
-        if (!add(*state))
+        if (!add(std::move(owned)))
             return on_done(fail(error_code::store_unavailable,
                 fmt::format("{}: the client is closing", name)));
-        auto* context = &state->context;
-        auto* stub = state->stub.get();
-        const auto* sent = &state->request;
-        auto* reply = &state->reply;
-        method(stub->async(), context, sent, reply,
+        method(state->stub->async(), &state->context,
+            &std::as_const(state->request), &state->reply,
             [this, state, name = std::string(name), is_write,
                 convert = std::move(convert),
                 on_done = std::move(on_done)](const grpc::Status& status)
@@ -163,7 +178,7 @@
                         replace(state->stub);
                     on_done(to_error(name, is_write, status));
                 }
-                remove(state->context);
+                finish(state);
             });
     }
 
@@ -179,24 +194,44 @@
             unknown ? execution_state::unknown : execution_state::not_run);
     }
 
-    template <class Call>
-    bool add(Call& state)
+    bool add(std::unique_ptr<call_base> state)
     {
         const std::scoped_lock lock(mutex_);
         if (closing_)
             return false;
-        state.stub = stub_;
-        active_.insert(&state.context);
+        state->stub = stub_;
+        auto* key = state.get();
+        active_.emplace(key, std::move(state));
         return true;
     }
 
-    void remove(grpc::ClientContext& context)
+    void finish(call_base* state)
     {
         const std::scoped_lock lock(mutex_);
-        active_.erase(&context);
+        const auto it = active_.find(state);
+        finished_.push_back(std::move(it->second));
+        active_.erase(it);
         // Notified under the lock: the destructor may run right after it.
-        if (active_.empty())
-            all_done_.notify_all();
+        changed_.notify_all();
+    }
+
+    /// Destroys finished calls and, with the last call on it, a replaced
+    /// channel. gRPC aborts when one of its own callbacks destroys the
+    /// channel that the callback belongs to, hence the thread.
+    void destroy_finished()
+    {
+        std::unique_lock lock(mutex_);
+        while (!closing_ || !active_.empty() || !finished_.empty())
+        {
+            changed_.wait(lock,
+                [this] {
+                    return !finished_.empty() || (closing_ && active_.empty());
+                });
+            auto done = std::exchange(finished_, {});
+            lock.unlock();
+            done.clear();
+            lock.lock();
+        }
     }
 
     void replace(const std::shared_ptr<stub_type>& failed)
@@ -210,10 +245,12 @@
 
     const std::string address_;
     std::mutex mutex_;
-    std::condition_variable all_done_;
+    std::condition_variable changed_;
     std::shared_ptr<stub_type> stub_;
-    std::set<grpc::ClientContext*> active_;
+    std::map<call_base*, std::unique_ptr<call_base>> active_;
+    std::vector<std::unique_ptr<call_base>> finished_;
     bool closing_ = false;
+    std::thread reaper_;
 };
 
 client::client(std::unique_ptr<implementation> parts)
--- a/src/platform/client.hpp
+++ b/src/platform/client.hpp
@@ -93,6 +93,8 @@
     /// `address` is "ip:port".
     static result<std::unique_ptr<client>> create(const std::string& address);
 
+    /// Cancels the calls in flight and waits until their handlers have run,
+    /// so it must not run inside a handler.
     ~client();
     client(const client&) = delete;
     client& operator=(const client&) = delete;
--- /dev/null
+++ b/src/platform/client_test.cpp
@@ -0,0 +1,265 @@
+#include "platform/client.hpp"
+
+#include <atomic>
+#include <chrono>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+
+#include <arpa/inet.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+#include <grpcpp/security/server_credentials.h>
+#include <grpcpp/server.h>
+#include <grpcpp/server_builder.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "platform.grpc.pb.h"
+
+namespace tarragonquay::platform
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+time_point after(milliseconds delay)
+{
+    return std::chrono::steady_clock::now() + delay;
+}
+
+/// Answers reads and applies writes, or holds the answer of each write until
+/// the caller has given up.
+class test_service final : public Platform::Service
+{
+public:
+    grpc::Status Transact(grpc::ServerContext* context,
+        const Transact_request* request, Transact_reply* reply) override
+    {
+        {
+            const std::scoped_lock lock(mutex_);
+            peers.insert(context->peer());
+        }
+        ++transactions;
+        while (hold_answers && !context->IsCancelled())
+            std::this_thread::sleep_for(milliseconds(5));
+        if (request->conditions_size() > 0)
+        {
+            reply->set_failed_key(request->conditions(0).key());
+            reply->set_failed_version(7);
+            return grpc::Status::OK;
+        }
+        reply->set_applied(true);
+        reply->set_revision(3);
+        return grpc::Status::OK;
+    }
+
+    grpc::Status FetchObject(grpc::ServerContext*,
+        const Fetch_object_request* request, Fetch_object_reply* reply) override
+    {
+        // Larger than gRPC's default limit of 4 MiB.
+        reply->set_found(request->name() == "large");
+        if (reply->found())
+            reply->set_content(std::string(5'000'000, 'x'));
+        return grpc::Status::OK;
+    }
+
+    std::atomic<bool> hold_answers{false};
+    std::atomic<int> transactions{0};
+    std::set<std::string> peers;
+
+private:
+    std::mutex mutex_;
+};
+
+/// Waits for the result of one call.
+template <class T, class Start>
+result<T> wait_for(const Start& start)
+{
+    auto promise = std::make_shared<std::promise<result<T>>>();
+    auto outcome = promise->get_future();
+    start([promise](result<T> value) { promise->set_value(std::move(value)); });
+    CPPUNIT_ASSERT(outcome.wait_for(std::chrono::seconds(20)) ==
+                   std::future_status::ready);
+    return outcome.get();
+}
+
+template <class T>
+std::string code_of(const result<T>& outcome)
+{
+    return outcome ? "ok" : std::string(to_string(outcome.error().code()));
+}
+
+/// A socket that accepts connections in its backlog and never answers.
+class silent_listener
+{
+public:
+    silent_listener()
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(address);
+        auto* plain = reinterpret_cast<sockaddr*>(&address);
+        CPPUNIT_ASSERT_EQUAL(0, bind(socket_, plain, size));
+        CPPUNIT_ASSERT_EQUAL(0, listen(socket_, 16));
+        CPPUNIT_ASSERT_EQUAL(0, getsockname(socket_, plain, &size));
+        port = ntohs(address.sin_port);
+    }
+    ~silent_listener() { close(socket_); }
+    silent_listener(const silent_listener&) = delete;
+    silent_listener& operator=(const silent_listener&) = delete;
+
+    int port = 0;
+
+private:
+    int socket_ = socket(AF_INET, SOCK_STREAM, 0);
+};
+
+} // namespace
+
+class client_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(client_test);
+    CPPUNIT_TEST(a_malformed_address_is_refused);
+    CPPUNIT_TEST(replies_are_converted);
+    CPPUNIT_TEST(a_write_without_an_answer_has_an_unknown_outcome);
+    CPPUNIT_TEST(a_call_after_a_timeout_uses_a_new_connection);
+    CPPUNIT_TEST(a_write_that_was_never_sent_has_no_effect);
+    CPPUNIT_TEST(a_silent_connection_fails_reads_at_their_deadline);
+    CPPUNIT_TEST(destruction_cancels_calls_in_flight);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        int port = 0;
+        grpc::ServerBuilder builder;
+        builder.AddListeningPort(
+            "127.0.0.1:0", grpc::InsecureServerCredentials(), &port);
+        builder.RegisterService(&service_);
+        server_ = builder.BuildAndStart();
+        client_ = connect(port);
+    }
+
+    void tearDown() override
+    {
+        client_.reset();
+        if (server_)
+            server_->Shutdown();
+    }
+
+    void a_malformed_address_is_refused()
+    {
+        for (const auto* address : {"", "10.0.0.1", ":80", "10.0.0.1:"})
+            CPPUNIT_ASSERT_EQUAL(std::string("invalid_argument"),
+                code_of(client::create(address)));
+    }
+
+    void replies_are_converted()
+    {
+        CPPUNIT_ASSERT(*transact() == (transact_outcome{true, 3, "", 0}));
+        const auto refused = transact({{"row", 2}});
+        CPPUNIT_ASSERT(*refused == (transact_outcome{false, 0, "row", 7}));
+        const auto fetch = [&](const std::string& name)
+        {
+            return *wait_for<std::optional<std::string>>([&](auto done)
+                { client_->fetch_object(name, after(long_limit), done); });
+        };
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5'000'000), fetch("large")->size());
+        CPPUNIT_ASSERT(!fetch("absent"));
+    }
+
+    void a_write_without_an_answer_has_an_unknown_outcome()
+    {
+        service_.hold_answers = true;
+        CPPUNIT_ASSERT_EQUAL(std::string("store_outcome_unknown"),
+            code_of(transact({}, short_limit)));
+        CPPUNIT_ASSERT_EQUAL(1, service_.transactions.load());
+    }
+
+    // Guards against a frozen connection that later calls share.
+    void a_call_after_a_timeout_uses_a_new_connection()
+    {
+        CPPUNIT_ASSERT(transact().has_value());
+        service_.hold_answers = true;
+        transact({}, short_limit);
+        service_.hold_answers = false;
+        CPPUNIT_ASSERT(transact().has_value());
+        client_.reset();
+        server_->Shutdown();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), service_.peers.size());
+    }
+
+    void a_write_that_was_never_sent_has_no_effect()
+    {
+        int free_port = 0;
+        {
+            const silent_listener closed;
+            free_port = closed.port;
+        }
+        client_ = connect(free_port);
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("store_unavailable"), code_of(transact()));
+        CPPUNIT_ASSERT_EQUAL(std::string("store_unavailable"),
+            code_of(transact({}, milliseconds(-1))));
+    }
+
+    void a_silent_connection_fails_reads_at_their_deadline()
+    {
+        const silent_listener silent;
+        client_ = connect(silent.port);
+        const auto outcome = wait_for<std::vector<row>>(
+            [&](auto done) { client_->read({"a"}, after(short_limit), done); });
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("store_unavailable"), code_of(outcome));
+    }
+
+    // Guards against handlers that run after their client is gone.
+    void destruction_cancels_calls_in_flight()
+    {
+        service_.hold_answers = true;
+        std::atomic<int> answered{0};
+        for (int i = 0; i < 20; ++i)
+            client_->transact({}, {}, after(long_limit),
+                [&](const result<transact_outcome>& outcome)
+                { answered += outcome ? 0 : 1; });
+        client_.reset();
+        CPPUNIT_ASSERT_EQUAL(20, answered.load());
+    }
+
+private:
+    static constexpr milliseconds short_limit{300};
+    static constexpr milliseconds long_limit{15'000};
+
+    static std::unique_ptr<client> connect(int port)
+    {
+        auto made = client::create(fmt::format("127.0.0.1:{}", port));
+        CPPUNIT_ASSERT(made.has_value());
+        return std::move(*made);
+    }
+
+    result<transact_outcome> transact(
+        const std::vector<condition>& conditions = {},
+        milliseconds limit = long_limit)
+    {
+        return wait_for<transact_outcome>(
+            [&](auto done) {
+                client_->transact(
+                    conditions, {{"row", "value"}}, after(limit), done);
+            });
+    }
+
+    test_service service_;
+    std::unique_ptr<grpc::Server> server_;
+    std::unique_ptr<client> client_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(client_test);
+
+} // namespace tarragonquay::platform
