--- a/src/ctl/options.cpp
+++ b/src/ctl/options.cpp
@@ -52,6 +52,7 @@
     case error_code::not_in_force:
         return exit_code::not_in_force;
     case error_code::peer_unreachable:
+    case error_code::store_outcome_unknown:
         return exit_code::unreachable;
     case error_code::invalid_settings:
         return exit_code::usage;
--- a/src/ctl/program.cpp
+++ b/src/ctl/program.cpp
@@ -23,7 +23,7 @@
     "  2  wrong usage or settings\n"
     "  3  conflict: the entity has changed or is in use\n"
     "  4  committed, but not yet applied by a majority of the members\n"
-    "  5  no answer; a change may or may not be committed";
+    "  5  no answer or an unknown outcome: a change may be committed";
 
 void add_global_options(CLI::App& app, global_options& options)
 {
@@ -32,11 +32,13 @@
     app.add_option("--settings", options.settings_file, "YAML settings file");
     app.add_option("--ca-file", options.ca_file,
         "Use TLS and trust this certificate authority (PEM)");
-    app.add_option("--output", options.format, "table (default) or json")
+    app.add_option(
+           "--output", options.format, "Format of the answer (default: table)")
         ->transform(
             CLI::CheckedTransformer(std::map<std::string, output_format>{
                 {"table", output_format::table},
-                {"json", output_format::json}}));
+                {"json", output_format::json}}))
+        ->option_text("table|json");
     app.add_option("--expected-revision", options.expected_revision,
            "Only change the entity if this is its revision; 0: it must not "
            "exist, -1: any (default)")
@@ -81,7 +83,7 @@
             app.exit(problem, out, problems);
             return exit_code::ok;
         }
-        problems << "tqctl: usage: " << problem.what() << '\n';
+        problems << "tqctl: invalid_argument: " << problem.what() << '\n';
         return exit_code::usage;
     }
     const auto options = resolve(given, std::getenv("TQCTL_ADDRESS"));
--- a/src/ctl/program_test.cpp
+++ b/src/ctl/program_test.cpp
@@ -112,6 +112,9 @@
         *reply_.mutable_failure() =
             operators::to_failure(error(error_code::not_found, "no model"));
         CPPUNIT_ASSERT_EQUAL(1, call({"model", "remove", "m"}));
+        unsettled_ = 100;
+        CPPUNIT_ASSERT_EQUAL(
+            5, call({"model", "remove", "m", "--timeout", "500"}));
         service_.reset();
         CPPUNIT_ASSERT_EQUAL(
             5, call({"model", "remove", "m", "--timeout", "300"}));
