--- /dev/null
+++ b/src/ingress/server_test_support.hpp
@@ -0,0 +1,209 @@
+#pragma once
+
+#include <utility>
+
+#include <limits>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+
+#include "common/digest.hpp"
+#include "common/random.hpp"
+#include "config.pb.h"
+#include "endpoints/scripted_server.hpp"
+#include "ingress/server.hpp"
+#include "orders/order_book.hpp"
+#include "platform/fake_store.hpp"
+
+namespace tarragonquay::ingress::testing
+{
+
+namespace asio = boost::asio;
+using endpoints::testing::scripted_answer;
+using endpoints::testing::scripted_server;
+
+inline catalog::snapshot make_snapshot(bool withdrawn)
+{
+    config::Snapshot message;
+    message.set_revision(withdrawn ? 2 : 1);
+    auto* workspace = message.add_workspaces();
+    workspace->set_id("acme");
+    auto* key = message.add_keys();
+    key->set_id("k");
+    key->set_workspace("acme");
+    key->set_secret_sha256(sha256_hex("s3cret"));
+    key->set_withdrawn(withdrawn);
+    message.add_models()->set_id("m");
+    auto* service = message.add_services();
+    service->set_name("florist");
+    return *catalog::snapshot::from_proto(message);
+}
+
+/// A server whose control thread and store are replaced by fakes, in front
+/// of one scripted endpoint.
+class server_fixture
+{
+public:
+    explicit server_fixture(std::vector<scripted_answer> script)
+        : endpoint(std::move(script)),
+          book(store, environment(endpoint.context))
+    {
+        address = endpoint.address();
+        state.publish(make_snapshot(false));
+        state.publish_lease_deadline(std::numeric_limits<std::int64_t>::max());
+        server_services services;
+        services.state = &state;
+        services.control = make_control();
+        services.orders = make_orders();
+        services.events = &events;
+        services.metrics = &metrics;
+        server_settings settings;
+        settings.listen_address = "127.0.0.1:0";
+        settings.availability_zone = "a";
+        auto created = server::create(
+            {endpoint.context.get_executor()}, settings, services);
+        tested = std::move(*created);
+        tested->start();
+    }
+
+    /// Sends a request on a new connection and returns all that arrives.
+    std::string call(std::string text)
+    {
+        return endpoint.run(exchange_text(std::move(text)));
+    }
+
+    static std::string request_text(const std::string& start,
+        const std::string& headers, const std::string& body = {})
+    {
+        return start + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n" +
+               headers + "Content-Length: " + std::to_string(body.size()) +
+               "\r\n\r\n" + body;
+    }
+
+    static std::string completion_text(bool stream)
+    {
+        return request_text("POST /v1/chat/completions?api_key=s3cret", "",
+            std::string(R"({"model":"m","max_tokens":10,"stream":)") +
+                (stream ? "true" : "false") +
+                R"(,"messages":[{"role":"user","content":"hi"}]})");
+    }
+
+    static std::string order_text(const std::string& body = "send")
+    {
+        return request_text("POST /services/florist/confirm",
+            "X-Api-Key: s3cret\r\nCookie: s3cret\r\nIdempotency-Key: o1\r\n",
+            body);
+    }
+
+    asio::awaitable<std::string> exchange_text(std::string text)
+    {
+        asio::ip::tcp::socket socket(endpoint.context);
+        co_await socket.async_connect(
+            {asio::ip::address_v4::loopback(), tested->port()},
+            asio::use_awaitable);
+        co_await asio::async_write(
+            socket, asio::buffer(text), asio::use_awaitable);
+        std::string answer;
+        boost::system::error_code ec;
+        co_await asio::async_read(socket, asio::dynamic_buffer(answer),
+            asio::redirect_error(asio::use_awaitable, ec));
+        co_return answer;
+    }
+
+    /// Whether each reservation and assignment was ended exactly once.
+    bool balanced() const
+    {
+        return settled.size() == admitted && released.size() == assigned;
+    }
+
+    bool endpoint_saw(const std::string& text) const
+    {
+        for (const auto& request : endpoint.requests)
+        {
+            if (request.find(text) != std::string::npos)
+                return true;
+        }
+        return false;
+    }
+
+    std::size_t admitted = 0;
+    std::uint64_t assigned = 0;
+    std::vector<std::int64_t> settled;
+    std::vector<routing::outcome> released;
+    /// Called when an endpoint is chosen.
+    std::function<void()> on_acquire = [] {};
+
+    scripted_server endpoint;
+    std::string address;
+    platform::fake_store store;
+    orders::order_book<platform::fake_store> book;
+    catalog::published_state state;
+    events::recorder events{"i1", 1000};
+    metrics::registry metrics;
+    std::unique_ptr<server> tested;
+
+private:
+    static orders::order_environment environment(asio::io_context& context)
+    {
+        orders::order_environment out;
+        out.instance = "i1";
+        out.incarnation = "1";
+        out.now = [] { return std::chrono::steady_clock::now(); };
+        out.unix_ms = [] { return unix_ms(); };
+        out.new_id = [] { return unique_id(); };
+        out.after = [&context](duration, std::function<void()> action)
+        { asio::post(context, std::move(action)); };
+        out.is_gone = [](const std::string&, const std::string&)
+        { return false; };
+        return out;
+    }
+
+    control_port make_control()
+    {
+        control_port out;
+        out.admit =
+            [this](workspace_id workspace, std::int64_t tokens, auto handler)
+        {
+            ++admitted;
+            handler(limits::reservation{admitted, workspace, tokens, 1});
+        };
+        out.settle = [this](limits::reservation, std::int64_t used)
+        { settled.push_back(used); };
+        out.acquire = [this](routing::request_spec, auto handler)
+        {
+            on_acquire();
+            routing::assignment held;
+            held.id = ++assigned;
+            held.endpoint = endpoint_id("e" + std::to_string(held.id));
+            held.address = address;
+            handler(held);
+        };
+        out.release = [this](std::uint64_t, routing::outcome outcome)
+        { released.push_back(outcome); };
+        out.entries = [](auto handler) {
+            handler(std::vector<entry_address>{{"10.0.0.1:1", "a"}});
+        };
+        return out;
+    }
+
+    order_port make_orders()
+    {
+        order_port out;
+        out.begin = [this](auto call, auto handler)
+        { book.begin(std::move(call), std::move(handler)); };
+        out.complete = [this](auto permit, auto answer, auto handler) {
+            book.complete(
+                std::move(permit), std::move(answer), std::move(handler));
+        };
+        out.mark_unknown = [this](auto permit, auto handler)
+        { book.mark_unknown(std::move(permit), std::move(handler)); };
+        out.mark_not_run = [this](auto permit, auto handler)
+        { book.mark_not_run(std::move(permit), std::move(handler)); };
+        return out;
+    }
+};
+
+} // namespace tarragonquay::ingress::testing
