--- a/src/ingress/connection.cpp
+++ b/src/ingress/connection.cpp
@@ -31,7 +31,7 @@
     return {text.data(), text.size()};
 }
 
-// Counts a connection or request for as long as it lives.
+// Counts a running request.
 class request_scope
 {
 public:
@@ -58,8 +58,13 @@
 
     asio::awaitable<void> run()
     {
-        while (keep_alive_ && co_await wait_for_request())
+        while (keep_alive_)
         {
+            // g++ 12 evaluates a co_await behind && in a loop condition even
+            // when the left side is false, so this is a statement of its own.
+            const bool arrived = co_await wait_for_request();
+            if (!arrived)
+                break;
             const request_scope scope(on_->shared->requests);
             co_await serve_next();
         }
--- a/src/ingress/server_test_support.hpp
+++ b/src/ingress/server_test_support.hpp
@@ -4,6 +4,7 @@
 
 #include <limits>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -31,15 +32,23 @@
     message.set_revision(withdrawn ? 2 : 1);
     auto* workspace = message.add_workspaces();
     workspace->set_id("acme");
+    workspace->set_rate_tokens_per_second(100);
+    workspace->set_burst_tokens(100);
     auto* key = message.add_keys();
     key->set_id("k");
     key->set_workspace("acme");
     key->set_secret_sha256(sha256_hex("s3cret"));
     key->set_withdrawn(withdrawn);
-    message.add_models()->set_id("m");
+    auto* model = message.add_models();
+    model->set_id("m");
+    model->set_version("1");
+    model->set_bytes(1);
     auto* service = message.add_services();
     service->set_name("florist");
-    return *catalog::snapshot::from_proto(message);
+    auto made = catalog::snapshot::from_proto(message);
+    if (!made)
+        throw std::logic_error(made.error().message());
+    return std::move(*made);
 }
 
 /// A server whose control thread and store are replaced by fakes, in front
