--- /dev/null
+++ b/src/endpoints/state_poller_test.cpp
@@ -0,0 +1,104 @@
+#include "endpoints/scripted_server.hpp"
+#include "endpoints/state_poller.hpp"
+
+#include <map>
+#include <tuple>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "endpoints/command_client.hpp"
+#include "records.pb.h"
+
+namespace tarragonquay::endpoints
+{
+
+using testing::scripted_answer;
+using testing::scripted_server;
+
+namespace
+{
+
+scripted_answer answer_with(const std::string& status, const std::string& body)
+{
+    return {"HTTP/1.1 " + status + " X\r\nX-Request-Id: {id}\r\n" +
+            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+            body};
+}
+
+result<command_answer> send_to(const std::string& status)
+{
+    scripted_server server({answer_with(status, "{}")});
+    records::Command_intent intent;
+    intent.set_command_id("c");
+    intent.set_kind(records::Command_intent::LOAD_MODEL);
+    return server.run(send_command(server.address(), intent,
+        std::chrono::steady_clock::now() + std::chrono::seconds(20)));
+}
+
+} // namespace
+
+class state_poller_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(state_poller_test);
+    CPPUNIT_TEST(reports_states_and_failures);
+    CPPUNIT_TEST(command_answers_are_told_apart);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against an endpoint whose failures are taken for silence.
+    void reports_states_and_failures()
+    {
+        scripted_server good({answer_with("200",
+            R"({"incarnation":"i","capacity_bytes":1,"used_bytes":1,
+            "overcommits":0,"residents":[],"adapters":[],"running":0,
+            "waiting":0,"leaving":true,"highest_fencing":0,"commands":[],
+            "reported_unix_ms":1})")});
+        std::string closed;
+        {
+            const scripted_server gone({});
+            closed = gone.address();
+        }
+        std::map<endpoint_id, result<routing::endpoint_report>> seen;
+        state_poller poller(good.context.get_executor(),
+            [&](const endpoint_id& id, auto report)
+            { seen.emplace(id, std::move(report)); });
+        std::vector<catalog::endpoint> list(2);
+        list[0].id = endpoint_id("good");
+        list[0].address = good.address();
+        list[1].id = endpoint_id("closed");
+        list[1].address = closed;
+        poller.set_endpoints(list);
+        poller.start();
+        while (seen.size() < 2)
+            good.context.run_one();
+        poller.stop();
+        CPPUNIT_ASSERT(seen.at(list[0].id).has_value());
+        CPPUNIT_ASSERT(seen.at(list[0].id)->leaving);
+        CPPUNIT_ASSERT(
+            seen.at(list[1].id).error().code() == error_code::connect_failed);
+    }
+
+    // Guards against memory that is freed while a command may still run.
+    void command_answers_are_told_apart()
+    {
+        CPPUNIT_ASSERT(send_to("202") == command_answer::accepted);
+        CPPUNIT_ASSERT(send_to("200") == command_answer::known);
+        for (const auto& [status, code, execution] :
+            {std::tuple{
+                 "409", error_code::stale_fencing, execution_state::not_run},
+                std::tuple{
+                    "507", error_code::no_memory, execution_state::not_run},
+                std::tuple{"500", error_code::endpoint_rejected,
+                    execution_state::unknown}})
+        {
+            const auto answer = send_to(status);
+            CPPUNIT_ASSERT_MESSAGE(status, !answer.has_value());
+            CPPUNIT_ASSERT(answer.error().code() == code);
+            CPPUNIT_ASSERT(answer.error().execution() == execution);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(state_poller_test);
+
+} // namespace tarragonquay::endpoints
--- a/src/orders/order_interleaving_test.cpp
+++ b/src/orders/order_interleaving_test.cpp
@@ -27,8 +27,10 @@
     int callers = 0;
     const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
         120, rc::gen::pair(rc::gen::inRange(0, 12), rc::gen::inRange(0, 1000)));
-    for (const auto& [action, choice] : steps)
+    for (const auto& step : steps)
     {
+        const int action = step.first;
+        const int choice = step.second;
         auto& at = instances[static_cast<std::size_t>(choice) % 3];
         const int caller = callers;
         switch (action)
