--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -2,7 +2,7 @@
 # Installs the Debian packages that building and testing need.
 set -euo pipefail
 packages=(
-    g++ cmake ninja-build ccache pkg-config clang-format clang-tidy
+    curl g++ cmake ninja-build ccache pkg-config clang-format clang-tidy
     libboost-dev libboost-log-dev libboost-system-dev libboost-thread-dev
     libzmq3-dev cppzmq-dev libprotobuf-dev protobuf-compiler libgrpc++-dev
     protobuf-compiler-grpc libcli11-dev libyaml-cpp-dev libexpected-dev
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -84,6 +84,12 @@
     "$bin/tqctl" --address "$operator" --output json "$@"
 }
 
+# issue_key ID WORKSPACE: prints the secret of a new key.
+issue_key() {
+    tqctl key issue "$1" --workspace "$2" |
+        sed -n 's/.*"secret": *"\([^"]*\)".*/\1/p'
+}
+
 echo "== stand-ins: platform, three engines, one order service"
 start platform "$bin/tq-standin" platform
 admin=$(address platform admin)
@@ -133,31 +139,31 @@
 echo "== configuration: two workspaces with keys, models, endpoints"
 tqctl workspace put spomincek --rate 1000 --burst 5000
 tqctl workspace put sundarban --rate 2000 --burst 8000
-tqctl key put spomincek-1 --workspace spomincek --secret spomincek-secret
-tqctl key put sundarban-1 --workspace sundarban --secret sundarban-secret
+spomincek=$(issue_key spomincek-1 spomincek)
+sundarban=$(issue_key sundarban-1 sundarban)
 tqctl model put verses --version 1 --bytes 16000000000
 tqctl model put contracts --version 1 --bytes 16000000000
 tqctl model put chat --version 1 --bytes 16000000000
 tqctl service put orders
 for i in 1 2 3; do
     tqctl endpoint put "e$i" --endpoint-address "$(address "engine$i" engine)" \
-        --zone "${zones[i - 1]}" --region r1 --kind engine --accelerators 1 \
+        --zone "${zones[i - 1]}" --region r1 --accelerators 1 \
         --capacity-bytes 40000000000 --honours-fencing
 done
 tqctl endpoint put s1 --endpoint-address "$(address orders service)" \
-    --zone z1 --region r1 --kind service --service orders
+    --zone z1 --region r1 --service orders
 
 prompt='{"model": "verses", "max_tokens": 8, "stream": true, "messages":
   [{"role": "user", "content": "A verse for a silver wedding."}]}'
 wait_ok "the model to be placed" call POST /v1/chat/completions \
-    spomincek-secret "$prompt"
+    "$spomincek" "$prompt"
 
 echo "== a streamed completion"
-call POST /v1/chat/completions spomincek-secret "$prompt"
+call POST /v1/chat/completions "$spomincek" "$prompt"
 
 echo "== an order, sent twice with one idempotency key: it runs once"
 for _ in 1 2; do
-    call POST /services/orders/send sundarban-secret '{"order": "o-1"}' \
+    call POST /services/orders/send "$sundarban" '{"order": "o-1"}' \
         "Idempotency-Key: o-1"
     echo
 done
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -235,13 +235,15 @@
     return process::run("tqctl", std::move(all));
 }
 
-void deployment::apply(std::size_t i, std::vector<std::string> arguments) const
+std::string deployment::apply(
+    std::size_t i, std::vector<std::string> arguments) const
 {
     const std::string text = fmt::format("{}", fmt::join(arguments, " "));
     const auto outcome = tqctl(i, std::move(arguments));
     if (outcome.exit_code != 0)
         throw std::runtime_error(fmt::format("tqctl {}: exit code {}: {}{}",
             text, outcome.exit_code, outcome.output, outcome.errors));
+    return outcome.output;
 }
 
 void deployment::put_workspace(
@@ -251,10 +253,12 @@
                  std::to_string(burst)});
 }
 
-void deployment::put_key(const std::string& id, const std::string& workspace,
-    const std::string& secret)
+std::string deployment::issue_key(
+    const std::string& id, const std::string& workspace)
 {
-    apply(0, {"key", "put", id, "--workspace", workspace, "--secret", secret});
+    const auto answer =
+        apply(0, {"key", "issue", id, "--workspace", workspace});
+    return nlohmann::json::parse(answer).at("secret").get<std::string>();
 }
 
 void deployment::withdraw_key(const std::string& id)
@@ -285,12 +289,12 @@
 {
     for (std::size_t i = 0; i < engines_.size(); ++i)
         put_endpoint(fmt::format("e{}", i + 1), engine_route_address(i), i,
-            {"--kind", "engine", "--accelerators", "1", "--capacity-bytes",
+            {"--accelerators", "1", "--capacity-bytes",
                 std::to_string(options_.engine_capacity_bytes),
                 "--honours-fencing"});
     for (std::size_t i = 0; i < services_.size(); ++i)
         put_endpoint(fmt::format("s{}", i + 1), service_route_address(i), i,
-            {"--kind", "service", "--service", service_name});
+            {"--service", service_name});
 }
 
 void deployment::put_endpoint(const std::string& id, const std::string& address,
--- a/tests/support/deployment.hpp
+++ b/tests/support/deployment.hpp
@@ -81,8 +81,8 @@
     // command fails.
     void put_workspace(
         const std::string& id, std::int64_t rate, std::int64_t burst);
-    void put_key(const std::string& id, const std::string& workspace,
-        const std::string& secret);
+    /// Returns the secret of the new key.
+    std::string issue_key(const std::string& id, const std::string& workspace);
     void withdraw_key(const std::string& id);
     void put_model(
         const std::string& id, const std::string& version, std::int64_t bytes);
@@ -109,7 +109,8 @@
     void start_endpoints();
     void start_proxies();
     void write_settings(std::size_t i) const;
-    void apply(std::size_t i, std::vector<std::string> arguments) const;
+    /// Runs tqctl, throws when it fails, and returns what it printed.
+    std::string apply(std::size_t i, std::vector<std::string> arguments) const;
     void put_endpoint(const std::string& id, const std::string& address,
         std::size_t i, std::vector<std::string> more);
     std::string zone(std::size_t i) const;
