--- a/src/ingress/connection.cpp
+++ b/src/ingress/connection.cpp
@@ -80,7 +80,7 @@
         if (!answer.content_type.empty())
             text += "Content-Type: " + answer.content_type + "\r\n";
         for (const auto& [name, value] : answer.headers)
-            text += name + ": " + value + "\r\n";
+            text += fmt::format("{}: {}\r\n", name, value);
         // Answers with these statuses have no body and no length.
         const bool bodiless = answer.status == 204 || answer.status == 304;
         if (!bodiless && !head_only_)
--- a/src/orders/order_interleaving_test.cpp
+++ b/src/orders/order_interleaving_test.cpp
@@ -17,6 +17,7 @@
 {
     world all;
     std::vector<std::unique_ptr<instance>> instances;
+    instances.reserve(3);
     for (int i = 0; i < 3; ++i)
         instances.push_back(
             std::make_unique<instance>(all, "i" + std::to_string(i)));
