--- a/src/daemon/control_configuration.cpp
+++ b/src/daemon/control_configuration.cpp
@@ -23,6 +23,7 @@
 auto values(const Map& entries)
 {
     std::vector<typename Map::mapped_type> all;
+    all.reserve(entries.size());
     for (const auto& [key, value] : entries)
         all.push_back(value);
     return all;
--- a/src/daemon/demand_exchange.cpp
+++ b/src/daemon/demand_exchange.cpp
@@ -90,6 +90,7 @@
                 report.entries.begin(), report.entries.end(), include);
     }
     std::vector<routing::demand_entry> all;
+    all.reserve(sums.size());
     for (auto& [key, sum] : sums)
         all.push_back(std::move(sum));
     return all;
--- a/src/ingress/stream_watch.cpp
+++ b/src/ingress/stream_watch.cpp
@@ -13,7 +13,7 @@
     implementation(boost::asio::any_io_executor executor,
         std::function<std::optional<error>()> checker,
         std::function<void(error)> handler)
-        : timer(std::move(executor)),
+        : timer(executor),
           check(std::move(checker)),
           on_failure(std::move(handler))
     {
