--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -17,61 +17,21 @@
 scripts/install.sh
 scripts/build.sh
 bin=${TQ_BUILD_DIR:-build}/bin
-work=$(mktemp -d)
-pids=()
+. scripts/lib/processes.sh
 
-stop_all() {
-    local pid
-    for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-    for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-    rm -rf "$work"
-}
 finish() {
     local code=$?
     if [ $code -ne 0 ]; then
         tail -n 20 "$work"/*.err >&2 || true
     fi
-    if [ $code -ne 0 ] || [ $keep = false ]; then stop_all; fi
+    if [ $code -ne 0 ] || [ $keep = false ]; then
+        stop_all
+        rm -rf "$work"
+    fi
     exit $code
 }
 trap finish EXIT
 
-# start LABEL PROGRAM ARGUMENT...: output goes to LABEL.out and LABEL.err.
-start() {
-    local label=$1
-    shift
-    "$@" >"$work/$label.out" 2>"$work/$label.err" </dev/null &
-    pids+=($!)
-}
-
-# address LABEL NAME: waits for "listening NAME ADDRESS" and prints ADDRESS.
-address() {
-    local found=
-    for _ in $(seq 150); do
-        found=$(awk -v name="$2" '$1 == "listening" && $2 == name {print $3}' \
-            "$work/$1.out")
-        if [ -n "$found" ]; then
-            echo "$found"
-            return
-        fi
-        sleep 0.1
-    done
-    echo "quickstart: $1 printed no address \"$2\"" >&2
-    return 1
-}
-
-# wait_ok WHAT COMMAND...: repeats the command until it succeeds.
-wait_ok() {
-    local what=$1
-    shift
-    for _ in $(seq 100); do
-        if "$@" >/dev/null 2>&1; then return; fi
-        sleep 0.3
-    done
-    echo "quickstart: gave up waiting for $what" >&2
-    return 1
-}
-
 # call METHOD TARGET KEY BODY [HEADER]: one request to the first daemon.
 call() {
     curl --silent --show-error --fail-with-body --no-buffer --max-time 30 \
@@ -84,12 +44,6 @@
     "$bin/tqctl" --address "$operator" --output json "$@"
 }
 
-# issue_key ID WORKSPACE: prints the secret of a new key.
-issue_key() {
-    tqctl key issue "$1" --workspace "$2" |
-        sed -n 's/.*"secret": *"\([^"]*\)".*/\1/p'
-}
-
 echo "== stand-ins: platform, three engines, one order service"
 start platform "$bin/tq-standin" platform
 admin=$(address platform admin)
@@ -99,12 +53,6 @@
 done
 start orders "$bin/tq-standin" service
 
-# list ID ADDRESS: puts an instance or endpoint on the platform's list.
-list() {
-    curl --silent --show-error --fail --max-time 5 --output /dev/null \
-        --data "{\"id\": \"$1\", \"address\": \"$2\"}" \
-        "http://$admin/admin/instances"
-}
 for i in 1 2 3; do list "e$i" "$(address "engine$i" engine)"; done
 list s1 "$(address orders service)"
 
@@ -112,25 +60,9 @@
 zones=(z1 z2 z1)
 base=${TQ_QUICKSTART_PORT:-17000}
 for i in 1 2 3; do
-    peers=
-    for j in 1 2 3; do
-        if [ $j != $i ]; then peers+="\"127.0.0.1:$((base + 200 + j))\", "; fi
-    done
-    cat >"$work/i$i.yaml" <<YAML
-instance: i$i
-availability_zone: ${zones[i - 1]}
-region: r1
-listen:
-  entry: "127.0.0.1:$((base + i))"
-  operator: "127.0.0.1:$((base + 100 + i))"
-  peer: "127.0.0.1:$((base + 200 + i))"
-platform: {address: "$(address platform platform)"}
-peers: [${peers%, }]
-traffic_threads: 2
-log: {level: info}
-YAML
+    write_settings $i 3 "${zones[i - 1]}" "$base"
     list "i$i" "127.0.0.1:$((base + i))"
-    start "i$i" "$bin/tarragonquayd" --settings "$work/i$i.yaml"
+    start_daemon $i
 done
 entry=$(address i1 entry)
 operator=$(address i1 operator)
@@ -181,6 +113,5 @@
     echo "logs in $work; stop with: kill ${pids[*]}"
 else
     stop_all
-    pids=()
 fi
 echo "quickstart: ok"
