--- a/scripts/measure_cost.sh
+++ b/scripts/measure_cost.sh
@@ -16,8 +16,12 @@
     "$bin/tqctl" --address "127.0.0.1:$((base + 101))" --output json "$@"
 }
 
-# ticks PID: processor time in clock ticks (1/100 s).
-ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
+# ticks PID...: processor time in clock ticks (1/100 s), summed.
+ticks() {
+    local pid
+    for pid in "$@"; do cat "/proc/$pid/stat"; done |
+        awk '{ sum += $14 + $15 } END { print sum }'
+}
 # resident PID: resident memory in KiB.
 resident() { awk '/^VmRSS/ {print $2}' "/proc/$1/status"; }
 # tcp_bytes PID: bytes sent and received on the open connections.
@@ -36,6 +40,7 @@
 # deploy INSTANCES ENGINES: starts everything; daemon 1 is the measured one.
 deploy() {
     local instances=$1 engines=$2 i
+    daemons=()
     start platform "$bin/tq-standin" platform
     address platform platform >/dev/null
     for i in $(seq "$engines"); do
@@ -49,6 +54,7 @@
         list "i$i" "127.0.0.1:$((base + i))"
         start_daemon "$i"
         if [ "$i" = 1 ]; then measured=$last_pid; fi
+        daemons+=("$last_pid")
     done
     for i in $(seq "$instances"); do
         wait_ok "daemon $i" curl -sf "http://127.0.0.1:$((base + i))/healthz"
@@ -84,32 +90,50 @@
     stop_all
 }
 
-# load ARGUMENT...: one run of the load tool; prints its JSON report.
+# load LABEL RATE ARGUMENT...: one run of the load tool; prints one row.
 load() {
-    "$bin/tq-load" --model m1 --rate 100 --duration "$seconds" --seed 1 \
+    local label=$1 rate=$2 t0 t1
+    shift 2
+    t0=$(ticks "${daemons[@]}")
+    "$bin/tq-load" --model m1 --rate "$rate" --duration "$seconds" --seed 1 \
         --prompt-bytes 400 --max-tokens 32 --max-in-flight 500 \
-        --output json "$@"
+        --json "$work/report.json" "$@" >/dev/null
+    t1=$(ticks "${daemons[@]}")
+    # The report has one value a line; the first p50 after a name is its own.
+    awk -v label="$label" -v rate="$rate" -v ticks=$((t1 - t0)) '
+        /"(first_token|between_tokens|total)": \{/ { name = $1 }
+        /"p50_ms"/ { p50[name] = $2 + 0 }
+        /"p99_ms"/ { p99[name] = $2 + 0 }
+        /"complete"/ { complete = $2 + 0 }
+        /"tokens"/ { tokens = $2 + 0 }
+        END {
+            first = "\"first_token\":"
+            between = "\"between_tokens\":"
+            printf "| %s | %d | %d | %d | %.2f | %.2f | %.2f | %.2f | %.2f |\n",
+                label, rate, complete, tokens, p50[first], p99[first],
+                p50[between], p99[between], ticks * 10 / complete
+        }' "$work/report.json"
 }
 
 traffic() {
     deploy 3 1
     configure 1 1
     tqctl workspace put acme --rate 10000000 --burst 100000000 >/dev/null
-    local key
+    local key rate run
     key=$(issue_key k1 acme)
     wait_ok "the model" curl -sf -H "Authorization: Bearer $key" \
         -d '{"model":"m1","max_tokens":1,"messages":[{"role":"user","content":"x"}]}' \
         "http://127.0.0.1:$((base + 1))/v1/chat/completions"
     sleep 12 # the epoch is open
-    local run t0 t1
-    for run in 1 2 3; do
-        echo "direct, run $run"
-        load --direct "$(address engine1 engine)"
-        t0=$(ticks "$measured")
-        echo "through the daemons, run $run"
-        load --entry "127.0.0.1:$((base + 1))" --workspace acme --key "$key"
-        t1=$(ticks "$measured")
-        echo "processor time of daemon 1: $(((t1 - t0) * 10)) ms"
+    echo "| path | requests/s | complete | tokens | first p50 ms | p99 |" \
+        "between p50 ms | p99 | daemon CPU ms a request |"
+    echo "| --- | --- | --- | --- | --- | --- | --- | --- | --- |"
+    for rate in 50 100 200; do
+        for run in 1 2 3; do
+            load direct $rate --direct "$(address engine1 engine)"
+            load "through daemons" $rate --entry "127.0.0.1:$((base + 1))" \
+                --workspace acme --key "$key"
+        done
     done
     stop_all
 }
