Dispatch an order only in the membership that recorded it

Cause: an instance that was paused between the record of an order and its dispatch, and removed meanwhile, checked only its view lease before the dispatch. After the pause the lease is renewed first, so the check passed, although an operator may have settled the order and a repeat may have run. An instance that did not know the writer of a record yet took it for gone.

Ruled out: a time limit on the permit, which does not cover an instance that recorded the order with an old view after its removal was committed.

Before: nothing tied the permit to the membership. After: the record holds the revision of the membership, the dispatch checks it after the lease, and only a later membership without the writer makes an order abandoned. An order that was not dispatched because the membership changed is begun anew.

The same commit bounds the memory of request bodies (128 MiB together), answers connections above the limit with 503, and finds a key that is written with JSON escapes or percent sequences in a path, query, body or header.

--- a/src/daemon/application.cpp
+++ b/src/daemon/application.cpp
@@ -115,12 +115,23 @@
     environment.new_id = [] { return unique_id(); };
     environment.after = [this](duration delay, std::function<void()> task)
     { post_after(delay, std::move(task)); };
-    // An epoch opens only after the removed members are fenced.
-    environment.is_gone =
-        [this](const std::string& instance, const std::string& incarnation)
+    environment.membership = [this, local]() -> std::optional<std::int64_t>
     {
         const auto configuration = published_.current();
-        if (!configuration->epoch_open())
+        const auto* member = configuration->find_member(local.instance);
+        if (member == nullptr || member->incarnation != local.incarnation)
+            return std::nullopt;
+        return configuration->membership_revision();
+    };
+    // An epoch opens only after the removed members are fenced. An instance
+    // with an older membership may not know the writer of the record yet.
+    environment.is_gone = [this](const std::string& instance,
+                              const std::string& incarnation,
+                              std::int64_t membership_revision)
+    {
+        const auto configuration = published_.current();
+        if (!configuration->epoch_open() ||
+            configuration->membership_revision() <= membership_revision)
             return false;
         const auto* member = configuration->find_member(instance_id(instance));
         return member == nullptr || member->incarnation != incarnation;
--- a/src/daemon/application_ports.cpp
+++ b/src/daemon/application_ports.cpp
@@ -36,6 +36,8 @@
     ingress::order_port port;
     port.begin = [this](orders::order_call call, auto on_done)
     { orders_->begin(std::move(call), std::move(on_done)); };
+    port.check = [this](const orders::dispatch_permit& permit)
+    { return orders_->check(permit); };
     port.complete = [this](orders::dispatch_permit permit,
                         orders::order_answer answer, auto on_done)
     {
--- a/src/ingress/caller_request.cpp
+++ b/src/ingress/caller_request.cpp
@@ -148,12 +148,86 @@
            (std::string(decoded) + "/").find("/./") != std::string::npos;
 }
 
+// Reads hexadecimal digits; false when there are not that many.
+bool read_hex(std::string_view text, std::size_t digits, unsigned& value)
+{
+    if (text.size() < digits)
+        return false;
+    const auto* end = text.data() + digits;
+    const auto parsed = std::from_chars(text.data(), end, value, 16);
+    return parsed.ec == std::errc() && parsed.ptr == end;
+}
+
+// Decodes the ASCII characters that JSON escapes write differently. Text
+// that is not JSON stays as it is, apart from its backslashes.
+std::string without_json_escapes(std::string_view text)
+{
+    constexpr std::size_t unicode_digits = 4;
+    constexpr unsigned ascii_end = 0x80;
+    std::string out;
+    out.reserve(text.size());
+    for (std::size_t i = 0; i < text.size(); ++i)
+    {
+        if (text[i] != '\\' || i + 1 == text.size())
+        {
+            out += text[i];
+            continue;
+        }
+        ++i;
+        unsigned value = 0;
+        if (text[i] == 'u' &&
+            read_hex(text.substr(i + 1), unicode_digits, value) &&
+            value < ascii_end)
+        {
+            out += static_cast<char>(value);
+            i += unicode_digits;
+        }
+        else
+            out += text[i];
+    }
+    return out;
+}
+
+// Decodes the percent sequences of a form; malformed ones stay as they are.
+std::string without_percent_escapes(std::string_view text)
+{
+    constexpr std::size_t percent_digits = 2;
+    std::string out;
+    out.reserve(text.size());
+    for (std::size_t i = 0; i < text.size(); ++i)
+    {
+        unsigned value = 0;
+        if (text[i] == '%' &&
+            read_hex(text.substr(i + 1), percent_digits, value))
+        {
+            out += static_cast<char>(value);
+            i += percent_digits;
+        }
+        else
+            out += text[i];
+    }
+    return out;
+}
+
+// Whether a text holds the key as it is or in the escapes that JSON and
+// forms allow for any character.
+bool reveals(const std::string& text, const std::string& key)
+{
+    const auto contains = [&key](const std::string& decoded)
+    { return decoded.find(key) != std::string::npos; };
+    return contains(text) ||
+           (text.find('\\') != std::string::npos &&
+               contains(without_json_escapes(text))) ||
+           (text.find('%') != std::string::npos &&
+               contains(without_percent_escapes(text)));
+}
+
 // The endpoint must not see the key in what is forwarded as it is.
 bool shows_key(const caller_request& request)
 {
     const auto& key = request.key;
     const auto contains = [&key](const std::string& text)
-    { return text.find(key) != std::string::npos; };
+    { return reveals(text, key); };
     if (key.empty())
         return false;
     return contains(request.path) || contains(request.raw_path) ||
@@ -218,8 +292,8 @@
         const bool allowed =
             std::find(forwarded_names.begin(), forwarded_names.end(),
                 lower(field.name)) != forwarded_names.end();
-        const bool has_key = !request.key.empty() &&
-                             field.value.find(request.key) != std::string::npos;
+        const bool has_key =
+            !request.key.empty() && reveals(field.value, request.key);
         if (allowed && !has_key)
             out.push_back(field);
     }
--- a/src/ingress/caller_request_test.cpp
+++ b/src/ingress/caller_request_test.cpp
@@ -83,7 +83,13 @@
         for (const auto* target :
             {"/a/secret", "/a/sec%72et", "/a?b=secret", "/a?b=sec%72et"})
             CPPUNIT_ASSERT_MESSAGE(target, !parse(target, key).has_value());
-        CPPUNIT_ASSERT(!parse("/a", key, "my secret").has_value());
+        for (const auto* body : {"my secret", R"({"a":"\u0073ecret"})",
+                 R"({"a":"sec\u0072\u0065t"})", "a=1&b=sec%72et"})
+            CPPUNIT_ASSERT_MESSAGE(body, !parse("/a", key, body).has_value());
+        // An escaped backslash is no escape of the next character.
+        CPPUNIT_ASSERT(parse("/a", key, R"({"a":"\\u0073ecret"})").has_value());
+        CPPUNIT_ASSERT(parse("/a", key, R"({"a":"\u00")").has_value());
+        CPPUNIT_ASSERT(parse("/a", key, "\\").has_value());
     }
 
     void no_forwarded_part_shows_the_key()
--- a/src/ingress/connection.cpp
+++ b/src/ingress/connection.cpp
@@ -47,6 +47,33 @@
     request_counter& counter_;
 };
 
+// Reserves memory for the body of one request.
+class body_reservation
+{
+public:
+    explicit body_reservation(server_shared& shared) : shared_(shared) {}
+    ~body_reservation() { shared_.body_bytes -= bytes_; }
+    body_reservation(const body_reservation&) = delete;
+    body_reservation& operator=(const body_reservation&) = delete;
+
+    result<void> take(std::size_t bytes)
+    {
+        if (shared_.body_bytes.fetch_add(bytes) + bytes >
+            shared_.settings.max_body_bytes)
+        {
+            shared_.body_bytes -= bytes;
+            return fail(error_code::overloaded,
+                "the requests in progress have too large bodies");
+        }
+        bytes_ += bytes;
+        return {};
+    }
+
+private:
+    server_shared& shared_;
+    std::size_t bytes_ = 0;
+};
+
 // One caller's connection.
 class connection : public responder
 {
@@ -71,6 +98,16 @@
         co_await linger();
     }
 
+    asio::awaitable<void> run_refusal()
+    {
+        keep_alive_ = false;
+        request_id_ = unique_id();
+        error cause(
+            error_code::overloaded, "the instance has too many connections");
+        co_await refuse(std::move(cause));
+        co_await linger();
+    }
+
     asio::awaitable<result<void>> respond(caller_answer answer) override
     {
         if (on_->shared->stopping)
@@ -191,7 +228,8 @@
         http::request_parser<http::string_body> parser;
         parser.header_limit(header_limit_bytes);
         parser.body_limit(body_limit_bytes);
-        const auto read = co_await read_request(parser);
+        body_reservation memory(*on_->shared);
+        const auto read = co_await read_request(parser, memory);
         if (!read)
         {
             keep_alive_ = false;
@@ -223,7 +261,8 @@
     }
 
     asio::awaitable<result<void>> read_request(
-        http::request_parser<http::string_body>& parser)
+        http::request_parser<http::string_body>& parser,
+        body_reservation& memory)
     {
         boost::system::error_code ec;
         stream_.expires_after(on_->shared->settings.header_limit);
@@ -231,6 +270,13 @@
             asio::redirect_error(asio::use_awaitable, ec));
         if (ec)
             co_return read_error(ec);
+        // A chunked body does not tell its length in advance.
+        const auto length = parser.content_length();
+        const std::size_t reserved = parser.chunked() ? body_limit_bytes
+                                     : length         ? *length
+                                                      : 0;
+        if (auto taken = memory.take(reserved); !taken)
+            co_return taken;
         if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
         {
             auto proceed = co_await write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -291,4 +337,11 @@
     co_await caller.run();
 }
 
+asio::awaitable<void> refuse_connection(
+    std::shared_ptr<worker> on, asio::ip::tcp::socket socket)
+{
+    connection caller(std::move(on), std::move(socket));
+    co_await caller.run_refusal();
+}
+
 } // namespace tarragonquay::ingress
--- a/src/ingress/connection.hpp
+++ b/src/ingress/connection.hpp
@@ -14,4 +14,8 @@
 boost::asio::awaitable<void> serve_connection(
     std::shared_ptr<worker> on, boost::asio::ip::tcp::socket socket);
 
+/// Answers 503 without reading a request, and closes the connection.
+boost::asio::awaitable<void> refuse_connection(
+    std::shared_ptr<worker> on, boost::asio::ip::tcp::socket socket);
+
 } // namespace tarragonquay::ingress
--- a/src/ingress/server.cpp
+++ b/src/ingress/server.cpp
@@ -23,6 +23,9 @@
 
 // Pause after a failed accept, for example without free descriptors.
 constexpr std::chrono::milliseconds accept_pause{100};
+// A refusal holds its descriptor for up to about a second. Beyond this number,
+// connections are closed without an answer, which bounds the memory.
+constexpr std::size_t max_refusals = 256;
 
 result<tcp::endpoint> parse_listen_address(const std::string& text)
 {
@@ -104,20 +107,30 @@
         {
             --shared->connections;
             shared->services.metrics->add("tq_connections_refused_total", {});
+            if (shared->refusals.fetch_add(1) >= max_refusals)
+                --shared->refusals;
+            else
+                spawn(on, refuse_connection(on, std::move(socket)),
+                    shared->refusals);
         }
         else
-            spawn(on, std::move(socket));
+        {
+            boost::system::error_code ignored;
+            socket.set_option(tcp::no_delay(true), ignored);
+            spawn(on, serve_connection(on, std::move(socket)),
+                shared->connections);
+        }
         accept();
     }
 
-    void spawn(const std::shared_ptr<worker>& on, tcp::socket socket)
+    // Lowers the count, which is a part of `shared`, at the end.
+    void spawn(const std::shared_ptr<worker>& on, asio::awaitable<void> task,
+        std::atomic<std::size_t>& count)
     {
-        boost::system::error_code ignored;
-        socket.set_option(tcp::no_delay(true), ignored);
-        asio::co_spawn(on->executor, serve_connection(on, std::move(socket)),
-            [all = shared](std::exception_ptr failure)
+        asio::co_spawn(on->executor, std::move(task),
+            [all = shared, &count](std::exception_ptr failure)
             {
-                --all->connections;
+                --count;
                 if (failure)
                     TQ_LOG(all->logger, error)
                         << "A connection ended with an exception.";
--- a/src/ingress/server.hpp
+++ b/src/ingress/server.hpp
@@ -27,6 +27,7 @@
     std::function<void(
         orders::order_call, std::function<void(result<orders::begin_outcome>)>)>
         begin;
+    std::function<result<void>(const orders::dispatch_permit&)> check;
     std::function<void(
         orders::dispatch_permit, orders::order_answer, done_handler)>
         complete;
@@ -40,6 +41,9 @@
     std::string listen_address;
     std::string availability_zone;
     std::size_t max_connections = 4096;
+    /// Bodies of all requests together. Without it, the connections could
+    /// hold 8 MiB each, far more than the 256 MB of an instance.
+    std::size_t max_body_bytes = 128UL << 20U;
     duration header_limit = std::chrono::seconds(10);
     duration body_limit = std::chrono::seconds(30);
     duration idle_limit = std::chrono::seconds(60);
--- a/src/ingress/server_test.cpp
+++ b/src/ingress/server_test.cpp
@@ -53,8 +53,10 @@
     CPPUNIT_TEST(order_runs_once_and_its_answer_is_replayed);
     CPPUNIT_TEST(broken_order_is_never_sent_again);
     CPPUNIT_TEST(order_without_connection_is_not_run);
+    CPPUNIT_TEST(order_is_recorded_anew_when_the_membership_changes);
     CPPUNIT_TEST(idempotent_call_is_tried_elsewhere);
     CPPUNIT_TEST(stop_waits_for_running_requests);
+    CPPUNIT_TEST(connection_above_the_limit_is_answered);
     CPPUNIT_TEST(malformed_requests_are_answered);
     CPPUNIT_TEST_SUITE_END();
 
@@ -197,6 +199,28 @@
         CPPUNIT_ASSERT(all.balanced());
     }
 
+    // Guards against a dispatch after a pause in which this instance was
+    // removed and an operator settled the order.
+    void order_is_recorded_anew_when_the_membership_changes()
+    {
+        server_fixture all({{whole}});
+        all.on_acquire = [&]
+        {
+            if (all.assigned == 0)
+                all.membership = 2;
+        };
+        assert_contains("\r\n\r\nsent", all.call(all.order_text()));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), all.assigned);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), all.endpoint.requests.size());
+        all.membership = std::nullopt;
+        const auto refused = all.call(
+            server_fixture::request_text("POST /services/florist/confirm",
+                "X-Api-Key: s3cret\r\nIdempotency-Key: o2\r\n", "send"));
+        assert_contains("\"no_view_lease\"", refused);
+        assert_contains("\"not_run\"", refused);
+        CPPUNIT_ASSERT(all.balanced());
+    }
+
     void idempotent_call_is_tried_elsewhere()
     {
         server_fixture all({{""}, {whole}});
@@ -225,6 +249,19 @@
         CPPUNIT_ASSERT(idle);
     }
 
+    // Guards against a caller that can't tell a full instance from a dead
+    // one.
+    void connection_above_the_limit_is_answered()
+    {
+        server_fixture all({}, 0);
+        const auto answer =
+            all.call(server_fixture::request_text("GET /healthz", ""));
+        assert_contains("HTTP/1.1 503", answer);
+        assert_contains("\"overloaded\"", answer);
+        assert_contains("\"not_run\"", answer);
+        assert_contains("Connection: close", answer);
+    }
+
     void malformed_requests_are_answered()
     {
         server_fixture all({});
--- a/src/ingress/server_test_support.hpp
+++ b/src/ingress/server_test_support.hpp
@@ -56,9 +56,9 @@
 class server_fixture
 {
 public:
-    explicit server_fixture(std::vector<scripted_answer> script)
-        : endpoint(std::move(script)),
-          book(store, environment(endpoint.context))
+    explicit server_fixture(std::vector<scripted_answer> script,
+        std::size_t max_connections = server_settings{}.max_connections)
+        : endpoint(std::move(script)), book(store, environment())
     {
         address = endpoint.address();
         state.publish(make_snapshot(false));
@@ -72,6 +72,7 @@
         server_settings settings;
         settings.listen_address = "127.0.0.1:0";
         settings.availability_zone = "a";
+        settings.max_connections = max_connections;
         auto created = server::create(
             {endpoint.context.get_executor()}, settings, services);
         tested = std::move(*created);
@@ -145,6 +146,9 @@
     /// Called when an endpoint is chosen.
     std::function<void()> on_acquire = [] {};
 
+    /// Revision of the membership that the server knows.
+    std::optional<std::int64_t> membership = 1;
+
     scripted_server endpoint;
     std::string address;
     platform::fake_store store;
@@ -155,7 +159,7 @@
     std::unique_ptr<server> tested;
 
 private:
-    static orders::order_environment environment(asio::io_context& context)
+    orders::order_environment environment()
     {
         orders::order_environment out;
         out.instance = "i1";
@@ -163,9 +167,10 @@
         out.now = [] { return std::chrono::steady_clock::now(); };
         out.unix_ms = [] { return unix_ms(); };
         out.new_id = [] { return unique_id(); };
-        out.after = [&context](duration, std::function<void()> action)
-        { asio::post(context, std::move(action)); };
-        out.is_gone = [](const std::string&, const std::string&)
+        out.after = [this](duration, std::function<void()> action)
+        { asio::post(endpoint.context, std::move(action)); };
+        out.membership = [this] { return membership; };
+        out.is_gone = [](const std::string&, const std::string&, std::int64_t)
         { return false; };
         return out;
     }
@@ -203,6 +208,7 @@
         order_port out;
         out.begin = [this](auto call, auto handler)
         { book.begin(std::move(call), std::move(handler)); };
+        out.check = [this](const auto& permit) { return book.check(permit); };
         out.complete = [this](auto permit, auto answer, auto handler) {
             book.complete(
                 std::move(permit), std::move(answer), std::move(handler));
--- a/src/ingress/service_route.cpp
+++ b/src/ingress/service_route.cpp
@@ -35,6 +35,8 @@
     /// Nothing on a route that is open to all.
     std::optional<caller> who;
     bool dispatched = false;
+    /// Permission for the dispatch of an order; nothing for other calls.
+    std::optional<orders::dispatch_permit> permit;
 };
 
 result<service_call> find_call(
@@ -79,6 +81,10 @@
         authorize_digest(*call.on.services().state, call.who->secret_sha256);
     if (!still)
         return tl::unexpected<error>(still.error());
+    // After the lease: a view that is published later than this lease holds
+    // the removal that the lease was renewed with.
+    if (call.permit)
+        return call.on.services().orders.check(*call.permit);
     return {};
 }
 
@@ -211,10 +217,10 @@
 using mark_function =
     std::function<void(orders::dispatch_permit, order_port::done_handler)>;
 
-asio::awaitable<void> mark(
+asio::awaitable<result<void>> mark(
     const mark_function& function, orders::dispatch_permit permit)
 {
-    co_await await_callback<result<void>>(
+    co_return co_await await_callback<result<void>>(
         [&](auto handler) { function(permit, std::move(handler)); });
 }
 
@@ -246,30 +252,56 @@
     co_return out;
 }
 
+caller_answer to_caller(orders::order_answer stored)
+{
+    caller_answer replay;
+    replay.status = stored.status;
+    replay.content_type = std::move(stored.content_type);
+    replay.body = std::move(stored.body);
+    return replay;
+}
+
+// Whether an attempt that was not dispatched can be begun anew: only the
+// membership has changed, and the record of the attempt is withdrawn.
+asio::awaitable<bool> withdraw_outdated(service_call& call)
+{
+    const auto& services = call.on.services();
+    if (call.dispatched || services.orders.check(*call.permit) ||
+        std::chrono::steady_clock::now() >= call.request.deadline)
+        co_return false;
+    const auto marked =
+        co_await mark(services.orders.mark_not_run, *call.permit);
+    co_return marked.has_value();
+}
+
 asio::awaitable<result<caller_answer>> run_order(service_call& call)
 {
     const auto& services = call.on.services();
     const auto order = make_order(call);
-    auto begun =
-        co_await await_callback<result<orders::begin_outcome>>([&](auto handler)
-            { services.orders.begin(order, std::move(handler)); });
-    if (!begun)
-        co_return tl::unexpected<error>(begun.error());
-    if (auto* stored = std::get_if<orders::order_answer>(&*begun))
+    for (;;)
     {
-        caller_answer replay;
-        replay.status = stored->status;
-        replay.content_type = stored->content_type;
-        replay.body = std::move(stored->body);
-        co_return replay;
-    }
-    auto permit = std::get<orders::dispatch_permit>(std::move(*begun));
-    services.events->record(events::kind::order_recorded, permit.order_id);
-    auto answer = co_await dispatch(call);
-    if (call.dispatched)
+        auto begun = co_await await_callback<result<orders::begin_outcome>>(
+            [&](auto handler)
+            { services.orders.begin(order, std::move(handler)); });
+        if (!begun)
+            co_return tl::unexpected<error>(begun.error());
+        if (auto* stored = std::get_if<orders::order_answer>(&*begun))
+            co_return to_caller(std::move(*stored));
+        call.permit = std::get<orders::dispatch_permit>(std::move(*begun));
         services.events->record(
-            events::kind::order_dispatched, permit.order_id);
-    co_return co_await finish_order(call, std::move(permit), std::move(answer));
+            events::kind::order_recorded, call.permit->order_id);
+        auto answer = co_await dispatch(call);
+        if (call.dispatched)
+            services.events->record(
+                events::kind::order_dispatched, call.permit->order_id);
+        else if (!answer)
+        {
+            const bool again = co_await withdraw_outdated(call);
+            if (again)
+                continue;
+        }
+        co_return co_await finish_order(call, *call.permit, std::move(answer));
+    }
 }
 
 asio::awaitable<result<caller_answer>> run_call(service_call& call)
--- a/src/ingress/worker.hpp
+++ b/src/ingress/worker.hpp
@@ -39,6 +39,10 @@
     server_services services;
     std::atomic<bool> stopping{false};
     std::atomic<std::size_t> connections{0};
+    /// Connections beyond the limit that are being answered.
+    std::atomic<std::size_t> refusals{0};
+    /// Reserved for bodies that are being read or processed.
+    std::atomic<std::size_t> body_bytes{0};
     request_counter requests;
     log::logger logger = log::make_logger("ingress");
 };
--- a/src/orders/order_book.hpp
+++ b/src/orders/order_book.hpp
@@ -46,7 +46,12 @@
     /// attempt that failed with execution not_run is never dispatched.
     void begin(order_call call, begin_handler handler)
     {
+        const auto membership = environment_.membership();
+        if (!membership)
+            return handler(fail(error_code::no_view_lease,
+                "this instance is not a member, so it takes no orders"));
         auto attempt = std::make_shared<begin_attempt>();
+        attempt->record.set_membership_revision(*membership);
         attempt->row_key = order_row_key(call.workspace, call.idempotency_key);
         attempt->record.set_order_id(environment_.new_id());
         attempt->record.set_workspace(call.workspace.str());
@@ -65,6 +70,18 @@
         create(std::move(attempt));
     }
 
+    /// Whether a permit may still be used. The caller checks its view lease
+    /// first. While the membership has not changed, no other instance takes
+    /// this one for gone, so no operator can have settled the order; a paused
+    /// instance could otherwise dispatch an order that ran meanwhile.
+    result<void> check(const dispatch_permit& permit) const
+    {
+        if (environment_.membership() == permit.membership_revision)
+            return {};
+        return fail(error_code::no_view_lease,
+            "the membership has changed since the order was recorded");
+    }
+
     /// Stores the endpoint's answer. The handler is called after the first
     /// try; when that failed, tries go on in the background.
     void complete(
@@ -159,7 +176,8 @@
     bool is_abandoned(const records::Order_record& record) const
     {
         return record.state() == records::Order_record::DISPATCHED &&
-               environment_.is_gone(record.instance(), record.incarnation());
+               environment_.is_gone(record.instance(), record.incarnation(),
+                   record.membership_revision());
     }
 
     void create(attempt_ptr attempt)
@@ -288,7 +306,8 @@
     {
         dispatch_permit granted{attempt->row_key,
             attempt->record.SerializeAsString(), attempt->record.order_id(),
-            attempt->record.attempt_id(), version};
+            attempt->record.attempt_id(), version,
+            attempt->record.membership_revision()};
         if (environment_.now() < attempt->call.deadline)
             return attempt->handler(begin_outcome(std::move(granted)));
         mark_not_run(std::move(granted), [](result<void>) {});
@@ -308,7 +327,8 @@
     {
         dispatch_permit abandoned{attempt->row_key,
             attempt->record.SerializeAsString(), attempt->record.order_id(),
-            attempt->record.attempt_id(), attempt->replaced_version};
+            attempt->record.attempt_id(), attempt->replaced_version,
+            attempt->record.membership_revision()};
         if (attempt->may_be_written)
             mark_not_run(std::move(abandoned), [](result<void>) {});
         refuse(attempt, error_code::store_unavailable,
--- a/src/orders/order_book_test.cpp
+++ b/src/orders/order_book_test.cpp
@@ -171,9 +171,13 @@
         world all;
         instance a(all, "a");
         instance b(all, "b");
-        permit_of(begin(a, make_call(all)));
-        all.gone.insert("a");
+        const auto permit = permit_of(begin(a, make_call(all)));
+        assert_code(error_code::order_in_progress, begin(b, make_call(all)));
+        CPPUNIT_ASSERT(a.book.check(permit).has_value());
+        all.remove("a");
         assert_code(error_code::outcome_unknown, begin(b, make_call(all)));
+        CPPUNIT_ASSERT(!a.book.check(permit).has_value());
+        assert_code(error_code::no_view_lease, begin(a, make_call(all)));
     }
 
     // Guards against a decision that was based on an old version.
--- a/src/orders/order_interleaving_test.cpp
+++ b/src/orders/order_interleaving_test.cpp
@@ -26,6 +26,8 @@
     std::map<int, bool> refused;
     std::map<int, bool> dispatched;
     int callers = 0;
+    // Permits of instances that are paused before the dispatch.
+    std::vector<std::function<void()>> paused;
     const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
         120, rc::gen::pair(rc::gen::inRange(0, 12), rc::gen::inRange(0, 1000)));
     for (const auto& step : steps)
@@ -55,6 +57,15 @@
                     const int fate = choice / 3 % 4;
                     if (fate == 0)
                         return book->mark_not_run(*permit, ignore);
+                    if (fate == 3)
+                        return paused.push_back(
+                            [&, caller, book, permit = *permit]
+                            {
+                                if (!book->check(permit))
+                                    return book->mark_not_run(permit, ignore);
+                                ++dispatches;
+                                dispatched[caller] = true;
+                            });
                     ++dispatches;
                     dispatched[caller] = true;
                     if (fate == 1)
@@ -76,9 +87,27 @@
             if (choice % 5 == 0)
             {
                 const auto name = "i" + std::to_string(choice % 3);
-                all.gone.insert(name);
+                all.remove(name);
             }
             break;
+        case 7:
+            if (!paused.empty())
+            {
+                const auto resumed = std::move(paused.front());
+                paused.erase(paused.begin());
+                resumed();
+            }
+            break;
+        case 8:
+            // An operator who sees that the order has not run.
+            at->book.show(workspace_id("w"), "key",
+                [&, book = &at->book](auto shown)
+                {
+                    if (shown && dispatches == 0)
+                        book->resolve(workspace_id("w"), "key", shown->version,
+                            resolution::did_not_run, "ana", [](auto) {});
+                });
+            break;
         case 5:
         case 6:
             at->run_timer();
--- a/src/orders/order_test_support.hpp
+++ b/src/orders/order_test_support.hpp
@@ -59,6 +59,14 @@
     fake_clock clock;
     int last_id = 0;
     std::set<std::string> gone;
+    // Revision of the membership, which all instances know.
+    std::int64_t membership = 1;
+
+    void remove(const std::string& name)
+    {
+        gone.insert(name);
+        ++membership;
+    }
     std::map<std::string, std::string> objects;
 };
 
@@ -80,8 +88,15 @@
         out.new_id = [&all] { return std::to_string(++all.last_id); };
         out.after = [this](duration, std::function<void()> action)
         { timers.push_back(std::move(action)); };
-        out.is_gone = [&all](const std::string& who, const std::string&)
-        { return all.gone.contains(who); };
+        out.membership = [&all, name]() -> std::optional<std::int64_t>
+        {
+            if (all.gone.contains(name))
+                return std::nullopt;
+            return all.membership;
+        };
+        out.is_gone = [&all](const std::string& who, const std::string&,
+                          std::int64_t membership)
+        { return all.gone.contains(who) && all.membership > membership; };
         out.put_object = [&all](std::string object, std::string content,
                              std::function<void(result<void>)> done)
         {
--- a/src/orders/order_types.hpp
+++ b/src/orders/order_types.hpp
@@ -3,6 +3,7 @@
 #include <compare>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -38,6 +39,8 @@
     std::string attempt_id;
     /// Version of the row that this attempt wrote.
     std::int64_t version = 0;
+    /// Membership in which this instance began the attempt.
+    std::int64_t membership_revision = 0;
 
     auto operator<=>(const dispatch_permit&) const = default;
 };
@@ -72,10 +75,13 @@
     std::function<std::string()> new_id;
     /// Runs a function after a delay.
     std::function<void(duration, std::function<void()>)> after;
-    /// Whether this incarnation of an instance has left the membership and
-    /// its view lease can't be valid any more.
-    std::function<bool(
-        const std::string& instance, const std::string& incarnation)>
+    /// Revision of the membership that this instance knows, if it is a member
+    /// of it.
+    std::function<std::optional<std::int64_t>()> membership;
+    /// Whether this incarnation of an instance was removed after the given
+    /// membership, and can't have a view lease without knowing that.
+    std::function<bool(const std::string& instance,
+        const std::string& incarnation, std::int64_t membership_revision)>
         is_gone;
     /// Stores and loads large answers in the object store.
     std::function<void(std::string name, std::string content,
