Make the order interleavings reach a dispatch after a removal

Cause: with the check of the membership taken out on a scratch copy, 5,000 cases of the previous distribution still passed: most sequences lost all calls to the store before a permit was held, a member removed and a repeat run.

After: 400 steps with more steps for the store.

--- a/src/orders/order_interleaving_test.cpp
+++ b/src/orders/order_interleaving_test.cpp
@@ -29,7 +29,7 @@
     // Permits of instances that are paused before the dispatch.
     std::vector<std::function<void()>> paused;
     const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
-        120, rc::gen::pair(rc::gen::inRange(0, 12), rc::gen::inRange(0, 1000)));
+        400, rc::gen::pair(rc::gen::inRange(0, 24), rc::gen::inRange(0, 1000)));
     for (const auto& step : steps)
     {
         const int action = step.first;
