Do not suspect plain services that have no engine's state

Cause: the state poller decoded the answers of plain services like those of engines, although their state is optional. Each poll failed, so a healthy service was suspected after three polls, and each relapse doubled the hold-down up to 30 s. The stand-in service did not echo the request id on its state either, which hid the decoding fault behind wrong_answer.

Before: in the orders test, three healthy services were suspected and recovered on all instances in turn, and orders waited for up to 16 s. After: any answer of a plain service counts as alive, and it is leaving when the answer says so.

--- a/src/daemon/control_endpoints.cpp
+++ b/src/daemon/control_endpoints.cpp
@@ -32,7 +32,9 @@
         reported_leaving_.erase(endpoint);
     scheduler_.report(*report);
     update_unusable();
-    placement_->report(*report);
+    const auto* known = replica_->current().find_endpoint(endpoint);
+    if (known != nullptr && known->kind == catalog::endpoint_kind::engine)
+        placement_->report(*report);
 }
 
 void control_core::on_endpoint_health(const routing::health_change& change)
--- a/src/endpoints/endpoint_state.cpp
+++ b/src/endpoints/endpoint_state.cpp
@@ -161,4 +161,18 @@
     return report;
 }
 
+routing::endpoint_report decode_service_state(const endpoint_id& endpoint,
+    const std::string& body, time_point received_at)
+{
+    routing::endpoint_report report;
+    report.endpoint = endpoint;
+    report.received_at = received_at;
+    const auto parsed = json::parse(body, nullptr, false);
+    const auto leaving =
+        parsed.is_object() ? parsed.find("leaving") : parsed.end();
+    report.leaving = leaving != parsed.end() && leaving->is_boolean() &&
+                     leaving->get<bool>();
+    return report;
+}
+
 } // namespace tarragonquay::endpoints
--- a/src/endpoints/endpoint_state.hpp
+++ b/src/endpoints/endpoint_state.hpp
@@ -13,4 +13,10 @@
     const endpoint_id& endpoint, const std::string& body,
     time_point received_at);
 
+/// Decodes an answer of a plain service, for which the state is optional: any
+/// answer shows that it is alive, and it is leaving when a JSON object says
+/// so.
+routing::endpoint_report decode_service_state(const endpoint_id& endpoint,
+    const std::string& body, time_point received_at);
+
 } // namespace tarragonquay::endpoints
--- a/src/endpoints/state_poller_test.cpp
+++ b/src/endpoints/state_poller_test.cpp
@@ -41,6 +41,7 @@
 {
     CPPUNIT_TEST_SUITE(state_poller_test);
     CPPUNIT_TEST(reports_states_and_failures);
+    CPPUNIT_TEST(service_needs_no_state);
     CPPUNIT_TEST(command_answers_are_told_apart);
     CPPUNIT_TEST_SUITE_END();
 
@@ -78,6 +79,37 @@
             seen.at(list[1].id).error().code() == error_code::connect_failed);
     }
 
+    // Guards against a plain service that is suspected because it has no
+    // engine's state.
+    void service_needs_no_state()
+    {
+        const auto poll = [](const std::string& status, const std::string& body)
+        {
+            scripted_server service({answer_with(status, body)});
+            std::optional<result<routing::endpoint_report>> seen;
+            state_poller poller(service.context.get_executor(),
+                [&](const endpoint_id&, auto report)
+                { seen = std::move(report); });
+            catalog::endpoint plain;
+            plain.id = endpoint_id("s");
+            plain.address = service.address();
+            plain.kind = catalog::endpoint_kind::service;
+            poller.set_endpoints({plain});
+            poller.start();
+            while (!seen)
+                service.context.run_one();
+            poller.stop();
+            return std::move(*seen);
+        };
+        for (const auto* body : {"not found", "{}", R"({"leaving":1})"})
+        {
+            const auto report = poll("404", body);
+            CPPUNIT_ASSERT_MESSAGE(body, report.has_value());
+            CPPUNIT_ASSERT_MESSAGE(body, !report->leaving);
+        }
+        CPPUNIT_ASSERT(poll("200", R"({"leaving":true})")->leaving);
+    }
+
     // Guards against memory that is freed while a command may still run.
     void command_answers_are_told_apart()
     {
--- a/standins/service.cpp
+++ b/standins/service.cpp
@@ -52,7 +52,7 @@
         }
         seen_.add(request);
         if (request.path == "/control/state")
-            co_await peer.answer(control_state());
+            co_await peer.answer(echoed(request, control_state()));
         else if (request.method == "POST" && ends_with(request.path, "/send"))
             co_await send(request, peer);
         else
@@ -77,7 +77,8 @@
     http_answer echoed(const http_request& request, http_answer answer)
     {
         std::string echo = request.header("X-Request-Id");
-        if (consume(faults_.wrong_echo))
+        // State polls must not use up a fault that is meant for a call.
+        if (request.path != "/control/state" && consume(faults_.wrong_echo))
             echo = "crossed-" + echo;
         answer.headers.emplace_back("X-Request-Id", echo);
         return answer;
