--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -160,6 +160,11 @@
     return loopback(daemons_.at(i).operator_port);
 }
 
+std::string deployment::peer_address(std::size_t i) const
+{
+    return loopback(daemons_.at(i).peer_port);
+}
+
 std::string deployment::engine_address(std::size_t i) const
 {
     return engines_.at(i)->address("engine");
--- a/tests/support/deployment.hpp
+++ b/tests/support/deployment.hpp
@@ -48,6 +48,7 @@
 
     std::string entry(std::size_t i) const;
     std::string operator_address(std::size_t i) const;
+    std::string peer_address(std::size_t i) const;
     /// Own address of an endpoint, for its admin interface.
     std::string engine_address(std::size_t i) const;
     std::string service_address(std::size_t i) const;
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -196,6 +196,18 @@
     return !wait(milliseconds(0));
 }
 
+std::int64_t process::resident_bytes() const
+{
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string word; status >> word;)
+    {
+        std::int64_t kibibytes = 0;
+        if (word == "VmRSS:" && status >> kibibytes)
+            return kibibytes * 1024;
+    }
+    return 0;
+}
+
 void process::send_signal(int signal_number) const
 {
     if (!ended_)
--- a/tests/support/process.hpp
+++ b/tests/support/process.hpp
@@ -3,6 +3,7 @@
 #include <sys/types.h>
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -64,6 +65,8 @@
     std::string output() const;
     std::string errors() const;
     bool running();
+    /// VmRSS of the process; 0 when it has ended.
+    std::int64_t resident_bytes() const;
     /// Exit code after the end, or 128 + signal.
     int exit_code() const { return exit_code_; }
 
