Print the merged time line on failures and bind daemons to the test

Cause: a failed integration test printed whole logs without the order of events between processes, and SIGKILL of a test program left its daemons running, since only the stand-ins watch their parent. Before: full logs; daemons outlive a killed test program.

--- a/standins/http.cpp
+++ b/standins/http.cpp
@@ -360,6 +360,11 @@
     parent_pid = pid;
 }
 
+int expected_parent_pid()
+{
+    return parent_pid;
+}
+
 void run_until_signal(asio::io_context& io)
 {
     if (parent_pid != 0)
--- a/standins/http.hpp
+++ b/standins/http.hpp
@@ -102,6 +102,8 @@
 
 /// Makes run_until_signal end as well when the parent is another process.
 void set_parent_pid(int pid);
+/// The process id that was set, or 0.
+int expected_parent_pid();
 
 /// Runs until SIGTERM or SIGINT.
 void run_until_signal(asio::io_context& io);
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -21,6 +21,7 @@
     tarragonquay::standins::add_engine(app);
     tarragonquay::standins::add_service(app);
     tarragonquay::standins::add_proxy(app);
+    tarragonquay::standins::add_exec(app);
     try
     {
         app.parse(argc, argv);
--- a/standins/programs.hpp
+++ b/standins/programs.hpp
@@ -13,5 +13,7 @@
 void add_engine(CLI::App& app);
 void add_service(CLI::App& app);
 void add_proxy(CLI::App& app);
+/// Adds the subcommand that becomes another program.
+void add_exec(CLI::App& app);
 
 } // namespace tarragonquay::standins
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -1,8 +1,10 @@
 #include "support/deployment.hpp"
 
 #include <cstdlib>
+#include <exception>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <stdexcept>
 #include <utility>
 
@@ -32,7 +34,8 @@
     return made;
 }
 
-deployment::deployment(const deployment_options& options) : options_(options)
+deployment::deployment(const deployment_options& options)
+    : options_(options), exceptions_at_start_(std::uncaught_exceptions())
 {
     folder_ = (std::filesystem::temp_directory_path() / "tq-settings-XXXXXX")
                   .string();
@@ -52,11 +55,30 @@
 
 deployment::~deployment()
 {
+    if (std::uncaught_exceptions() > exceptions_at_start_)
+        print_timeline();
     daemons_.clear();
     std::error_code ignored;
     std::filesystem::remove_all(folder_, ignored);
 }
 
+void deployment::print_timeline() const
+{
+    for (std::size_t i = 0; i < daemons_.size(); ++i)
+    {
+        if (!daemons_[i].child || !daemons_[i].child->running())
+            continue;
+        const auto shown =
+            process::run("tqctl", {"--address", operator_address(i), "timeline",
+                                      "--all", "--limit", "100"});
+        if (shown.exit_code != 0)
+            continue;
+        std::cerr << "--- merged time line, asked of " << daemons_[i].id << "\n"
+                  << shown.output << "---\n";
+        return;
+    }
+}
+
 void deployment::start_endpoints()
 {
     platform_ = process::start_standin("platform", options_.platform_arguments);
@@ -138,7 +160,7 @@
 {
     auto& instance = daemons_.at(i);
     instance.child.reset();
-    instance.child = process::start(
+    instance.child = process::start_bound(
         instance.id, "tarragonquayd", {"--settings", instance.settings_path});
     for (const char* name : {"entry", "operator", "peer"})
         instance.child->address(name);
--- a/tests/support/deployment.hpp
+++ b/tests/support/deployment.hpp
@@ -31,7 +31,9 @@
 /// A platform, endpoints, optional proxies and daemons on loopback addresses.
 ///
 /// The daemons' ports stay the same over restarts. Processes are ended by the
-/// destructor, daemons first.
+/// destructor, daemons first. When a test failure is being unwound, it prints
+/// the merged time line and the last lines of each process's output, so a test
+/// keeps its deployment in a local variable.
 class deployment
 {
 public:
@@ -106,6 +108,8 @@
     };
 
     explicit deployment(const deployment_options& options);
+    /// Prints the events of all daemons, merged by time.
+    void print_timeline() const;
     void start_endpoints();
     void start_proxies();
     void write_settings(std::size_t i) const;
@@ -129,6 +133,7 @@
     }
 
     deployment_options options_;
+    const int exceptions_at_start_;
     std::string folder_;
     std::unique_ptr<process> platform_;
     std::vector<std::unique_ptr<process>> engines_;
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -31,6 +31,15 @@
     return text.str();
 }
 
+std::string tail(const std::string& text)
+{
+    constexpr int most_lines = 40;
+    auto start = text.size();
+    for (int lines = 0; start > 0 && lines <= most_lines; --start)
+        lines += text[start - 1] == '\n' ? 1 : 0;
+    return text.substr(start);
+}
+
 std::string new_folder()
 {
     std::string path =
@@ -84,7 +93,9 @@
 }
 
 process::process(std::string label, std::string folder)
-    : label_(std::move(label)), folder_(std::move(folder))
+    : label_(std::move(label)),
+      folder_(std::move(folder)),
+      exceptions_at_start_(std::uncaught_exceptions())
 {
 }
 
@@ -96,6 +107,15 @@
     return child;
 }
 
+std::unique_ptr<process> process::start_bound(const std::string& label,
+    const std::string& program, std::vector<std::string> arguments)
+{
+    std::vector<std::string> all = {"--parent-pid", std::to_string(getpid()),
+        "exec", "--", program_path(program)};
+    all.insert(all.end(), arguments.begin(), arguments.end());
+    return start(label, "tq-standin", std::move(all));
+}
+
 std::unique_ptr<process> process::start_standin(
     const std::string& kind, std::vector<std::string> arguments)
 {
@@ -152,10 +172,10 @@
 process::~process()
 {
     kill();
-    if (std::uncaught_exceptions() > 0)
-        std::cerr << "--- output of " << label_ << " (exit code " << exit_code_
-                  << ")\n"
-                  << output() << errors() << "---\n";
+    if (std::uncaught_exceptions() > exceptions_at_start_)
+        std::cerr << "--- last output of " << label_ << " (exit code "
+                  << exit_code_ << ")\n"
+                  << tail(output()) << tail(errors()) << "---\n";
     std::error_code ignored;
     std::filesystem::remove_all(folder_, ignored);
 }
--- a/tests/support/process.hpp
+++ b/tests/support/process.hpp
@@ -36,14 +36,19 @@
 
 /// A child process in its own process group.
 ///
-/// The destructor ends the process. It prints the output when a test failure
-/// is being unwound.
+/// The destructor ends the process. It prints the last lines of the output
+/// when a test failure is being unwound.
 class process
 {
 public:
     /// Starts a program of TQ_BIN_DIR; throws when that fails.
     static std::unique_ptr<process> start(const std::string& label,
         const std::string& program, std::vector<std::string> arguments);
+    /// The same, and the kernel kills the child when the calling thread ends,
+    /// so that a killed test program leaves no process behind. Call it on a
+    /// thread that outlives the child.
+    static std::unique_ptr<process> start_bound(const std::string& label,
+        const std::string& program, std::vector<std::string> arguments);
     /// Starts "tq-standin <kind>", which ends with the test program.
     static std::unique_ptr<process> start_standin(
         const std::string& kind, std::vector<std::string> arguments);
@@ -81,6 +86,8 @@
 
     std::string label_;
     std::string folder_;
+    /// More exceptions at the end mean that a test failure is being unwound.
+    const int exceptions_at_start_;
     pid_t pid_ = -1;
     bool ended_ = false;
     int exit_code_ = -1;
