--- a/standins/service.cpp
+++ b/standins/service.cpp
@@ -28,6 +28,8 @@
     int die_after_running = 0;
     int close_before_running = 0;
     int wrong_echo = 0;
+    int short_answers = 0;
+    int duplicate_answers = 0;
 };
 
 bool consume(int& counter)
@@ -56,7 +58,7 @@
         else if (request.method == "POST" && ends_with(request.path, "/send"))
             co_await send(request, peer);
         else
-            co_await peer.answer(echoed(request, status(request)));
+            co_await reply(peer, echoed(request, status(request)));
     }
 
 private:
@@ -83,6 +85,20 @@
         return answer;
     }
 
+    /// Answers, unless a fault cuts the answer short or repeats it.
+    asio::awaitable<void> reply(http_connection& peer, http_answer answer)
+    {
+        if (consume(faults_.short_answers))
+        {
+            const std::size_t half = answer.body.size() / 2;
+            co_await peer.answer_partly(std::move(answer), half);
+            co_return;
+        }
+        if (consume(faults_.duplicate_answers))
+            co_await peer.answer(answer);
+        co_await peer.answer(std::move(answer));
+    }
+
     asio::awaitable<void> send(
         const http_request& request, http_connection& peer)
     {
@@ -111,7 +127,7 @@
         }
         // GCC 12 can't compile initializer lists inside a co_await expression.
         const json body = {{"order", order}, {"run", run}, {"sent", true}};
-        co_await peer.answer(echoed(request, json_answer(body)));
+        co_await reply(peer, echoed(request, json_answer(body)));
     }
 
     http_answer control_state() const
@@ -146,6 +162,8 @@
         set(change, "die_after_running", faults_.die_after_running);
         set(change, "close_before_running", faults_.close_before_running);
         set(change, "wrong_echo", faults_.wrong_echo);
+        set(change, "short_answers", faults_.short_answers);
+        set(change, "duplicate_answers", faults_.duplicate_answers);
         set(change, "leaving", leaving_);
         return json_answer({{"ok", true}});
     }
@@ -192,8 +210,9 @@
     command->footer(
         "Admin: GET /admin/seen, GET /admin/orders, POST /admin/faults with "
         "any of {delay_before_ms, delay_after_ms, lose_answers, "
-        "die_after_running, close_before_running, wrong_echo, leaving}; "
-        "counters apply to the next N requests.");
+        "die_after_running, close_before_running, wrong_echo, "
+        "short_answers, duplicate_answers, leaving}; counters apply to the "
+        "next N requests.");
     command->callback([options] { run_service(*options); });
 }
 
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -302,9 +302,13 @@
                  "--bytes", std::to_string(bytes)});
 }
 
-void deployment::put_service(const std::string& name)
+void deployment::put_service(
+    const std::string& name, const std::vector<std::string>& routes)
 {
-    apply(0, {"service", "put", name});
+    std::vector<std::string> arguments = {"service", "put", name};
+    for (const auto& route : routes)
+        arguments.insert(arguments.end(), {"--route", route});
+    apply(0, std::move(arguments));
 }
 
 void deployment::put_endpoints(const std::string& service_name)
--- a/tests/support/deployment.hpp
+++ b/tests/support/deployment.hpp
@@ -90,7 +90,9 @@
         const std::string& id, const std::string& version, std::int64_t bytes);
     void put_adapter(const std::string& id, const std::string& model,
         const std::string& version, std::int64_t bytes);
-    void put_service(const std::string& name);
+    /// Routes as in "tqctl service put --route".
+    void put_service(
+        const std::string& name, const std::vector<std::string>& routes = {});
     /// Makes all engines and services of this deployment known; the services
     /// serve the service name.
     void put_endpoints(const std::string& service_name);
