Read the state of plain services and let them go without one

Cause: the state poller decoded every answer as an engine's state. A plain service with 404 or with only 'leaving' counted as a failed poll, and after three of them it was suspected for 1 s, 2 s, ... up to 30 s at a time, and its own leaving state was never read. Ruled out: the missing echo of the stand-in's state alone (it is mended as well); the suspicion remains with 404 and a correct echo. Before: path_test a_service_without_state_stays_in_use fails with endpoint_suspected s1 about every 4 s. After: it passes, and state_of_a_plain_service_is_optional passes in endpoints_tests (20).

--- a/src/endpoints/endpoint_state.cpp
+++ b/src/endpoints/endpoint_state.cpp
@@ -15,6 +15,7 @@
 // More entries than any engine holds; a larger list is a broken answer.
 constexpr std::size_t max_list_entries = 10'000;
 constexpr std::size_t max_text_bytes = 512;
+constexpr int status_ok = 200;
 
 // Reads typed members and remembers the first failure.
 class reader
@@ -161,4 +162,29 @@
     return report;
 }
 
+result<routing::endpoint_report> decode_service_state(
+    const endpoint_id& endpoint, int status, const std::string& body,
+    time_point received_at)
+{
+    constexpr int first_server_failure = 500;
+    constexpr int not_implemented = 501;
+    if (status >= first_server_failure && status != not_implemented)
+        return fail(error_code::endpoint_rejected,
+            "the state poll got status " + std::to_string(status));
+    routing::endpoint_report report;
+    report.endpoint = endpoint;
+    report.received_at = received_at;
+    const auto parsed =
+        status == status_ok ? json::parse(body, nullptr, false) : json(nullptr);
+    if (!parsed.is_object())
+        return report;
+    // A service may answer any path with JSON of its own, so members of other
+    // types are no failure.
+    reader source(parsed);
+    report.leaving = source.flag("leaving");
+    report.running = bounded_int32(source.count("running"));
+    report.waiting = bounded_int32(source.count("waiting"));
+    return report;
+}
+
 } // namespace tarragonquay::endpoints
--- a/src/endpoints/endpoint_state.hpp
+++ b/src/endpoints/endpoint_state.hpp
@@ -13,4 +13,11 @@
     const endpoint_id& endpoint, const std::string& body,
     time_point received_at);
 
+/// Reads the answer of a plain service, for which GET /control/state and each
+/// of its members are optional: without a state, the service is in use and
+/// reports no load. Statuses from 500 on fail with endpoint_rejected.
+result<routing::endpoint_report> decode_service_state(
+    const endpoint_id& endpoint, int status, const std::string& body,
+    time_point received_at);
+
 } // namespace tarragonquay::endpoints
--- a/src/endpoints/state_poller.cpp
+++ b/src/endpoints/state_poller.cpp
@@ -48,13 +48,14 @@
             if (!in_progress.insert(target.id).second)
                 continue;
             asio::co_spawn(executor,
-                poll(shared_from_this(), target.id, target.address),
+                poll(
+                    shared_from_this(), target.id, target.address, target.kind),
                 asio::detached);
         }
     }
 
     static asio::awaitable<void> poll(std::shared_ptr<implementation> self,
-        endpoint_id id, std::string address)
+        endpoint_id id, std::string address, catalog::endpoint_kind kind)
     {
         exchange_request request;
         request.address = address;
@@ -69,6 +70,10 @@
             co_return;
         if (!answer)
             self->handler(id, tl::unexpected<error>(answer.error()));
+        else if (kind == catalog::endpoint_kind::service)
+            self->handler(
+                id, decode_service_state(id, answer->head.status, answer->body,
+                        std::chrono::steady_clock::now()));
         else if (answer->head.status != status_ok)
             self->handler(id, fail(error_code::endpoint_rejected,
                                   "the state poll got status " +
--- a/src/endpoints/state_poller_test.cpp
+++ b/src/endpoints/state_poller_test.cpp
@@ -7,6 +7,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "endpoints/command_client.hpp"
+#include "endpoints/endpoint_state.hpp"
 #include "records.pb.h"
 
 namespace tarragonquay::endpoints
@@ -41,6 +42,7 @@
 {
     CPPUNIT_TEST_SUITE(state_poller_test);
     CPPUNIT_TEST(reports_states_and_failures);
+    CPPUNIT_TEST(state_of_a_plain_service_is_optional);
     CPPUNIT_TEST(command_answers_are_told_apart);
     CPPUNIT_TEST_SUITE_END();
 
@@ -78,6 +80,25 @@
             seen.at(list[1].id).error().code() == error_code::connect_failed);
     }
 
+    // Guards against a plain service that is taken for failing because it has
+    // no state, and against one whose wish to leave is not read.
+    void state_of_a_plain_service_is_optional()
+    {
+        const endpoint_id id("s");
+        for (const auto& [status, body, usable, leaving] :
+            {std::tuple{404, "no such path", true, false},
+                std::tuple{200, "not JSON", true, false},
+                std::tuple{200, R"({"leaving": true})", true, true},
+                std::tuple{501, R"({"leaving": true})", true, false},
+                std::tuple{503, "", false, false}})
+        {
+            const auto state = decode_service_state(id, status, body, {});
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(body, usable, state.has_value());
+            if (state)
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(body, leaving, state->leaving);
+        }
+    }
+
     // Guards against memory that is freed while a command may still run.
     void command_answers_are_told_apart()
     {
--- a/standins/service.cpp
+++ b/standins/service.cpp
@@ -54,7 +54,7 @@
         }
         seen_.add(request);
         if (request.path == "/control/state")
-            co_await peer.answer(control_state());
+            co_await peer.answer(echoed_state(request));
         else if (request.method == "POST" && ends_with(request.path, "/send"))
             co_await send(request, peer);
         else
@@ -130,9 +130,15 @@
         co_await reply(peer, echoed(request, json_answer(body)));
     }
 
-    http_answer control_state() const
+    /// Without the fault wrong_echo, so that polls don't use it up.
+    http_answer echoed_state(const http_request& request) const
     {
-        return json_answer({{"leaving", leaving_}});
+        http_answer answer =
+            has_state_ ? json_answer({{"leaving", leaving_}})
+                       : error_answer(404, "not_found", "no such path");
+        answer.headers.emplace_back(
+            "X-Request-Id", request.header("X-Request-Id"));
+        return answer;
     }
 
     http_answer status(const http_request& request) const
@@ -165,6 +171,7 @@
         set(change, "short_answers", faults_.short_answers);
         set(change, "duplicate_answers", faults_.duplicate_answers);
         set(change, "leaving", leaving_);
+        set(change, "has_state", has_state_);
         return json_answer({{"ok", true}});
     }
 
@@ -179,6 +186,7 @@
     service_faults faults_;
     seen_list seen_;
     bool leaving_ = false;
+    bool has_state_ = true;
 };
 
 void run_service(const service_options& options)
@@ -211,7 +219,8 @@
         "Admin: GET /admin/seen, GET /admin/orders, POST /admin/faults with "
         "any of {delay_before_ms, delay_after_ms, lose_answers, "
         "die_after_running, close_before_running, wrong_echo, "
-        "short_answers, duplicate_answers, leaving}; counters apply to the "
+        "short_answers, duplicate_answers, leaving, has_state}; counters apply "
+        "to the "
         "next N requests.");
     command->callback([options] { run_service(*options); });
 }
--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(every_route_answers_on_every_instance);
     CPPUNIT_TEST(refusals_are_typed_and_reach_no_endpoint);
     CPPUNIT_TEST(requests_are_charged_to_the_workspace_of_their_key);
+    CPPUNIT_TEST(a_service_without_state_stays_in_use);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -166,6 +167,28 @@
         CPPUNIT_ASSERT(claims_whole(complete(fleet->entry(0), fleet.key2)));
     }
 
+    // Guards against suspicion of a plain service that answers state polls
+    // with 404, which took it out of use for up to 30 s at a time.
+    void a_service_without_state_stays_in_use()
+    {
+        const auto fleet = start_configured(small_options());
+        const auto service = fleet->service_address(0);
+        post(service, "/admin/faults", {{"has_state", false}});
+        constexpr std::size_t polls_to_suspicion = 3;
+        const auto before = seen_by(service).size();
+        CPPUNIT_ASSERT(eventually(
+            [&] {
+                return seen_by(service).size() >
+                       before + polls_to_suspicion + 1;
+            }));
+        const auto timeline =
+            fleet->tqctl(0, {"timeline", "--limit", "1000"}).output;
+        CPPUNIT_ASSERT_MESSAGE(
+            timeline, timeline.find("endpoint_suspected") == std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(
+            200, fetch(fleet->entry(0), "/services/orders/open/x").status);
+    }
+
 private:
     /// "A withdrawn key stops working within seconds."
     static constexpr milliseconds withdrawal_bound{5'000};
