--- a/src/endpoints/state_poller.cpp
+++ b/src/endpoints/state_poller.cpp
@@ -71,8 +71,9 @@
         if (!answer)
             self->handler(id, tl::unexpected<error>(answer.error()));
         else if (kind == catalog::endpoint_kind::service)
-            self->handler(id, decode_service_state(id, answer->body,
-                                  std::chrono::steady_clock::now()));
+            self->handler(
+                id, decode_service_state(id, answer->head.status, answer->body,
+                        std::chrono::steady_clock::now()));
         else if (answer->head.status != status_ok)
             self->handler(id, fail(error_code::endpoint_rejected,
                                   "the state poll got status " +
--- a/standins/service.cpp
+++ b/standins/service.cpp
@@ -28,6 +28,8 @@
     int die_after_running = 0;
     int close_before_running = 0;
     int wrong_echo = 0;
+    int short_answers = 0;
+    int duplicate_answers = 0;
 };
 
 bool consume(int& counter)
@@ -52,11 +54,11 @@
         }
         seen_.add(request);
         if (request.path == "/control/state")
-            co_await peer.answer(echoed(request, control_state()));
+            co_await peer.answer(echoed_state(request));
         else if (request.method == "POST" && ends_with(request.path, "/send"))
             co_await send(request, peer);
         else
-            co_await peer.answer(echoed(request, status(request)));
+            co_await reply(peer, echoed(request, status(request)));
     }
 
 private:
@@ -84,6 +86,20 @@
         return answer;
     }
 
+    /// Answers, unless a fault cuts the answer short or repeats it.
+    asio::awaitable<void> reply(http_connection& peer, http_answer answer)
+    {
+        if (consume(faults_.short_answers))
+        {
+            const std::size_t half = answer.body.size() / 2;
+            co_await peer.answer_partly(std::move(answer), half);
+            co_return;
+        }
+        if (consume(faults_.duplicate_answers))
+            co_await peer.answer(answer);
+        co_await peer.answer(std::move(answer));
+    }
+
     asio::awaitable<void> send(
         const http_request& request, http_connection& peer)
     {
@@ -112,12 +128,18 @@
         }
         // GCC 12 can't compile initializer lists inside a co_await expression.
         const json body = {{"order", order}, {"run", run}, {"sent", true}};
-        co_await peer.answer(echoed(request, json_answer(body)));
+        co_await reply(peer, echoed(request, json_answer(body)));
     }
 
-    http_answer control_state() const
+    /// Without the fault wrong_echo, so that polls don't use it up.
+    http_answer echoed_state(const http_request& request) const
     {
-        return json_answer({{"leaving", leaving_}});
+        http_answer answer =
+            has_state_ ? json_answer({{"leaving", leaving_}})
+                       : error_answer(404, "not_found", "no such path");
+        answer.headers.emplace_back(
+            "X-Request-Id", request.header("X-Request-Id"));
+        return answer;
     }
 
     http_answer status(const http_request& request) const
@@ -147,7 +169,10 @@
         set(change, "die_after_running", faults_.die_after_running);
         set(change, "close_before_running", faults_.close_before_running);
         set(change, "wrong_echo", faults_.wrong_echo);
+        set(change, "short_answers", faults_.short_answers);
+        set(change, "duplicate_answers", faults_.duplicate_answers);
         set(change, "leaving", leaving_);
+        set(change, "has_state", has_state_);
         return json_answer({{"ok", true}});
     }
 
@@ -162,6 +187,7 @@
     service_faults faults_;
     seen_list seen_;
     bool leaving_ = false;
+    bool has_state_ = true;
 };
 
 void run_service(const service_options& options)
@@ -193,8 +219,10 @@
     command->footer(
         "Admin: GET /admin/seen, GET /admin/orders, POST /admin/faults with "
         "any of {delay_before_ms, delay_after_ms, lose_answers, "
-        "die_after_running, close_before_running, wrong_echo, leaving}; "
-        "counters apply to the next N requests.");
+        "die_after_running, close_before_running, wrong_echo, "
+        "short_answers, duplicate_answers, leaving, has_state}; counters apply "
+        "to the "
+        "next N requests.");
     command->callback([options] { run_service(*options); });
 }
 
