--- a/experiment/main.cpp
+++ b/experiment/main.cpp
@@ -6,6 +6,7 @@
 #include <CLI/CLI.hpp>
 
 #include "experiment/fairness_experiment.hpp"
+#include "experiment/limits_experiment.hpp"
 #include "experiment/placement_experiment.hpp"
 #include "experiment/routing_experiment.hpp"
 
@@ -27,6 +28,7 @@
 {
     namespace all = tarragonquay::experiment;
     static const std::vector<experiment> list{
+        {"limits", "Limiter policies", all::run_limits},
         {"routing", "Choices of an endpoint", all::run_routing},
         {"fairness", "Queue disciplines", all::run_fairness},
         {"placement", "Planners", all::run_placement},
--- /dev/null
+++ b/scripts/measure.sh
@@ -0,0 +1,20 @@
+#!/usr/bin/env bash
+# Runs one experiment with fixed seeds and writes its table as text and JSON:
+# scripts/measure.sh limits|fairness|routing|placement FOLDER
+set -euo pipefail
+case "${1:-}" in
+limits | fairness | routing | placement) ;;
+*) set -- ;;
+esac
+if [ $# -ne 2 ]; then
+    echo "usage: $0 limits|fairness|routing|placement FOLDER" >&2
+    exit 2
+fi
+name=$1
+mkdir -p "$2"
+folder=$(cd "$2" && pwd)
+cd "$(dirname "$0")/.."
+program=${TQ_BUILD_DIR:-build}/tq-experiment
+options=(--seeds 1 2 3 --seconds 120)
+"$program" "$name" "${options[@]}" | tee "$folder/$name.txt"
+"$program" "$name" "${options[@]}" --json > "$folder/$name.json"
