Send limiter messages without waiting for the tick

Requests for level and the transfers that answer them waited up to 100 ms for the tick at either end, out of the 500 ms that a request may wait. take_messages() now follows an admission, a request and a transfer.

--- a/experiment/limits_run.hpp
+++ b/experiment/limits_run.hpp
@@ -113,6 +113,7 @@
     }
     void send(int from, int to, peer::Envelope message);
     void deliver(const packet& item);
+    void send_all(int from, std::vector<limits::outgoing_message> messages);
     void tick(int index);
     void admit(std::size_t index);
     void settle(const open_request& open);
--- a/experiment/limits_run.ipp
+++ b/experiment/limits_run.ipp
@@ -177,6 +177,17 @@
             message.share_transfer().transfer_id());
         send(item.to, item.from, std::move(ack));
     }
+    send_all(item.to, self.take_messages(now_));
+}
+
+template <class Policy>
+void limits_run<Policy>::send_all(
+    int from, std::vector<limits::outgoing_message> messages)
+{
+    constexpr std::size_t number_at = sizeof("instance-") - 1;
+    for (auto& out : messages)
+        send(from, std::stoi(out.to.str().substr(number_at)),
+            std::move(out.message));
 }
 
 template <class Policy>
@@ -192,8 +203,7 @@
     if (!self.alive || now_ < self.next_tick)
         return;
     self.next_tick += tick_interval;
-    for (auto& out : self.limiter->tick(now_))
-        send(index, std::stoi(out.to.str().substr(9)), std::move(out.message));
+    send_all(index, self.limiter->tick(now_));
     if ((self.next_tick - start_) / tick_interval %
             (heartbeat / tick_interval) !=
         0)
@@ -234,6 +244,7 @@
             open_.emplace(now_ + admitted.service_time,
                 open_request{index, to, incarnation, *made});
         });
+    send_all(to, at(to).limiter->take_messages(now_));
 }
 
 template <class Policy>
--- a/src/daemon/control_core.cpp
+++ b/src/daemon/control_core.cpp
@@ -211,6 +211,13 @@
                 ++refused_requests_[workspace];
             on_done(std::move(reserved));
         });
+    send_limiter_messages();
+}
+
+void control_core::send_limiter_messages()
+{
+    for (auto& outgoing : limiter_->take_messages(clock_.now()))
+        send(outgoing.to, std::move(outgoing.message));
 }
 
 void control_core::settle(
--- a/src/daemon/control_core.hpp
+++ b/src/daemon/control_core.hpp
@@ -117,6 +117,7 @@
     void on_applied(const config::Change& change);
     void on_configuration();
     void update_limits();
+    void send_limiter_messages();
     void on_store_contact(time_point sent_at, std::int64_t head);
     void on_store_failure(const error& reason);
     void commit_membership(config::Change change,
--- a/src/daemon/control_messages.cpp
+++ b/src/daemon/control_messages.cpp
@@ -80,7 +80,8 @@
     case peer::Envelope::kShareTransferAck:
         return limiter_->on_transfer_ack(envelope.share_transfer_ack());
     case peer::Envelope::kShareRequest:
-        return limiter_->on_request(from, envelope.share_request(), now);
+        limiter_->on_request(from, envelope.share_request(), now);
+        return send_limiter_messages();
     case peer::Envelope::kDemandReport:
         return demand_.receive(from, envelope.demand_report(), now);
     case peer::Envelope::kEventsRequest:
@@ -101,6 +102,7 @@
     peer::Envelope reply;
     reply.mutable_share_transfer_ack()->set_transfer_id(transfer.transfer_id());
     send(instance_id(envelope.from_instance()), std::move(reply));
+    send_limiter_messages();
 }
 
 peer::Catch_up_reply control_core::read_changes(std::int64_t after) const
--- a/src/limits/limiter.cpp
+++ b/src/limits/limiter.cpp
@@ -620,15 +620,24 @@
 std::vector<outgoing_message> basic_limiter<Policy>::tick(time_point now)
 {
     serve_waiters(now);
-    std::vector<outgoing_message> messages;
     if (!may_move())
-        return messages;
+        return {};
     if (handing_over_)
         donate_everything(now);
     else if (Policy::grant_time > duration::zero())
         return_grants(now);
     else
         balance(now);
+    return take_messages(now);
+}
+
+template <class Policy>
+std::vector<outgoing_message> basic_limiter<Policy>::take_messages(
+    time_point now)
+{
+    std::vector<outgoing_message> messages;
+    if (!may_move())
+        return messages;
     if (!handing_over_)
         request_level(now, messages);
     for (auto& [id, transfer] : outgoing_)
--- a/src/limits/limiter.hpp
+++ b/src/limits/limiter.hpp
@@ -116,6 +116,11 @@
     /// send now: new transfers, repeated ones and requests for level.
     std::vector<outgoing_message> tick(time_point now);
 
+    /// Messages that need not wait for the next tick. To be called after
+    /// `admit_before`, `on_request` and `on_transfer`, because each interval
+    /// that a message waits here is taken from the wait of a request.
+    std::vector<outgoing_message> take_messages(time_point now);
+
     /// Demand since the previous call, for the next heartbeat.
     std::vector<peer::Workspace_demand> take_demands(time_point now);
 
