Serve waiting requests that fit behind a larger one

A large request at the head of the line held up all later ones of its workspace until its deadline, which a single bucket would not do.

--- a/src/limits/limiter.cpp
+++ b/src/limits/limiter.cpp
@@ -240,24 +240,33 @@
     return made;
 }
 
+// Why these tokens can't be admitted at any time.
 template <class Policy>
-result<reservation> basic_limiter<Policy>::admit(
-    const workspace_id& workspace, std::int64_t tokens, time_point now)
+result<reservation> basic_limiter<Policy>::refusal(
+    const workspace_id& workspace, std::int64_t tokens) const
 {
     const auto found = buckets_.find(workspace);
     if (found == buckets_.end() || found->second.removed)
         return fail(error_code::not_found,
             fmt::format("workspace {} does not exist", workspace.str()));
-    auto& item = found->second;
     if (tokens < 0)
         return fail(error_code::invalid_argument,
             "a request needs a number of tokens that is not negative");
-    if (tokens > item.limit.burst_tokens)
-        return fail(error_code::request_exceeds_burst,
-            fmt::format("{} tokens are more than the burst of {}", tokens,
-                item.limit.burst_tokens));
-    item.requested_tokens += tokens;
-    return take(item, tokens, now);
+    return fail(error_code::request_exceeds_burst,
+        fmt::format("{} tokens are more than the burst of {}", tokens,
+            found->second.limit.burst_tokens));
+}
+
+template <class Policy>
+result<reservation> basic_limiter<Policy>::admit(
+    const workspace_id& workspace, std::int64_t tokens, time_point now)
+{
+    const auto found = buckets_.find(workspace);
+    if (found == buckets_.end() || found->second.removed || tokens < 0 ||
+        tokens > found->second.limit.burst_tokens)
+        return refusal(workspace, tokens);
+    found->second.requested_tokens += tokens;
+    return take(found->second, tokens, now);
 }
 
 template <class Policy>
@@ -265,55 +274,37 @@
     std::int64_t tokens, time_point deadline, time_point now,
     admit_handler handler)
 {
-    const auto waiting = waiters_.find(workspace);
-    const bool first = waiting == waiters_.end() || waiting->second.empty();
-    if (first)
+    auto admitted = admit(workspace, tokens, now);
+    if (admitted || admitted.error().code() != error_code::rate_limited ||
+        now >= deadline)
     {
-        auto admitted = admit(workspace, tokens, now);
-        if (admitted || admitted.error().code() != error_code::rate_limited ||
-            now >= deadline)
-        {
-            handler(std::move(admitted));
-            return;
-        }
+        handler(std::move(admitted));
+        return;
     }
     waiters_[workspace].push_back({tokens, deadline, std::move(handler)});
 }
 
-// Waiting requests of a workspace are served in order, so that a large one
-// is not passed over for ever.
+// Waiting requests of a workspace are tried in order of arrival. One that
+// fits is served although an earlier, larger one still waits: a single bucket
+// would admit it, and no request waits beyond its deadline.
 template <class Policy>
 void basic_limiter<Policy>::serve_waiters(time_point now)
 {
     std::vector<std::pair<admit_handler, result<reservation>>> done;
-    for (auto& entry : waiters_)
+    for (auto& [workspace, queue] : waiters_)
     {
-        const auto& workspace = entry.first;
-        auto& queue = entry.second;
         const auto found = buckets_.find(workspace);
-        while (!queue.empty())
-        {
-            auto& next = queue.front();
-            auto taken = found == buckets_.end() || found->second.removed ||
-                                 next.tokens > found->second.limit.burst_tokens
-                             ? admit(workspace, next.tokens, now)
-                             : take(found->second, next.tokens, now);
-            if (!taken && taken.error().code() == error_code::rate_limited &&
-                now < next.deadline)
-                break;
-            done.emplace_back(std::move(next.handler), std::move(taken));
-            queue.pop_front();
-        }
-        // A request behind one that still waits can expire first.
+        const bool exists = found != buckets_.end() && !found->second.removed;
         std::erase_if(queue,
             [&](waiter& each)
             {
-                if (now < each.deadline)
+                const bool possible =
+                    exists && each.tokens <= found->second.limit.burst_tokens;
+                auto taken = possible ? take(found->second, each.tokens, now)
+                                      : refusal(workspace, each.tokens);
+                if (!taken && possible && now < each.deadline)
                     return false;
-                done.emplace_back(std::move(each.handler),
-                    fail(error_code::rate_limited,
-                        fmt::format("workspace {} has used its rate",
-                            workspace.str())));
+                done.emplace_back(std::move(each.handler), std::move(taken));
                 return true;
             });
     }
--- a/src/limits/limiter.hpp
+++ b/src/limits/limiter.hpp
@@ -176,6 +176,8 @@
     void close_epoch(const limits_view& view, time_point now);
     void open_epoch(time_point now);
     void apply_workspaces(const limits_view& view, time_point now);
+    result<reservation> refusal(
+        const workspace_id& workspace, std::int64_t tokens) const;
     result<reservation> take(bucket& from, std::int64_t tokens, time_point now);
     void serve_waiters(time_point now);
     void donate(const workspace_id& workspace, bucket& from,
