Bound the memory for transfer ids and hand shares to serving members

Ids of received transfers were kept for the whole epoch. An id now ends in a sequence number per sender, epoch and receiver; a receiver keeps the highest complete number and at most 64 beyond it, and a sender has at most 64 open transfers to a member. A number beyond the window is not acknowledged and is sent again later.

hand_over gave everything to the first other member, even a stopping or silent one. It now goes to the members that serve, in proportion to the demand of their last heartbeat.

--- a/experiment/limits_run.ipp
+++ b/experiment/limits_run.ipp
@@ -168,7 +168,7 @@
     else if (message.has_share_transfer_ack())
         self.on_transfer_ack(message.share_transfer_ack());
     else if (message.has_heartbeat())
-        self.on_demands(name(item.from), message.heartbeat());
+        self.on_demands(name(item.from), message.heartbeat(), now_);
     else if (message.has_share_transfer() &&
              self.on_transfer(message.share_transfer(), now_))
     {
@@ -209,6 +209,7 @@
         0)
         return;
     peer::Envelope envelope;
+    envelope.mutable_heartbeat()->set_stopping(!self.serving);
     for (auto& demand : self.limiter->take_demands(now_))
         *envelope.mutable_heartbeat()->add_demands() = std::move(demand);
     for (int to = 0; to < count(); ++to)
--- a/src/daemon/control_messages.cpp
+++ b/src/daemon/control_messages.cpp
@@ -43,7 +43,7 @@
     parts.demands = [this] { return limiter_->take_demands(clock_.now()); };
     parts.on_demands =
         [this](const instance_id& from, const peer::Heartbeat& heartbeat)
-    { limiter_->on_demands(from, heartbeat); };
+    { limiter_->on_demands(from, heartbeat, clock_.now()); };
     parts.on_serving_changed = [this](const std::vector<instance_id>& serving) {
         TQ_LOG(logger_, info)
             << "Instances that serve: " << serving.size() << ".";
--- a/src/limits/limiter.cpp
+++ b/src/limits/limiter.cpp
@@ -1,6 +1,7 @@
 #include "limits/limiter.hpp"
 
 #include <algorithm>
+#include <charconv>
 
 #include <fmt/format.h>
 
@@ -19,11 +20,30 @@
 constexpr std::int64_t max_tokens = 1'000'000'000'000;
 constexpr duration transfer_retry = std::chrono::milliseconds(500);
 constexpr duration request_interval = std::chrono::milliseconds(100);
+// Transfers to one member that are not acknowledged yet. It bounds what a
+// receiver has to remember; a few are open at a time.
+constexpr std::uint64_t transfer_window = 64;
+// A member whose heartbeats, one each 500 ms, have stopped for this long gets
+// no shares of a stopping one.
+constexpr duration successor_silence = std::chrono::seconds(2);
 // Smaller transfers cost more messages than they help.
 constexpr std::int64_t min_balance_tokens = 16;
 
 __extension__ using wide = __int128;
 
+// The number at the end of a transfer id; 0 when there is none.
+std::uint64_t sequence_of(const std::string& transfer_id)
+{
+    const auto slash = transfer_id.rfind('/');
+    if (slash == std::string::npos)
+        return 0;
+    std::uint64_t value = 0;
+    const auto* end = transfer_id.data() + transfer_id.size();
+    const auto parsed =
+        std::from_chars(transfer_id.data() + slash + 1, end, value);
+    return parsed.ec == std::errc() && parsed.ptr == end ? value : 0;
+}
+
 std::int64_t equal_part(
     const std::vector<instance_id>& members, const instance_id& instance)
 {
@@ -166,6 +186,7 @@
     }
     std::sort(members_.begin(), members_.end());
     outgoing_.clear();
+    last_transfer_.clear();
     received_.clear();
     demands_.clear();
     // Refunds end with the epoch, because their shares may have moved.
@@ -353,7 +374,11 @@
     const instance_id& to, std::int64_t shares, std::int64_t level,
     time_point now)
 {
-    if (shares <= 0 || shares > from.shares)
+    auto& sequence = last_transfer_[to];
+    const auto open = std::count_if(outgoing_.begin(), outgoing_.end(),
+        [&](const auto& entry) { return entry.second.to == to; });
+    if (shares <= 0 || shares > from.shares ||
+        static_cast<std::uint64_t>(open) >= transfer_window)
         return;
     const auto given = std::clamp<std::int64_t>(
         level, 0, std::max<std::int64_t>(from.level, 0));
@@ -363,8 +388,9 @@
     outgoing_transfer out;
     out.to = to;
     out.next_send = now;
+    // Each receiver gets sequence numbers without gaps.
     out.message.set_transfer_id(
-        fmt::format("{}/{}", incarnation_, next_transfer_++));
+        fmt::format("{}/{}/{}/{}", incarnation_, epoch_, to.str(), ++sequence));
     out.message.set_workspace(workspace.str());
     out.message.set_epoch(epoch_);
     out.message.set_shares(shares);
@@ -387,21 +413,36 @@
     donate(workspace, from, to, shares, given, now);
 }
 
+template <class Policy>
+void basic_limiter<Policy>::received_transfers::insert(std::uint64_t sequence)
+{
+    beyond.insert(sequence);
+    while (beyond.erase(complete + 1) > 0)
+        ++complete;
+}
+
 template <class Policy>
 bool basic_limiter<Policy>::on_transfer(
     const peer::Share_transfer& transfer, time_point now)
 {
     const auto found = buckets_.find(workspace_id(transfer.workspace()));
-    const bool plausible =
-        !transfer.transfer_id().empty() && transfer.shares() > 0 &&
-        transfer.shares() <= total_shares && transfer.level_millitokens() >= 0;
+    const auto& id = transfer.transfer_id();
+    const auto sequence = sequence_of(id);
+    const bool plausible = sequence > 0 && transfer.shares() > 0 &&
+                           transfer.shares() <= total_shares &&
+                           transfer.level_millitokens() >= 0;
     // A bucket that does not exist yet takes the transfer when it is sent
     // again, after the workspace has been applied here.
     if (!may_move() || transfer.epoch() != epoch_ || !plausible ||
         found == buckets_.end())
         return false;
-    if (!received_.insert(transfer.transfer_id()).second)
+    auto& received = received_[id.substr(0, id.rfind('/'))];
+    if (received.seen(sequence))
         return true;
+    // Sent again once the earlier ones have arrived.
+    if (sequence > received.complete + transfer_window)
+        return false;
+    received.insert(sequence);
     auto& item = found->second;
     refill(item, now);
     item.shares = std::min(item.shares + transfer.shares(), total_shares);
@@ -440,16 +481,17 @@
 
 template <class Policy>
 void basic_limiter<Policy>::on_demands(
-    const instance_id& from, const peer::Heartbeat& heartbeat)
+    const instance_id& from, const peer::Heartbeat& heartbeat, time_point now)
 {
     if (!std::binary_search(members_.begin(), members_.end(), from))
         return;
+    peers_[from] = {now, heartbeat.stopping()};
     for (const auto& demand : heartbeat.demands())
     {
         const workspace_id workspace(demand.workspace());
         if (buckets_.contains(workspace))
-            demands_[workspace][from] = {demand.requested_tokens(),
-                demand.level_tokens(), demand.shares()};
+            demands_[workspace][from] = {
+                demand.requested_tokens(), demand.level_tokens()};
     }
 }
 
@@ -468,7 +510,7 @@
         for (auto& [member, report] : reports)
         {
             const auto lacking = report.requested_tokens - report.level_tokens;
-            if (lacking < most_lacking)
+            if (report.answered || lacking < most_lacking)
                 continue;
             most_lacking = lacking;
             neediest = &report;
@@ -479,7 +521,7 @@
         refill(item, now);
         const auto own_need = item.requested_tokens * millitokens_per_token;
         const auto spare = (item.level - own_need) / 2;
-        neediest->requested_tokens = 0;
+        neediest->answered = true;
         if (spare >= min_balance_tokens * millitokens_per_token)
             donate_level(workspace, item, receiver,
                 std::min(spare, most_lacking * millitokens_per_token), now);
@@ -501,18 +543,54 @@
     }
 }
 
+// Members that take the shares of a stopping one, with their weights. Those
+// that stop or are silent are left out, unless there is no other.
+template <class Policy>
+std::map<instance_id, std::int64_t> basic_limiter<Policy>::successors(
+    const workspace_id& workspace, time_point now) const
+{
+    std::map<instance_id, std::int64_t> serving;
+    std::map<instance_id, std::int64_t> others;
+    const auto reports = demands_.find(workspace);
+    for (const auto& member : members_)
+    {
+        if (member == local_)
+            continue;
+        // A member without demand gets a little, so that it can begin.
+        std::int64_t weight = 1;
+        if (reports != demands_.end() && reports->second.contains(member))
+            weight += std::clamp<std::int64_t>(
+                reports->second.at(member).requested_tokens, 0, max_tokens);
+        others[member] = 1;
+        const auto status = peers_.find(member);
+        if (status != peers_.end() && !status->second.stopping &&
+            now - status->second.heard_at < successor_silence)
+            serving[member] = weight;
+    }
+    return serving.empty() ? others : serving;
+}
+
 template <class Policy>
 void basic_limiter<Policy>::donate_everything(time_point now)
 {
-    const auto receiver = std::find_if(members_.begin(), members_.end(),
-        [&](const instance_id& member) { return member != local_; });
-    if (receiver == members_.end())
-        return;
     for (auto& [workspace, item] : buckets_)
     {
         refill(item, now);
+        auto receivers = successors(workspace, now);
+        wide weights = 0;
+        for (const auto& [member, weight] : receivers)
+            weights += weight;
         // A debt is not handed over; it lowers what this instance gives.
-        donate(workspace, item, *receiver, item.shares, item.level, now);
+        for (const auto& [member, weight] : receivers)
+        {
+            const auto part = [&](std::int64_t whole) {
+                return static_cast<std::int64_t>(
+                    wide(whole) * weight / weights);
+            };
+            donate(workspace, item, member, part(item.shares),
+                part(std::max<std::int64_t>(item.level, 0)), now);
+            weights -= weight;
+        }
     }
 }
 
--- a/src/limits/limiter.hpp
+++ b/src/limits/limiter.hpp
@@ -110,7 +110,8 @@
     void on_request(const instance_id& from, const peer::Share_request& request,
         time_point now);
     /// Demand of another member, from its heartbeat.
-    void on_demands(const instance_id& from, const peer::Heartbeat& heartbeat);
+    void on_demands(const instance_id& from, const peer::Heartbeat& heartbeat,
+        time_point now);
 
     /// Ends waiting requests, decides transfers, and returns the messages to
     /// send now: new transfers, repeated ones and requests for level.
@@ -124,7 +125,8 @@
     /// Demand since the previous call, for the next heartbeat.
     std::vector<peer::Workspace_demand> take_demands(time_point now);
 
-    /// Hands all shares to other members, now and on later ticks.
+    /// Hands all shares to the members that serve, in proportion to their
+    /// demand, now and on later ticks.
     void hand_over() { handing_over_ = true; }
     /// Whether nothing is held and all transfers are acknowledged.
     bool handed_over() const;
@@ -166,7 +168,26 @@
     {
         std::int64_t requested_tokens = 0;
         std::int64_t level_tokens = 0;
-        std::int64_t shares = 0;
+        // Whether level was given because of this report.
+        bool answered = false;
+    };
+    struct peer_status
+    {
+        time_point heard_at;
+        bool stopping = false;
+    };
+    // Transfers of one sender that were received: all up to a sequence number
+    // and some of the next `transfer_window` ones.
+    struct received_transfers
+    {
+        std::uint64_t complete = 0;
+        std::set<std::uint64_t> beyond;
+
+        bool seen(std::uint64_t sequence) const
+        {
+            return sequence <= complete || beyond.contains(sequence);
+        }
+        void insert(std::uint64_t sequence);
     };
 
     std::int64_t allotment(const workspace_id& workspace) const;
@@ -188,6 +209,8 @@
     bool may_move() const;
     void balance(time_point now);
     void return_grants(time_point now);
+    std::map<instance_id, std::int64_t> successors(
+        const workspace_id& workspace, time_point now) const;
     void donate_everything(time_point now);
     void request_level(time_point now, std::vector<outgoing_message>& messages);
     void ask_donors(const workspace_id& workspace, std::int64_t lacking,
@@ -210,9 +233,12 @@
     std::unordered_set<std::uint64_t> reservations_;
     std::uint64_t next_reservation_ = 1;
     std::map<std::string, outgoing_transfer> outgoing_;
-    std::uint64_t next_transfer_ = 1;
-    // Transfers of the current epoch that were received.
-    std::unordered_set<std::string> received_;
+    // Sequence number of the last transfer to each member in this epoch.
+    std::map<instance_id, std::uint64_t> last_transfer_;
+    // Transfers of the current epoch, by the part of their ids before the
+    // sequence number.
+    std::map<std::string, received_transfers> received_;
+    std::map<instance_id, peer_status> peers_;
     std::map<workspace_id, std::map<instance_id, peer_demand>> demands_;
     std::map<workspace_id, time_point> next_request_;
     bool handing_over_ = false;
--- a/src/limits/limiter_test.cpp
+++ b/src/limits/limiter_test.cpp
@@ -212,7 +212,7 @@
         for (auto& demand : from.take_demands(now_))
             *heartbeat.add_demands() = demand;
         nodes_[b % instances].limits->on_demands(
-            member_of(a).instance, heartbeat);
+            member_of(a).instance, heartbeat, now_);
         for (auto& out : from.tick(now_))
         {
             const auto& transfer = out.message.share_transfer();
@@ -370,6 +370,8 @@
     CPPUNIT_TEST(workspace_created_again_gets_no_further_shares);
     CPPUNIT_TEST(errors_are_typed);
     CPPUNIT_TEST(hand_over_leaves_nothing_behind);
+    CPPUNIT_TEST(hand_over_follows_demand_and_passes_over_stopping_members);
+    CPPUNIT_TEST(repeated_transfer_is_applied_once);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -493,6 +495,56 @@
         CPPUNIT_ASSERT_EQUAL(total_shares, nodes_[0].state(acme, now_).shares);
     }
 
+    // Guards against shares that go to a member that leaves next.
+    void hand_over_follows_demand_and_passes_over_stopping_members()
+    {
+        start(4);
+        const auto hear = [&](int from, std::int64_t requested, bool stopping)
+        {
+            peer::Heartbeat heartbeat;
+            heartbeat.set_stopping(stopping);
+            auto& demand = *heartbeat.add_demands();
+            demand.set_workspace(acme.str());
+            demand.set_requested_tokens(requested);
+            nodes_[3].on_demands(member_of(from).instance, heartbeat, now_);
+        };
+        hear(0, 1000, true);
+        hear(1, 299, false);
+        hear(2, 99, false);
+        nodes_[3].hand_over();
+        exchange();
+        CPPUNIT_ASSERT_EQUAL(
+            std::int64_t(250'000), nodes_[0].state(acme, now_).shares);
+        CPPUNIT_ASSERT_EQUAL(
+            std::int64_t(437'500), nodes_[1].state(acme, now_).shares);
+        CPPUNIT_ASSERT_EQUAL(
+            std::int64_t(312'500), nodes_[2].state(acme, now_).shares);
+    }
+
+    // Guards against a duplicate that arrives after later transfers, and
+    // against ids beyond the window, which would have to be remembered.
+    void repeated_transfer_is_applied_once()
+    {
+        start(2);
+        peer::Share_transfer transfer;
+        transfer.set_workspace(acme.str());
+        transfer.set_epoch(1);
+        transfer.set_shares(1);
+        const auto receive = [&](int sequence)
+        {
+            transfer.set_transfer_id("i1-1/1/i0/" + std::to_string(sequence));
+            return nodes_[0].on_transfer(transfer, now_);
+        };
+        CPPUNIT_ASSERT(receive(2));
+        CPPUNIT_ASSERT(receive(1));
+        for (const int again : {1, 2, 1})
+            CPPUNIT_ASSERT(receive(again));
+        CPPUNIT_ASSERT(!receive(67));
+        CPPUNIT_ASSERT(receive(66));
+        CPPUNIT_ASSERT_EQUAL(
+            std::int64_t(500'003), nodes_[0].state(acme, now_).shares);
+    }
+
 private:
     void start(int members)
     {
