Estimate service times by engine and maximum output

The service-time estimate was one mean per model. Long answers were placed, held an engine until their deadline and were cut off. The estimate is now kept by engine and model in proportion to the maximum output. A request that no engine can finish in time is refused early, an engine that can't finish it is not a candidate, and an estimate expires after 5 s without a completed request, so that it can't refuse everything for ever.

The experiment now states the next power of two as the maximum output, since callers don't know the length. Ruled out: one estimate per model for all engines (routing 93.1%, since the slow engine raises it).

--- a/experiment/traffic_run.hpp
+++ b/experiment/traffic_run.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <bit>
 #include <deque>
 #include <functional>
 #include <map>
@@ -196,6 +197,9 @@
         spec.workspace = workspace_id(from.workspace);
         spec.model = model_;
         spec.cost_tokens = request.prompt_tokens + request.output_tokens;
+        // Callers know an upper bound of the answer, not its length.
+        spec.output_tokens = static_cast<std::int64_t>(
+            std::bit_ceil(static_cast<std::uint64_t>(request.output_tokens)));
         spec.prefix_hash = request.prefix_hash;
         spec.deadline = clock_.now() + std::chrono::duration_cast<duration>(
                                            std::chrono::duration<double>(
--- a/src/ingress/completion_route.cpp
+++ b/src/ingress/completion_route.cpp
@@ -43,6 +43,7 @@
     spec.model = call.body.model;
     spec.adapter = call.body.adapter;
     spec.cost_tokens = call.body.prompt_tokens + call.body.max_tokens;
+    spec.output_tokens = call.body.max_tokens;
     spec.prefix_hash = fast_hash(call.body.adapter.str() + "\n" +
                                  call.body.messages.substr(0, prefix_bytes));
     spec.priority = call.request.priority;
--- a/src/routing/endpoint_state.cpp
+++ b/src/routing/endpoint_state.cpp
@@ -84,6 +84,15 @@
     return others * std::exp2(-std::max(0.0, age.count()) / load_half_life_s);
 }
 
+duration endpoint_state::expected_service(
+    const request_spec& spec, time_point now) const
+{
+    const auto found = service.find(spec.model);
+    return found == service.end()
+               ? duration::zero()
+               : found->second.expected(spec.output_tokens, now);
+}
+
 bool endpoint_state::ready(
     const model_id& model, const adapter_id& adapter) const
 {
--- a/src/routing/endpoint_state.hpp
+++ b/src/routing/endpoint_state.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <chrono>
+#include <map>
 #include <optional>
 #include <string>
 
 #include "catalog/types.hpp"
 #include "routing/types.hpp"
+#include "routing/wait_estimate.hpp"
 
 namespace tarragonquay::routing
 {
@@ -67,6 +69,8 @@
     endpoint_health health;
     in_flight_limit limit;
     std::optional<endpoint_report> report;
+    // By model; the empty id is a plain service.
+    std::map<model_id, service_time> service;
     std::int32_t own_in_flight = 0;
     // Own requests in flight when the report arrived; part of its load.
     std::int32_t own_at_report = 0;
@@ -78,6 +82,8 @@
     }
     /// Load of the other instances at this time.
     double other_load(time_point now) const;
+    /// Usual time of a request with this output; zero when unknown.
+    duration expected_service(const request_spec& spec, time_point now) const;
     /// Whether the model and, if named, the adapter are ready here.
     bool ready(const model_id& model, const adapter_id& adapter) const;
 };
--- a/src/routing/scheduler.hpp
+++ b/src/routing/scheduler.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -100,13 +101,13 @@
         Queue queue;
         wait_estimate estimate;
         share_meter shares;
-        service_time service;
     };
     struct held
     {
         endpoint_id endpoint;
         target for_target;
         time_point since;
+        std::int64_t output_tokens = 0;
     };
     // Handlers run after the state is consistent, since they may call back.
     using completions = std::vector<std::pair<handler, result<assignment>>>;
@@ -124,6 +125,7 @@
     waiting_line& line_of(const target& of);
     bool able(const endpoint_state& state, const request_spec& spec) const;
     bool any_able(const request_spec& spec, bool despite_exclusion) const;
+    service_time fastest(const target& of, time_point now) const;
     bool has_room(const endpoint_state& state, const request_spec& spec) const;
     bool any_room(const request_spec& spec) const;
     std::optional<assignment> assign(const request_spec& spec);
--- a/src/routing/scheduler_calls.ipp
+++ b/src/routing/scheduler_calls.ipp
@@ -57,16 +57,18 @@
         return;
     const auto released = std::move(it->second);
     assignments_.erase(it);
-    if (how == outcome::completed)
-        line_of(released.for_target)
-            .service.completed(clock_.now() - released.since);
     const auto at = endpoints_.find(released.endpoint);
     if (at != endpoints_.end())
     {
         auto& state = at->second;
         --state.own_in_flight;
         if (how == outcome::completed)
+        {
+            const auto now = clock_.now();
             state.health.exchange_succeeded();
+            state.service[released.for_target.first].completed(
+                now - released.since, released.output_tokens, now);
+        }
         else if (how == outcome::rejected)
             state.limit.rejected();
         else if (how == outcome::failed &&
@@ -97,7 +99,7 @@
         endpoint_state fresh{settings, fast_hash(settings.id.str()), {},
             in_flight_limit(
                 limits_.initial_in_flight, limits_.largest_in_flight),
-            std::nullopt, 0, 0, false};
+            std::nullopt, {}, 0, 0, false};
         // Assignments of an endpoint that was removed and added again.
         for (const auto& [id, each] : assignments_)
             fresh.own_in_flight += each.endpoint == settings.id ? 1 : 0;
@@ -173,12 +175,21 @@
     for (auto& [of, line] : lines_)
     {
         line.estimate.observe(line.queue.size() > 0, now);
-        for (auto& item : line.queue.remove_if([now](const queued_request& each)
-                 { return each.spec.deadline <= now; }))
+        const auto service = fastest(of, now);
+        for (auto& item : line.queue.remove_if(
+                 [&](const queued_request& each)
+                 {
+                     return each.spec.deadline <=
+                            now +
+                                service.expected(each.spec.output_tokens, now);
+                 }))
         {
             const bool served = any_able(item.spec, true);
             auto why =
-                served || item.spec.model.empty()
+                item.spec.deadline > now
+                    ? error(error_code::overloaded,
+                          "The answer would end after the deadline.")
+                : served || item.spec.model.empty()
                     ? error(error_code::deadline_exceeded,
                           "The deadline passed while the request waited.")
                     : error(error_code::model_not_ready,
--- a/src/routing/scheduler_choice.ipp
+++ b/src/routing/scheduler_choice.ipp
@@ -37,12 +37,42 @@
         });
 }
 
+// Service time of the fastest endpoint. An endpoint about which nothing is
+// known counts as the fastest, so that it gets requests and is measured.
+template <clock_source Clock, choice_policy Choice, queue_discipline Queue>
+service_time scheduler<Clock, Choice, Queue>::fastest(
+    const target& of, time_point now) const
+{
+    // The expected times are proportional to the output.
+    constexpr std::int64_t compared_tokens = 1000;
+    const auto it = by_target_.find(of);
+    if (it == by_target_.end())
+        return {};
+    request_spec spec;
+    std::tie(spec.model, spec.service) = of;
+    spec.output_tokens = of.first.empty() ? 0 : compared_tokens;
+    const endpoint_state* best = nullptr;
+    for (const auto& id : it->second)
+    {
+        const auto& state = endpoints_.at(id);
+        if (able(state, spec) &&
+            (best == nullptr || state.expected_service(spec, now) <
+                                    best->expected_service(spec, now)))
+            best = &state;
+    }
+    if (best == nullptr || !best->service.contains(spec.model))
+        return {};
+    return best->service.at(spec.model);
+}
+
 template <clock_source Clock, choice_policy Choice, queue_discipline Queue>
 bool scheduler<Clock, Choice, Queue>::has_room(
     const endpoint_state& state, const request_spec& spec) const
 {
     const auto& out = spec.excluded;
+    const auto now = clock_.now();
     return able(state, spec) && state.own_in_flight < state.limit.value() &&
+           now + state.expected_service(spec, now) <= spec.deadline &&
            std::find(out.begin(), out.end(), state.settings.id) == out.end();
 }
 
@@ -82,7 +112,8 @@
     auto& state = *states.at(chosen.index);
     ++state.own_in_flight;
     const auto id = next_id_++;
-    assignments_.emplace(id, held{state.settings.id, target_of(spec), now});
+    assignments_.emplace(
+        id, held{state.settings.id, target_of(spec), now, spec.output_tokens});
     return assignment{
         id, state.settings.id, state.settings.address, chosen.prefix_expected};
 }
@@ -102,6 +133,11 @@
     if (!spec.excluded.empty() && !any_able(spec, false))
         return error(error_code::no_endpoint,
             "Every endpoint that could serve the request was tried.");
+    const auto service =
+        fastest(target_of(spec), now).expected(spec.output_tokens, now);
+    if (now + service > spec.deadline)
+        return error(error_code::overloaded,
+            "The estimated time of the answer exceeds the deadline.");
     if (line.queue.size() == 0)
         return std::nullopt;
     const auto rate = line.estimate.rate();
@@ -110,7 +146,7 @@
     const auto own_rate = line.shares.available(spec.workspace, *rate, now);
     const auto wait = std::max(time_for(line.queue.tokens_ahead(spec), *rate),
         time_for(line.queue.own_tokens_ahead(spec), own_rate));
-    if (now + wait + line.service.mean() > spec.deadline)
+    if (now + wait + service > spec.deadline)
         return error(error_code::overloaded,
             "The estimated waiting time exceeds the deadline.");
     return std::nullopt;
--- a/src/routing/scheduler_test.cpp
+++ b/src/routing/scheduler_test.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(nearer_zone_wins_ties);
     CPPUNIT_TEST(prefix_returns_to_its_endpoint_until_that_is_loaded);
     CPPUNIT_TEST(late_request_is_refused_early_as_not_run);
+    CPPUNIT_TEST(answer_too_long_for_its_deadline_is_refused_early);
     CPPUNIT_TEST(cancelled_request_never_gets_an_endpoint);
     CPPUNIT_TEST(handler_may_call_back);
     CPPUNIT_TEST(service_recovers_without_state_polls);
@@ -239,6 +240,30 @@
         CPPUNIT_ASSERT_EQUAL(before + 1, outcomes_.size());
     }
 
+    // Guards against a request that occupies an engine up to its deadline in
+    // vain, and against an estimate that refuses all requests for ever.
+    void answer_too_long_for_its_deadline_is_refused_early()
+    {
+        use({engine("e1")});
+        const auto ask_for = [&](std::int64_t output_tokens)
+        {
+            auto spec = spec_with_prefix(0);
+            spec.output_tokens = output_tokens;
+            ask(std::move(spec));
+            return outcomes_.back().has_value();
+        };
+        CPPUNIT_ASSERT(ask_for(100));
+        clock_.advance(2s);
+        routes_.release(outcomes_.back()->id, outcome::completed);
+        routes_.tick(clock_.now());
+        CPPUNIT_ASSERT(!ask_for(600));
+        CPPUNIT_ASSERT(
+            execution_state::not_run == outcomes_.back().error().execution());
+        CPPUNIT_ASSERT(ask_for(400));
+        clock_.advance(6s);
+        CPPUNIT_ASSERT(ask_for(600));
+    }
+
     void cancelled_request_never_gets_an_endpoint()
     {
         routes_.update({engine("e1")}, "a");
--- a/src/routing/types.hpp
+++ b/src/routing/types.hpp
@@ -30,6 +30,8 @@
     service_id service;
     /// Prompt upper bound plus maximum output, for fair queueing.
     std::int64_t cost_tokens = 0;
+    /// Maximum output, for the service time; 0 when unknown.
+    std::int64_t output_tokens = 0;
     /// Hash of the leading part of the prompt; 0 for none.
     std::uint64_t prefix_hash = 0;
     routing::priority priority = priority::normal;
--- a/src/routing/wait_estimate.hpp
+++ b/src/routing/wait_estimate.hpp
@@ -124,26 +124,49 @@
     std::map<workspace_id, usage> usage_;
 };
 
-/// Usual time between the dispatch of a request and its end.
+/// Usual time between the dispatch of a request and its end, in proportion to
+/// the maximum output. That answers seldom reach their maximum is part of what
+/// is measured.
 class service_time
 {
 public:
-    void completed(duration taken)
+    void completed(duration taken, std::int64_t output_tokens, time_point now)
     {
         constexpr double newest_weight = 0.05;
         const std::chrono::duration<double> seconds = taken;
-        mean_s_ = mean_s_
-                      ? *mean_s_ + newest_weight * (seconds.count() - *mean_s_)
-                      : seconds.count();
+        const auto weight = known(now) ? newest_weight : 1.0;
+        seconds_ =
+            seconds_.value_or(0) * (1 - weight) + seconds.count() * weight;
+        tokens_ = tokens_ * (1 - weight) +
+                  static_cast<double>(output_tokens) * weight;
+        measured_at_ = now;
+    }
+
+    /// Whether a request ended lately. Without this limit, an estimate that
+    /// refuses every request could never be corrected.
+    bool known(time_point now) const
+    {
+        constexpr std::chrono::seconds expiry{5};
+        return seconds_ && now - measured_at_ <= expiry;
     }
-    duration mean() const
+
+    /// Zero when nothing is known.
+    duration expected(std::int64_t output_tokens, time_point now) const
     {
+        if (!known(now))
+            return duration::zero();
+        auto seconds = seconds_.value_or(0);
+        if (output_tokens > 0 && tokens_ >= 1)
+            seconds *= static_cast<double>(output_tokens) / tokens_;
+        constexpr double longest_s = 3600;
         return std::chrono::duration_cast<duration>(
-            std::chrono::duration<double>(mean_s_.value_or(0)));
+            std::chrono::duration<double>(std::min(longest_s, seconds)));
     }
 
 private:
-    std::optional<double> mean_s_;
+    std::optional<double> seconds_;
+    double tokens_ = 0;
+    time_point measured_at_{};
 };
 
 } // namespace tarragonquay::routing
