Keep the time between tokens of an engine within its target

The in-flight limit of an engine looked only at what waits there. A slow engine was filled until its batch exceeded 33 ms between tokens. Completed answers now tell their length on release, and the limit shrinks while the mean time for each token is above 33 ms and grows only below 80% of it.

--- a/experiment/traffic_run.hpp
+++ b/experiment/traffic_run.hpp
@@ -248,7 +248,7 @@
         outcome.attained += done.attained() ? 1 : 0;
         outcome.prefix_hits += done.prefix_hit ? 1 : 0;
         schedulers_[flight.scheduler]->release(
-            flight.assignment, routing::outcome::completed);
+            flight.assignment, routing::outcome::completed, done.output_tokens);
     }
 
     // Ends requests whose engine is silent or whose deadline has passed.
--- a/src/daemon/application_ports.cpp
+++ b/src/daemon/application_ports.cpp
@@ -22,8 +22,12 @@
         post([this, spec = std::move(spec), on_done = std::move(on_done)]
             { core_->acquire(spec, on_done); });
     };
-    port.release = [this](std::uint64_t assignment, routing::outcome how)
-    { post([this, assignment, how] { core_->release(assignment, how); }); };
+    port.release = [this](std::uint64_t assignment, routing::outcome how,
+                       std::int64_t output_tokens)
+    {
+        post([this, assignment, how, output_tokens]
+            { core_->release(assignment, how, output_tokens); });
+    };
     port.entries = [this](auto on_done) {
         post([this, on_done = std::move(on_done)]
             { on_done(core_->entries()); });
--- a/src/daemon/control_core.cpp
+++ b/src/daemon/control_core.cpp
@@ -232,9 +232,10 @@
     scheduler_.enqueue(std::move(spec), std::move(on_done));
 }
 
-void control_core::release(std::uint64_t assignment, routing::outcome how)
+void control_core::release(
+    std::uint64_t assignment, routing::outcome how, std::int64_t output_tokens)
 {
-    scheduler_.release(assignment, how);
+    scheduler_.release(assignment, how, output_tokens);
 }
 
 std::vector<ingress::entry_address> control_core::entries() const
--- a/src/daemon/control_core.hpp
+++ b/src/daemon/control_core.hpp
@@ -69,7 +69,8 @@
     void settle(const limits::reservation& reserved, std::int64_t used);
     void acquire(routing::request_spec spec,
         std::function<void(result<routing::assignment>)> on_done);
-    void release(std::uint64_t assignment, routing::outcome how);
+    void release(std::uint64_t assignment, routing::outcome how,
+        std::int64_t output_tokens);
     std::vector<ingress::entry_address> entries() const;
     /// What the instance waits for before it can serve; empty when ready.
     std::string waiting_for() const;
--- a/src/ingress/completion_route.cpp
+++ b/src/ingress/completion_route.cpp
@@ -233,6 +233,8 @@
     if (outcome)
     {
         assignment.note(routing::outcome::completed);
+        if (const auto& usage = stream.usage())
+            assignment.note_output(usage->completion_tokens);
         co_return co_await deliver_end(call, stream);
     }
     assignment.note(outcome_of(outcome.error()));
--- a/src/ingress/control_port.hpp
+++ b/src/ingress/control_port.hpp
@@ -36,8 +36,10 @@
     std::function<void(routing::request_spec,
         std::function<void(result<routing::assignment>)>)>
         acquire;
-    /// Ends an assignment.
-    std::function<void(std::uint64_t assignment_id, routing::outcome)> release;
+    /// Ends an assignment; the output of a complete answer, or 0.
+    std::function<void(std::uint64_t assignment_id, routing::outcome,
+        std::int64_t output_tokens)>
+        release;
     /// Instances that are neither stopping nor without a view lease, this
     /// one included; unordered.
     std::function<void(std::function<void(std::vector<entry_address>)>)>
--- a/src/ingress/guards.hpp
+++ b/src/ingress/guards.hpp
@@ -37,17 +37,22 @@
         : control_(control), held_(std::move(held))
     {
     }
-    ~assignment_guard() { control_.release(held_.id, outcome_); }
+    ~assignment_guard()
+    {
+        control_.release(held_.id, outcome_, output_tokens_);
+    }
     assignment_guard(const assignment_guard&) = delete;
     assignment_guard& operator=(const assignment_guard&) = delete;
 
     const routing::assignment& held() const { return held_; }
     void note(routing::outcome outcome) { outcome_ = outcome; }
+    void note_output(std::int64_t tokens) { output_tokens_ = tokens; }
 
 private:
     const control_port& control_;
     const routing::assignment held_;
     routing::outcome outcome_ = routing::outcome::cancelled;
+    std::int64_t output_tokens_ = 0;
 };
 
 } // namespace tarragonquay::ingress
--- a/src/ingress/server_test_support.hpp
+++ b/src/ingress/server_test_support.hpp
@@ -190,8 +190,8 @@
             held.address = address;
             handler(held);
         };
-        out.release = [this](std::uint64_t, routing::outcome outcome)
-        { released.push_back(outcome); };
+        out.release = [this](std::uint64_t, routing::outcome outcome,
+                          std::int64_t) { released.push_back(outcome); };
         out.entries = [](auto handler) {
             handler(std::vector<entry_address>{{"10.0.0.1:1", "a"}});
         };
--- a/src/routing/endpoint_state.cpp
+++ b/src/routing/endpoint_state.cpp
@@ -18,6 +18,9 @@
 // report says little about the current load.
 constexpr double load_half_life_s = 2.0;
 constexpr std::int32_t smallest_limit = 2;
+// Target of the time between tokens (design, section 1.3).
+constexpr double token_target_s = 0.033;
+constexpr double growth_margin = 0.8;
 
 } // namespace
 
@@ -63,12 +66,27 @@
     const endpoint_report& report, std::int32_t own_in_flight)
 {
     const bool congested = report.waiting * 4 > report.running;
-    if (congested)
+    const auto token_s = token_s_.value_or(0);
+    if (congested || token_s > token_target_s)
         value_ = std::max(smallest_limit, value_ * 9 / 10);
-    else if (report.waiting == 0 && own_in_flight * 5 >= value_ * 4)
+    else if (report.waiting == 0 && own_in_flight * 5 >= value_ * 4 &&
+             token_s < growth_margin * token_target_s)
         value_ = std::min(maximum_, value_ + 1 + value_ / 8);
 }
 
+void in_flight_limit::answered(duration taken, std::int64_t output_tokens)
+{
+    // In a short answer, the time of the prompt outweighs that of the tokens.
+    constexpr std::int64_t least_tokens = 32;
+    constexpr double newest_weight = 0.1;
+    if (output_tokens < least_tokens)
+        return;
+    const auto measured = std::chrono::duration<double>(taken).count() /
+                          static_cast<double>(output_tokens);
+    token_s_ = token_s_ ? *token_s_ + newest_weight * (measured - *token_s_)
+                        : measured;
+}
+
 void in_flight_limit::rejected()
 {
     value_ = std::max(smallest_limit, value_ * 7 / 10);
--- a/src/routing/endpoint_state.hpp
+++ b/src/routing/endpoint_state.hpp
@@ -43,7 +43,9 @@
 
 /// Requests that this instance may have in flight at one endpoint, learned
 /// from the endpoint's reports: fewer while requests wait at the endpoint,
-/// more while none waits and the limit is used.
+/// more while none waits and the limit is used. The limit also keeps the time
+/// between tokens within its target, so that the excess waits in the fair queue
+/// of this instance and not in a batch that is too slow for all.
 class in_flight_limit
 {
 public:
@@ -55,8 +57,11 @@
     std::int32_t value() const { return value_; }
     void observe(const endpoint_report& report, std::int32_t own_in_flight);
     void rejected();
+    /// A complete answer of this many tokens took this long.
+    void answered(duration taken, std::int64_t output_tokens);
 
 private:
+    std::optional<double> token_s_;
     std::int32_t value_;
     std::int32_t maximum_;
 };
--- a/src/routing/scheduler.hpp
+++ b/src/routing/scheduler.hpp
@@ -65,8 +65,10 @@
     /// handler was called already.
     void cancel(std::uint64_t ticket);
 
-    /// Ends an assignment; an unknown id is ignored.
-    void release(std::uint64_t assignment_id, outcome how);
+    /// Ends an assignment; an unknown id is ignored. `output_tokens` is the
+    /// length of a complete answer, or 0 when unknown.
+    void release(std::uint64_t assignment_id, outcome how,
+        std::int64_t output_tokens = 0);
 
     /// Takes the endpoints of the configuration and the zone of this
     /// instance. Endpoints that are gone get no new work.
--- a/src/routing/scheduler_calls.ipp
+++ b/src/routing/scheduler_calls.ipp
@@ -50,7 +50,7 @@
 
 template <clock_source Clock, choice_policy Choice, queue_discipline Queue>
 void scheduler<Clock, Choice, Queue>::release(
-    std::uint64_t assignment_id, outcome how)
+    std::uint64_t assignment_id, outcome how, std::int64_t output_tokens)
 {
     const auto it = assignments_.find(assignment_id);
     if (it == assignments_.end())
@@ -66,6 +66,7 @@
         {
             const auto now = clock_.now();
             state.health.exchange_succeeded();
+            state.limit.answered(now - released.since, output_tokens);
             state.service[released.for_target.first].completed(
                 now - released.since, released.output_tokens, now);
         }
--- a/src/routing/scheduler_test.cpp
+++ b/src/routing/scheduler_test.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(prefix_returns_to_its_endpoint_until_that_is_loaded);
     CPPUNIT_TEST(late_request_is_refused_early_as_not_run);
     CPPUNIT_TEST(answer_too_long_for_its_deadline_is_refused_early);
+    CPPUNIT_TEST(slow_tokens_lower_the_limit_of_an_engine);
     CPPUNIT_TEST(cancelled_request_never_gets_an_endpoint);
     CPPUNIT_TEST(handler_may_call_back);
     CPPUNIT_TEST(service_recovers_without_state_polls);
@@ -264,6 +265,34 @@
         CPPUNIT_ASSERT(ask_for(600));
     }
 
+    // Guards against batches that are too slow for all of their requests
+    // although the engine reports that nothing waits.
+    void slow_tokens_lower_the_limit_of_an_engine()
+    {
+        scheduler<fake_clock> routes(clock_, {64, 8, 8});
+        routes.update({engine("e1")}, "a");
+        routes.report(ready_report("e1", clock_.now()));
+        const auto place = [&](std::int64_t output_tokens)
+        {
+            routes.enqueue(spec_with_prefix(0),
+                [&, output_tokens](const result<assignment>& value)
+                {
+                    clock_.advance(4s);
+                    routes.release(
+                        value->id, outcome::completed, output_tokens);
+                });
+            routes.report(ready_report("e1", clock_.now()));
+        };
+        // 4 s for 100 tokens are 40 ms for each; the target is 33 ms.
+        for (int i = 0; i < 3; ++i)
+            place(100);
+        int placed = 0;
+        for (int i = 0; i < 8; ++i)
+            routes.enqueue(spec_with_prefix(0),
+                [&](const result<assignment>&) { ++placed; });
+        CPPUNIT_ASSERT_EQUAL(5, placed);
+    }
+
     void cancelled_request_never_gets_an_endpoint()
     {
         routes_.update({engine("e1")}, "a");
