--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -14,7 +14,7 @@
 mkdir -p "$2"
 folder=$(cd "$2" && pwd)
 cd "$(dirname "$0")/.."
-program=${TQ_BUILD_DIR:-build}/tq-experiment
+program=${TQ_BUILD_DIR:-build}/bin/tq-experiment
 options=(--seeds 1 2 3 --seconds 120)
 "$program" "$name" "${options[@]}" | tee "$folder/$name.txt"
 "$program" "$name" "${options[@]}" --json > "$folder/$name.json"
