--- a/experiment/limits_trace.cpp
+++ b/experiment/limits_trace.cpp
@@ -64,7 +64,7 @@
     std::vector<limits_request> trace;
     for (std::size_t w = 0; w < traced_workspaces().size(); ++w)
     {
-        std::mt19937_64 random(scenario.seed * 1000 + w);
+        std::mt19937_64 random(std::uint64_t{scenario.seed} * 1000 + w);
         const auto& each = traced_workspaces()[w];
         const auto most = largest_part_of_burst *
                           static_cast<double>(each.limit.burst_tokens);
--- a/src/limits/limiter.cpp
+++ b/src/limits/limiter.cpp
@@ -312,8 +312,10 @@
 void basic_limiter<Policy>::serve_waiters(time_point now)
 {
     std::vector<std::pair<admit_handler, result<reservation>>> done;
-    for (auto& [workspace, queue] : waiters_)
+    for (auto& entry : waiters_)
     {
+        const auto& workspace = entry.first;
+        auto& queue = entry.second;
         const auto found = buckets_.find(workspace);
         const bool exists = found != buckets_.end() && !found->second.removed;
         std::erase_if(queue,
@@ -580,15 +582,13 @@
         wide weights = 0;
         for (const auto& [member, weight] : receivers)
             weights += weight;
+        const auto part = [&weights](std::int64_t whole, std::int64_t weight)
+        { return static_cast<std::int64_t>(wide(whole) * weight / weights); };
         // A debt is not handed over; it lowers what this instance gives.
         for (const auto& [member, weight] : receivers)
         {
-            const auto part = [&](std::int64_t whole) {
-                return static_cast<std::int64_t>(
-                    wide(whole) * weight / weights);
-            };
-            donate(workspace, item, member, part(item.shares),
-                part(std::max<std::int64_t>(item.level, 0)), now);
+            donate(workspace, item, member, part(item.shares, weight),
+                part(std::max<std::int64_t>(item.level, 0), weight), now);
             weights -= weight;
         }
     }
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -55,6 +55,7 @@
         begun_ = clock_type::now();
         std::vector<std::thread> callers;
         constexpr int heavy_callers = 16;
+        callers.reserve(heavy_callers + 2);
         for (int i = 0; i < heavy_callers; ++i)
             callers.emplace_back([&] { call("heavy", milliseconds(0)); });
         // A request reserves less than 100 tokens.
