--- a/src/daemon/control_core.cpp
+++ b/src/daemon/control_core.cpp
@@ -211,6 +211,13 @@
                 ++refused_requests_[workspace];
             on_done(std::move(reserved));
         });
+    send_limiter_messages();
+}
+
+void control_core::send_limiter_messages()
+{
+    for (auto& outgoing : limiter_->take_messages(clock_.now()))
+        send(outgoing.to, std::move(outgoing.message));
 }
 
 void control_core::settle(
@@ -225,9 +232,10 @@
     scheduler_.enqueue(std::move(spec), std::move(on_done));
 }
 
-void control_core::release(std::uint64_t assignment, routing::outcome how)
+void control_core::release(
+    std::uint64_t assignment, routing::outcome how, std::int64_t output_tokens)
 {
-    scheduler_.release(assignment, how);
+    scheduler_.release(assignment, how, output_tokens);
 }
 
 std::vector<ingress::entry_address> control_core::entries() const
--- a/src/daemon/control_core.hpp
+++ b/src/daemon/control_core.hpp
@@ -69,7 +69,8 @@
     void settle(const limits::reservation& reserved, std::int64_t used);
     void acquire(routing::request_spec spec,
         std::function<void(result<routing::assignment>)> on_done);
-    void release(std::uint64_t assignment, routing::outcome how);
+    void release(std::uint64_t assignment, routing::outcome how,
+        std::int64_t output_tokens);
     std::vector<ingress::entry_address> entries() const;
     /// What the instance waits for before it can serve; empty when ready.
     std::string waiting_for() const;
@@ -117,6 +118,7 @@
     void on_applied(const config::Change& change);
     void on_configuration();
     void update_limits();
+    void send_limiter_messages();
     void on_store_contact(time_point sent_at, std::int64_t head);
     void on_store_failure(const error& reason);
     void commit_membership(config::Change change,
--- a/src/routing/endpoint_state.hpp
+++ b/src/routing/endpoint_state.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <chrono>
+#include <map>
 #include <optional>
 #include <string>
 
 #include "catalog/types.hpp"
 #include "routing/types.hpp"
+#include "routing/wait_estimate.hpp"
 
 namespace tarragonquay::routing
 {
@@ -41,7 +43,9 @@
 
 /// Requests that this instance may have in flight at one endpoint, learned
 /// from the endpoint's reports: fewer while requests wait at the endpoint,
-/// more while none waits and the limit is used.
+/// more while none waits and the limit is used. The limit also keeps the time
+/// between tokens within its target, so that the excess waits in the fair queue
+/// of this instance and not in a batch that is too slow for all.
 class in_flight_limit
 {
 public:
@@ -53,8 +57,11 @@
     std::int32_t value() const { return value_; }
     void observe(const endpoint_report& report, std::int32_t own_in_flight);
     void rejected();
+    /// A complete answer of this many tokens took this long.
+    void answered(duration taken, std::int64_t output_tokens);
 
 private:
+    std::optional<double> token_s_;
     std::int32_t value_;
     std::int32_t maximum_;
 };
@@ -67,6 +74,8 @@
     endpoint_health health;
     in_flight_limit limit;
     std::optional<endpoint_report> report;
+    // By model; the empty id is a plain service.
+    std::map<model_id, service_time> service;
     std::int32_t own_in_flight = 0;
     // Own requests in flight when the report arrived; part of its load.
     std::int32_t own_at_report = 0;
@@ -78,6 +87,8 @@
     }
     /// Load of the other instances at this time.
     double other_load(time_point now) const;
+    /// Usual time of a request with this output; zero when unknown.
+    duration expected_service(const request_spec& spec, time_point now) const;
     /// Whether the model and, if named, the adapter are ready here.
     bool ready(const model_id& model, const adapter_id& adapter) const;
 };
