Name the incarnation in commands to engines

Cause: a command carried no incarnation of the engine, so a late copy that arrived at a restarted engine took effect, because fencing numbers start anew. The body of POST /control/commands now has "incarnation". Engines that honour fencing numbers refuse a mismatch with 409 stale_fencing, so a restart now concludes their open intents. The controller no longer sends a command when the engine's last report shows another incarnation than the intent.

Ruled out: counting overcommits only; that property passed with the refusal removed. The new property compares accounted and used memory after each step. Conclusion: guaranteed for engines that honour fencing.

--- a/src/endpoints/command_client.cpp
+++ b/src/endpoints/command_client.cpp
@@ -45,7 +45,7 @@
         return command_answer::known;
     case 409:
         return fail(error_code::stale_fencing,
-            "the engine has seen a newer fencing number");
+            "the engine has restarted or seen a newer fencing number");
     case 507:
         return fail(error_code::no_memory, "the engine has no memory for this");
     default:
@@ -64,6 +64,7 @@
 std::string encode_command(const records::Command_intent& intent)
 {
     nlohmann::json body{{"command_id", intent.command_id()},
+        {"incarnation", intent.engine_incarnation()},
         {"fencing", intent.fencing()}, {"kind", kind_name(intent.kind())},
         {"model", intent.model()}, {"version", intent.version()},
         {"bytes", intent.bytes()},
--- a/src/endpoints/state_poller_test.cpp
+++ b/src/endpoints/state_poller_test.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST_SUITE(state_poller_test);
     CPPUNIT_TEST(reports_states_and_failures);
     CPPUNIT_TEST(command_answers_are_told_apart);
+    CPPUNIT_TEST(command_names_the_incarnation_it_is_meant_for);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -97,6 +98,15 @@
             CPPUNIT_ASSERT(answer.error().execution() == execution);
         }
     }
+
+    // Guards against a copy that a restarted engine can't tell from a new one.
+    void command_names_the_incarnation_it_is_meant_for()
+    {
+        records::Command_intent intent;
+        intent.set_engine_incarnation("i7");
+        CPPUNIT_ASSERT(encode_command(intent).find(R"("incarnation":"i7")") !=
+                       std::string::npos);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(state_poller_test);
--- a/src/placement/controller.ipp
+++ b/src/placement/controller.ipp
@@ -278,6 +278,12 @@
     placement_planner P>
 void controller<S, C, T, P>::send(const intent& command)
 {
+    // An engine that ignores incarnations would carry the command out, and
+    // its next report would conclude the intent too early.
+    const auto& engine = ledger_.engines().at(command.endpoint);
+    if (engine.report &&
+        engine.report->incarnation != command.engine_incarnation)
+        return;
     sent_at_[command.command_id] = clock_.now();
     emit(events::kind::command_sent, command.command_id,
         std::string(to_string(command.kind)) + " " + command.model.str() +
--- a/src/placement/controller_test.cpp
+++ b/src/placement/controller_test.cpp
@@ -77,6 +77,7 @@
     CPPUNIT_TEST(new_holder_accounts_commands_that_are_on_their_way);
     CPPUNIT_TEST(faults_never_overcommit_memory_or_lose_a_model);
     CPPUNIT_TEST(engine_restarts_never_overcommit_memory);
+    CPPUNIT_TEST(late_copies_never_use_memory_that_is_not_accounted);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -197,6 +198,24 @@
                 RC_ASSERT(found.find("overcommitted") == std::string::npos);
             }));
     }
+
+    // Guards against a copy that is delayed beyond a restart and takes effect
+    // at the new incarnation. Engines that ignore fencing can't refuse it, so
+    // only the others are checked.
+    void late_copies_never_use_memory_that_is_not_accounted()
+    {
+        CPPUNIT_ASSERT(rc::check("copies that survive engine restarts",
+            []
+            {
+                region world(5, true);
+                world.demand(0);
+                for (int i = 0; i < 400; ++i)
+                {
+                    step(world, true);
+                    RC_ASSERT(!world.unaccounted());
+                }
+            }));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(controller_test);
--- a/src/placement/ledger.cpp
+++ b/src/placement/ledger.cpp
@@ -115,18 +115,20 @@
 bool ledger::concluded(const engine_account& engine, const intent& value) const
 {
     const auto& report = *engine.report;
+    // An engine that honours fencing refuses copies for an earlier incarnation.
+    // For the others this is the only sign that ever comes; a copy that is
+    // still on its way to them can't be told from one that was lost.
+    if (report.incarnation != value.engine_incarnation)
+        return true;
     if (engine.honours_fencing)
     {
         // After a number as high as this one, the engine refuses all copies
-        // that it has not accepted already. A restart alone proves nothing:
-        // the new incarnation accepts an old copy while its number is lower.
+        // that it has not accepted already.
         const auto outcome = outcome_in(report, value.command_id);
         if (outcome)
             return *outcome != command_outcome::pending;
         return report.highest_fencing >= value.fencing;
     }
-    if (report.incarnation != value.engine_incarnation)
-        return true;
     return engine.answered.contains(value.command_id) &&
            finished(report, value);
 }
--- a/standins/engine_memory.cpp
+++ b/standins/engine_memory.cpp
@@ -33,6 +33,7 @@
 {
     engine_command command;
     command.command_id = body.at("command_id").get<std::string>();
+    command.incarnation = body.value("incarnation", std::string());
     command.fencing = body.at("fencing").get<std::int64_t>();
     command.kind = body.at("kind").get<std::string>();
     command.model = body.at("model").get<std::string>();
@@ -74,6 +75,10 @@
     if (known != outcomes_.end())
         return json_answer(
             {{"command_id", command.command_id}, {"outcome", known->second}});
+    if (options_.honours_fencing && !command.incarnation.empty() &&
+        command.incarnation != incarnation_)
+        return reject(command, 409, "stale_fencing",
+            "the command is meant for incarnation " + command.incarnation);
     if (options_.honours_fencing && command.fencing < highest_fencing_)
         return reject(command, 409, "stale_fencing",
             "a command with fencing number " +
--- a/standins/engine_memory.hpp
+++ b/standins/engine_memory.hpp
@@ -16,6 +16,8 @@
 struct engine_command
 {
     std::string command_id;
+    /// Incarnation that the command is meant for; empty for any.
+    std::string incarnation;
     std::int64_t fencing = 0;
     std::string kind;
     std::string model;
--- a/tests/standins_test.cpp
+++ b/tests/standins_test.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST(lost_answer_leaves_the_effect);
     CPPUNIT_TEST(resumed_stream_equals_the_uninterrupted_one);
     CPPUNIT_TEST(engine_counts_overcommits_and_refuses_stale_fencing);
+    CPPUNIT_TEST(restarted_engine_refuses_commands_for_its_predecessor);
     CPPUNIT_TEST(unload_frees_memory_after_running_streams);
     CPPUNIT_TEST(crossed_answer_carries_another_request_id);
     CPPUNIT_TEST(store_refuses_writes_beyond_its_queue);
@@ -136,6 +137,24 @@
         CPPUNIT_ASSERT_EQUAL(1, memory_of(address).second);
     }
 
+    // Guards against a late copy that takes effect after a restart, where the
+    // fencing numbers start anew.
+    void restarted_engine_refuses_commands_for_its_predecessor()
+    {
+        const auto engine = start_engine({});
+        const auto address = engine->address("engine");
+        const std::string path = "/control/commands";
+        auto command = load_command("a", 5, 1000);
+        command["incarnation"] =
+            fetch(address, "/control/state").json().at("incarnation");
+        const auto restarted = post(address, "/admin/restart", {}).json();
+        CPPUNIT_ASSERT_EQUAL(409, post(address, path, command).status);
+        CPPUNIT_ASSERT_EQUAL(0, memory_of(address).first);
+        command["command_id"] = "b";
+        command["incarnation"] = restarted.at("incarnation");
+        CPPUNIT_ASSERT_EQUAL(202, post(address, path, command).status);
+    }
+
     // Guards against memory that is freed under a running stream or never.
     void unload_frees_memory_after_running_streams()
     {
