Keep demanded models on a part of the engines when not all fit

Cause: with 17 models on 6 accelerators, a model without a replica took the second replica of a busy model, so busy models never had enough replicas, and all models took turns on all engines at the full load rate. When not all models fit, the models with the highest demand per byte now keep their replicas on a part of the engines; the others take turns on the rest, the longest wait first. A last replica is still given up only for a model that waits.

--- a/src/placement/plan_draft.cpp
+++ b/src/placement/plan_draft.cpp
@@ -1,6 +1,7 @@
 #include "placement/plan_draft.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -14,6 +15,161 @@
         index_[view_.models[i].id] = i;
 }
 
+std::int64_t plan_draft::size_of(const engine_view& engine)
+{
+    auto bytes = engine.free_bytes;
+    for (const auto& replica : engine.replicas)
+        bytes += replica.bytes;
+    return bytes;
+}
+
+bool plan_draft::all_fit() const
+{
+    std::int64_t memory = 0;
+    for (const auto& engine : view_.engines)
+    {
+        const auto bytes = size_of(engine);
+        // An engine that has not reported yet may hold the missing models.
+        if (bytes == 0)
+            return true;
+        memory += bytes;
+    }
+    std::int64_t needed = 0;
+    for (const auto& model : view_.models)
+        needed += model.bytes;
+    return needed <= memory;
+}
+
+std::int64_t plan_draft::choose_rotating_engines()
+{
+    std::int64_t memory = 0;
+    for (const auto& engine : view_.engines)
+        memory += engine.usable ? size_of(engine) : 0;
+    // Whole engines, so that a large model finds room on one of them.
+    auto wanted = limits_.rotating_part * static_cast<double>(memory);
+    for (auto i = view_.engines.size(); i-- > 0 && wanted > 0;)
+    {
+        if (!view_.engines[i].usable)
+            continue;
+        const auto bytes = size_of(view_.engines[i]);
+        rotating_.insert(i);
+        memory -= bytes;
+        wanted -= static_cast<double>(bytes);
+    }
+    return memory;
+}
+
+int plan_draft::settled_replicas(const model_id& model) const
+{
+    int out = 0;
+    for (std::size_t i = 0; i < view_.engines.size(); ++i)
+        if (view_.engines[i].usable && !rotating_.contains(i))
+            for (const auto& replica : view_.engines[i].replicas)
+                out += replica.model == model && !replica.going &&
+                               (replica.ready || replica.coming)
+                           ? 1
+                           : 0;
+    return out;
+}
+
+int plan_draft::replicas_to_keep(const model_view& model, int have) const
+{
+    const auto load =
+        model.tokens_per_second / limits_.replica_tokens_per_second;
+    const auto needed =
+        std::max(1, static_cast<int>(std::ceil(load / limits_.keep_above)));
+    // The gap between the two bounds is the hysteresis.
+    return needed < have && load > (have - 1) * limits_.keep_below ? have
+                                                                   : needed;
+}
+
+void plan_draft::choose_kept_models(std::int64_t memory)
+{
+    struct candidate
+    {
+        model_id model;
+        int replicas = 0;
+        std::int64_t bytes = 0;
+        double value = 0;
+    };
+    std::vector<candidate> candidates;
+    for (const auto& model : view_.models)
+    {
+        const auto have = settled_replicas(model.id);
+        const auto replicas = replicas_to_keep(model, have);
+        const auto bytes = replicas * model.bytes;
+        const auto weight = have > 0 ? limits_.keep_preference : 1;
+        const auto value = weight * model.tokens_per_second /
+                           std::max(1.0, static_cast<double>(bytes));
+        candidates.push_back({model.id, replicas, bytes, value});
+    }
+    std::stable_sort(candidates.begin(), candidates.end(),
+        [](const candidate& a, const candidate& b)
+        { return a.value > b.value; });
+    for (const auto& each : candidates)
+    {
+        if (each.bytes > memory || each.value <= 0)
+            continue;
+        memory -= each.bytes;
+        kept_[each.model] = each.replicas;
+    }
+}
+
+bool plan_draft::lacks_kept(const model_id& model) const
+{
+    const auto it = kept_.find(model);
+    return it != kept_.end() && settled_replicas(model) < it->second;
+}
+
+bool plan_draft::may_use(std::size_t engine) const
+{
+    return !scarce_ || rotating_.contains(engine) != loading_kept_;
+}
+
+void plan_draft::keep_demanded_models()
+{
+    scarce_ = !all_fit();
+    if (!scarce_)
+        return;
+    choose_kept_models(choose_rotating_engines());
+    std::vector<const model_view*> wanted;
+    for (const auto& model : view_.models)
+        if (lacks_kept(model.id))
+            wanted.push_back(&model);
+    std::stable_sort(wanted.begin(), wanted.end(),
+        [](const model_view* a, const model_view* b)
+        { return a->tokens_per_second > b->tokens_per_second; });
+    loading_kept_ = true;
+    for (const auto* model : wanted)
+    {
+        if (engine_with_room(*model))
+        {
+            if (may_load())
+                load(*model);
+            continue;
+        }
+        if (view_.loads_open + view_.unloads_open >= limits_.concurrent_loads)
+            continue;
+        if (const auto where = cheapest_room(*model, model->waiting > 0))
+            unload(*where);
+    }
+    loading_kept_ = false;
+}
+
+std::optional<double> plan_draft::loss_when_scarce(
+    const model_view& owner, const model_view& wanted, bool allow_swap) const
+{
+    const auto kept = kept_.find(owner.id);
+    if (loading_kept_ && kept != kept_.end() &&
+        settled_replicas(owner.id) <= kept->second)
+        return std::nullopt;
+    if (count(owner.id).ready > 1)
+        return 0;
+    if (!allow_swap || (!loading_kept_ && owner.waiting_s >= wanted.waiting_s))
+        return std::nullopt;
+    return owner.tokens_per_second;
+}
+
 plan_draft::counts plan_draft::count(const model_id& model) const
 {
     counts out;
@@ -54,7 +210,7 @@
             engine.replicas.end(),
             [&](const replica_view& each) { return each.model == model.id; });
         if (!engine.usable || !engine.accepts_command || present ||
-            engine.free_bytes < model.bytes)
+            engine.free_bytes < model.bytes || !may_use(i))
             continue;
         // The tightest fit keeps large gaps for large models.
         if (!best || engine.free_bytes < view_.engines[*best].free_bytes)
@@ -114,6 +270,8 @@
     const auto& owner = find(replica.model);
     if (owner.settled_s < limits_.least_residence_s)
         return std::nullopt;
+    if (scarce_)
+        return loss_when_scarce(owner, wanted, allow_swap);
     const auto rest = count(owner.id).ready - 1;
     const auto capacity = rest * limits_.replica_tokens_per_second;
     if (rest > 0)
@@ -137,7 +295,7 @@
     std::size_t engine, const model_view& model, bool allow_swap) const
 {
     const auto& at = view_.engines[engine];
-    if (!at.usable || !at.accepts_command)
+    if (!at.usable || !at.accepts_command || !may_use(engine))
         return std::nullopt;
     for (const auto& replica : at.replicas)
         if (replica.model == model.id || replica.going)
@@ -219,6 +377,9 @@
             continue;
         if (const auto where = cheapest_room(*model, model->waiting > 0))
             unload(*where);
+        // Smaller models behind it would take its room bit by bit.
+        if (scarce_ && model->waiting > 0)
+            return;
     }
 }
 
@@ -267,6 +428,8 @@
 
 void plan_draft::add_replicas()
 {
+    if (scarce_)
+        return;
     constexpr double gigabyte = 1e9;
     std::vector<std::pair<double, const model_view*>> wishes;
     for (const auto& model : view_.models)
--- a/src/placement/plan_draft.hpp
+++ b/src/placement/plan_draft.hpp
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "placement/planner.hpp"
@@ -17,6 +18,10 @@
 public:
     plan_draft(const cluster_view& view, const planner_limits& limits);
 
+    /// When not all models fit: chooses the models with the highest demand per
+    /// byte and gives them the replicas that they need on a part of the
+    /// engines. The others are left to take turns on the rest.
+    void keep_demanded_models();
     /// Gives a replica to each model that has none. With `make_room`, others
     /// are unloaded where that is needed and allowed.
     void load_missing_models(bool make_room);
@@ -44,6 +49,19 @@
         bool swap = false;
     };
 
+    // Memory of an engine; 0 when it is not known.
+    static std::int64_t size_of(const engine_view& engine);
+    bool all_fit() const;
+    // Returns the memory of the other usable engines.
+    std::int64_t choose_rotating_engines();
+    void choose_kept_models(std::int64_t memory);
+    int replicas_to_keep(const model_view& model, int have) const;
+    // Replicas on the engines that do not rotate.
+    int settled_replicas(const model_id& model) const;
+    bool lacks_kept(const model_id& model) const;
+    bool may_use(std::size_t engine) const;
+    std::optional<double> loss_when_scarce(const model_view& owner,
+        const model_view& wanted, bool allow_swap) const;
     counts count(const model_id& model) const;
     const model_view& find(const model_id& model) const;
     bool may_load() const;
@@ -64,6 +82,11 @@
     cluster_view view_;
     const planner_limits& limits_;
     std::map<model_id, std::size_t> index_;
+    // Whether not all models fit at once.
+    bool scarce_ = false;
+    bool loading_kept_ = false;
+    std::set<std::size_t> rotating_;
+    std::map<model_id, int> kept_;
     std::vector<move> moves_;
 };
 
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -8,6 +8,7 @@
 std::vector<move> plan(const cluster_view& view, const planner_limits& limits)
 {
     plan_draft draft(view, limits);
+    draft.keep_demanded_models();
     draft.load_missing_models(true);
     draft.load_adapters();
     draft.add_replicas();
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -101,6 +101,16 @@
     double least_gain_per_gigabyte = 5;
     /// Replicas younger than this are not taken away from a model.
     double least_residence_s = 4;
+    // The rest applies when not all models fit at once. The values were chosen
+    // on 17 models and 6 accelerators; see docs/measurements.md.
+    /// Part of the memory, in whole engines, in which models take turns.
+    double rotating_part = 0.17;
+    /// A model keeps enough replicas to stay below this utilisation, and gives
+    /// one up when the rest stays below the second figure.
+    double keep_above = 0.85;
+    double keep_below = 0.6;
+    /// Weight of a model that is kept already over one that is not.
+    double keep_preference = 1.5;
 };
 
 /// Decides which commands to give next, from the view alone.
@@ -116,7 +126,9 @@
 /// One replica for each model first, then the replica with the highest gain
 /// per byte. A load that needs memory is planned only once the memory is
 /// free. Takes the last replica of a model only for another model that waits,
-/// and only when all models do not fit at once (`move::swap`).
+/// and only when all models do not fit at once (`move::swap`). In that case,
+/// the models with the highest demand per byte are kept on a part of the
+/// engines, and the others take turns on the rest.
 std::vector<move> plan(const cluster_view& view, const planner_limits& limits);
 
 class demand_planner
