Let the minimum residence of a replica grow with its size

Cause: the minimum residence of 4 s is shorter than the load of a large model, and it starts when the load is accepted, so that a replica could be taken away just when it became ready.

--- a/src/placement/plan_draft.cpp
+++ b/src/placement/plan_draft.cpp
@@ -268,7 +268,11 @@
         !index_.contains(replica.model))
         return std::nullopt;
     const auto& owner = find(replica.model);
-    if (owner.settled_s < limits_.least_residence_s)
+    constexpr double gigabyte = 1e9;
+    const auto residence_s = limits_.least_residence_s +
+                             limits_.residence_s_per_gigabyte *
+                                 static_cast<double>(owner.bytes) / gigabyte;
+    if (owner.settled_s < residence_s)
         return std::nullopt;
     if (scarce_)
         return loss_when_scarce(owner, wanted, allow_swap);
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -101,6 +101,9 @@
     double least_gain_per_gigabyte = 5;
     /// Replicas younger than this are not taken away from a model.
     double least_residence_s = 4;
+    /// Added to the residence for each gigabyte, since a larger model takes
+    /// longer to load.
+    double residence_s_per_gigabyte = 0.2;
     // The rest applies when not all models fit at once. The values were chosen
     // on 17 models and 6 accelerators; see docs/measurements.md.
     /// Part of the memory, in whole engines, in which models take turns.
