Conclude a command once the engine lists its outcome

Cause: for engines that ignore fencing, a command whose answer was lost stayed accounted until the engine restarted, even when the engine's state listed its outcome. In tests/memory_test, two of four engines stood empty with all of their memory reserved after three lost answers each; the time line showed no further command to them. An engine that lists the command knows its id and answers further copies without effect, so the intent can be concluded. Engines that list no commands are treated as before; the property tests contain both kinds. Before: the new ledger test fails (the intent stays open).

--- a/src/placement/ledger.cpp
+++ b/src/placement/ledger.cpp
@@ -120,15 +120,14 @@
     // still on its way to them can't be told from one that was lost.
     if (report.incarnation != value.engine_incarnation)
         return true;
+    // An engine that lists the command knows its id, so that further copies
+    // have no effect.
+    if (const auto outcome = outcome_in(report, value.command_id))
+        return *outcome != command_outcome::pending;
+    // After a number as high as this one, the engine refuses all copies that
+    // it has not accepted already.
     if (engine.honours_fencing)
-    {
-        // After a number as high as this one, the engine refuses all copies
-        // that it has not accepted already.
-        const auto outcome = outcome_in(report, value.command_id);
-        if (outcome)
-            return *outcome != command_outcome::pending;
         return report.highest_fencing >= value.fencing;
-    }
     return engine.answered.contains(value.command_id) &&
            finished(report, value);
 }
--- a/src/placement/ledger_test.cpp
+++ b/src/placement/ledger_test.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(open_load_is_accounted_until_a_higher_number_is_seen);
     CPPUNIT_TEST(restart_concludes_a_fenced_command);
     CPPUNIT_TEST(unanswered_load_without_fencing_stays_until_restart);
+    CPPUNIT_TEST(listed_outcome_ends_an_unanswered_command);
     CPPUNIT_TEST(unanswered_unload_without_fencing_keeps_memory_reserved);
     CPPUNIT_TEST(answered_command_without_fencing_ends_with_its_effect);
     CPPUNIT_TEST(report_from_before_a_takeover_is_ignored);
@@ -90,6 +91,20 @@
         CPPUNIT_ASSERT(accounts_.accepts_command(engine));
     }
 
+    // Guards against memory that stays reserved after each lost answer.
+    void listed_outcome_ends_an_unanswered_command()
+    {
+        start(false);
+        accounts_.add(load_of(5));
+        auto report = report_of("1", 5);
+        report.commands = {{"c5", routing::command_outcome::pending}};
+        CPPUNIT_ASSERT(accounts_.apply(report).empty());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(40), accounts_.free_bytes(engine));
+        report.commands = {{"c5", routing::command_outcome::rejected}};
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), accounts_.apply(report).size());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(100), accounts_.free_bytes(engine));
+    }
+
     void unanswered_unload_without_fencing_keeps_memory_reserved()
     {
         start(false);
