--- a/src/endpoints/state_poller_test.cpp
+++ b/src/endpoints/state_poller_test.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(service_needs_no_state);
     CPPUNIT_TEST(state_of_a_plain_service_is_optional);
     CPPUNIT_TEST(command_answers_are_told_apart);
+    CPPUNIT_TEST(command_names_the_incarnation_it_is_meant_for);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -150,6 +151,15 @@
             CPPUNIT_ASSERT(answer.error().execution() == execution);
         }
     }
+
+    // Guards against a copy that a restarted engine can't tell from a new one.
+    void command_names_the_incarnation_it_is_meant_for()
+    {
+        records::Command_intent intent;
+        intent.set_engine_incarnation("i7");
+        CPPUNIT_ASSERT(encode_command(intent).find(R"("incarnation":"i7")") !=
+                       std::string::npos);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(state_poller_test);
