Let the paused instance get its lease before the services come back

Cause: on a scratch build without the check of the membership before the dispatch, paused_instance_dispatches_no_settled_order still passed: after SIGCONT, the endpoint was chosen before the lease was renewed, so the check of the lease alone refused the order.

After: without the check, the queued order runs twice (expected 1, actual 2); with it, once.

--- a/tests/orders_test.cpp
+++ b/tests/orders_test.cpp
@@ -379,8 +379,13 @@
                     assert_ran(all().send(0, order));
                     CPPUNIT_ASSERT_EQUAL(1, all().runs(order));
                 }
+                // The services come back only after the view lease, so that
+                // the check of the lease alone can't prevent a dispatch.
+                all().fault_services({{"leaving", true}});
                 all().system->list_instance("i2", all().system->entry(1));
                 paused.send_signal(SIGCONT);
+                CPPUNIT_ASSERT(all().system->wait_healthy(1, removal_time));
+                all().fault_services({{"leaving", false}});
                 recording.get();
                 const auto late = queued.get();
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(
