--- a/experiment/limits_experiment.cpp
+++ b/experiment/limits_experiment.cpp
@@ -32,18 +32,23 @@
     return list;
 }
 
-/// Requests that one bucket for the workspace admits, and those of them that
-/// the policy refuses.
+/// Requests, and how many of them are refused.
 struct comparison
 {
-    std::int64_t ideal = 0;
+    std::int64_t requests = 0;
     std::int64_t refused = 0;
 
+    void count(limits_answer answer)
+    {
+        ++requests;
+        refused += answer == limits_answer::refused ? 1 : 0;
+    }
+
     double percent() const
     {
-        return ideal == 0 ? 0.0
-                          : 100.0 * static_cast<double>(refused) /
-                                static_cast<double>(ideal);
+        return requests == 0 ? 0.0
+                             : 100.0 * static_cast<double>(refused) /
+                                   static_cast<double>(requests);
     }
 };
 
@@ -52,6 +57,10 @@
     figure overshoot;
     figure within;
     figure above;
+    // All refusals within the rate; the bucket's own choice of what to refuse
+    // when it is nearly empty differs from the policy's.
+    figure all_refused;
+    figure ideal_refused;
     figure messages;
     figure bytes;
 };
@@ -105,19 +114,28 @@
     const auto outcome = limits_run<Policy>(scenario).run();
     comparison within;
     comparison above;
+    comparison policy_total;
+    comparison ideal_total;
     for (std::size_t i = 0; i < trace.size(); ++i)
     {
+        if (traced_workspaces()[trace[i].workspace].load <= 1 &&
+            outcome.answers[i] != limits_answer::lost)
+        {
+            policy_total.count(outcome.answers[i]);
+            ideal_total.count(ideal[i]);
+        }
         if (ideal[i] != limits_answer::admitted ||
             outcome.answers[i] == limits_answer::lost)
             continue;
         auto& counted =
             traced_workspaces()[trace[i].workspace].load <= 1 ? within : above;
-        ++counted.ideal;
-        counted.refused += outcome.answers[i] == limits_answer::refused ? 1 : 0;
+        counted.count(outcome.answers[i]);
     }
     into.overshoot.add(outcome.overshoot_tokens);
     into.within.add(within.percent());
     into.above.add(above.percent());
+    into.all_refused.add(policy_total.percent());
+    into.ideal_refused.add(ideal_total.percent());
     into.messages.add(outcome.messages_per_second);
     into.bytes.add(outcome.bytes_per_second);
 }
@@ -136,6 +154,7 @@
                     sum);
             out.rows.push_back({policy, fmt::format("{}", instances), each.name,
                 sum.overshoot.text(0), sum.within.text(2), sum.above.text(1),
+                sum.all_refused.text(2), sum.ideal_refused.text(2),
                 sum.messages.text(1), sum.bytes.text(0)});
         }
     }
@@ -155,6 +174,7 @@
         settings.seconds, settings.seeds.size());
     out.columns = {"policy", "instances", "scenario", "overshoot tokens",
         "wrongly refused %, within rate", "wrongly refused %, above rate",
+        "refused %, within rate", "refused by one bucket %, within rate",
         "messages/s per instance", "bytes/s per instance"};
     add_rows<limits::static_split_policy>(out, "static_split", settings);
     add_rows<limits::transfer_policy>(out, "transfers", settings);
