--- a/src/endpoints/state_poller_test.cpp
+++ b/src/endpoints/state_poller_test.cpp
@@ -7,6 +7,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "endpoints/command_client.hpp"
+#include "endpoints/endpoint_state.hpp"
 #include "records.pb.h"
 
 namespace tarragonquay::endpoints
@@ -41,7 +42,10 @@
 {
     CPPUNIT_TEST_SUITE(state_poller_test);
     CPPUNIT_TEST(reports_states_and_failures);
+    CPPUNIT_TEST(service_needs_no_state);
+    CPPUNIT_TEST(state_of_a_plain_service_is_optional);
     CPPUNIT_TEST(command_answers_are_told_apart);
+    CPPUNIT_TEST(command_names_the_incarnation_it_is_meant_for);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -78,6 +82,56 @@
             seen.at(list[1].id).error().code() == error_code::connect_failed);
     }
 
+    // Guards against a plain service that is suspected because it has no
+    // engine's state.
+    void service_needs_no_state()
+    {
+        const auto poll = [](const std::string& status, const std::string& body)
+        {
+            scripted_server service({answer_with(status, body)});
+            std::optional<result<routing::endpoint_report>> seen;
+            state_poller poller(service.context.get_executor(),
+                [&](const endpoint_id&, auto report)
+                { seen = std::move(report); });
+            catalog::endpoint plain;
+            plain.id = endpoint_id("s");
+            plain.address = service.address();
+            plain.kind = catalog::endpoint_kind::service;
+            poller.set_endpoints({plain});
+            poller.start();
+            while (!seen)
+                service.context.run_one();
+            poller.stop();
+            return std::move(*seen);
+        };
+        for (const auto* body : {"not found", "{}", R"({"leaving":1})"})
+        {
+            const auto report = poll("404", body);
+            CPPUNIT_ASSERT_MESSAGE(body, report.has_value());
+            CPPUNIT_ASSERT_MESSAGE(body, !report->leaving);
+        }
+        CPPUNIT_ASSERT(poll("200", R"({"leaving":true})")->leaving);
+    }
+
+    // Guards against a plain service that is taken for failing because it has
+    // no state, and against one whose wish to leave is not read.
+    void state_of_a_plain_service_is_optional()
+    {
+        const endpoint_id id("s");
+        for (const auto& [status, body, usable, leaving] :
+            {std::tuple{404, "no such path", true, false},
+                std::tuple{200, "not JSON", true, false},
+                std::tuple{200, R"({"leaving": true})", true, true},
+                std::tuple{501, R"({"leaving": true})", true, false},
+                std::tuple{503, "", false, false}})
+        {
+            const auto state = decode_service_state(id, status, body, {});
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(body, usable, state.has_value());
+            if (state)
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(body, leaving, state->leaving);
+        }
+    }
+
     // Guards against memory that is freed while a command may still run.
     void command_answers_are_told_apart()
     {
@@ -97,6 +151,15 @@
             CPPUNIT_ASSERT(answer.error().execution() == execution);
         }
     }
+
+    // Guards against a copy that a restarted engine can't tell from a new one.
+    void command_names_the_incarnation_it_is_meant_for()
+    {
+        records::Command_intent intent;
+        intent.set_engine_incarnation("i7");
+        CPPUNIT_ASSERT(encode_command(intent).find(R"("incarnation":"i7")") !=
+                       std::string::npos);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(state_poller_test);
--- a/src/placement/ledger.cpp
+++ b/src/placement/ledger.cpp
@@ -115,18 +115,19 @@
 bool ledger::concluded(const engine_account& engine, const intent& value) const
 {
     const auto& report = *engine.report;
-    if (engine.honours_fencing)
-    {
-        // After a number as high as this one, the engine refuses all copies
-        // that it has not accepted already. A restart alone proves nothing:
-        // the new incarnation accepts an old copy while its number is lower.
-        const auto outcome = outcome_in(report, value.command_id);
-        if (outcome)
-            return *outcome != command_outcome::pending;
-        return report.highest_fencing >= value.fencing;
-    }
+    // An engine that honours fencing refuses copies for an earlier incarnation.
+    // For the others this is the only sign that ever comes; a copy that is
+    // still on its way to them can't be told from one that was lost.
     if (report.incarnation != value.engine_incarnation)
         return true;
+    // An engine that lists the command knows its id, so that further copies
+    // have no effect.
+    if (const auto outcome = outcome_in(report, value.command_id))
+        return *outcome != command_outcome::pending;
+    // After a number as high as this one, the engine refuses all copies that
+    // it has not accepted already.
+    if (engine.honours_fencing)
+        return report.highest_fencing >= value.fencing;
     return engine.answered.contains(value.command_id) &&
            finished(report, value);
 }
