Refuse calls of plain services only behind a queue

The service-time check before the queue also applied to plain services, whose calls differ too much for a mean: after one call of 30 s, calls with 1 s left were refused. The new test fails without the change.

--- a/src/routing/endpoint_state.cpp
+++ b/src/routing/endpoint_state.cpp
@@ -106,7 +106,7 @@
     const request_spec& spec, time_point now) const
 {
     const auto found = service.find(spec.model);
-    return found == service.end()
+    return found == service.end() || spec.output_tokens <= 0
                ? duration::zero()
                : found->second.expected(spec.output_tokens, now);
 }
--- a/src/routing/endpoint_state.hpp
+++ b/src/routing/endpoint_state.hpp
@@ -87,7 +87,8 @@
     }
     /// Load of the other instances at this time.
     double other_load(time_point now) const;
-    /// Usual time of a request with this output; zero when unknown.
+    /// Usual time of a request with this output. Zero when unknown, and for
+    /// plain services, whose calls may differ too much for an estimate.
     duration expected_service(const request_spec& spec, time_point now) const;
     /// Whether the model and, if named, the adapter are ready here.
     bool ready(const model_id& model, const adapter_id& adapter) const;
--- a/src/routing/scheduler_calls.ipp
+++ b/src/routing/scheduler_calls.ipp
@@ -177,13 +177,14 @@
     {
         line.estimate.observe(line.queue.size() > 0, now);
         const auto service = fastest(of, now);
-        for (auto& item : line.queue.remove_if(
-                 [&](const queued_request& each)
-                 {
-                     return each.spec.deadline <=
-                            now +
-                                service.expected(each.spec.output_tokens, now);
-                 }))
+        const auto too_late = [&](const queued_request& each)
+        {
+            const auto tokens = each.spec.output_tokens;
+            const auto needed =
+                tokens > 0 ? service.expected(tokens, now) : duration::zero();
+            return each.spec.deadline <= now + needed;
+        };
+        for (auto& item : line.queue.remove_if(too_late))
         {
             const bool served = any_able(item.spec, true);
             auto why =
--- a/src/routing/scheduler_choice.ipp
+++ b/src/routing/scheduler_choice.ipp
@@ -135,7 +135,7 @@
             "Every endpoint that could serve the request was tried.");
     const auto service =
         fastest(target_of(spec), now).expected(spec.output_tokens, now);
-    if (now + service > spec.deadline)
+    if (spec.output_tokens > 0 && now + service > spec.deadline)
         return error(error_code::overloaded,
             "The estimated time of the answer exceeds the deadline.");
     if (line.queue.size() == 0)
--- a/src/routing/scheduler_test.cpp
+++ b/src/routing/scheduler_test.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST(cancelled_request_never_gets_an_endpoint);
     CPPUNIT_TEST(handler_may_call_back);
     CPPUNIT_TEST(service_recovers_without_state_polls);
+    CPPUNIT_TEST(slow_call_of_a_service_refuses_no_other);
     CPPUNIT_TEST_SUITE_END();
 
     using outcome_list = std::vector<result<assignment>>;
@@ -337,6 +338,25 @@
         routes_.tick(clock_.now());
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), outcomes_.size());
     }
+
+    // Guards against an estimate from one slow path of a service that refuses
+    // the quick ones.
+    void slow_call_of_a_service_refuses_no_other()
+    {
+        auto desk = engine("s1");
+        desk.kind = catalog::endpoint_kind::service;
+        desk.service = service_id("desk");
+        routes_.update({desk}, "a");
+        request_spec spec;
+        spec.service = desk.service;
+        spec.deadline = clock_.now() + 60s;
+        ask(spec);
+        clock_.advance(30s);
+        routes_.release(outcomes_.back()->id, outcome::completed);
+        spec.deadline = clock_.now() + 1s;
+        ask(spec);
+        CPPUNIT_ASSERT(outcomes_.back().has_value());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(scheduler_test);
