Erase the rows of operations together with their log rows

Rows config/op/... were never erased, so the table grew with every change. Erasing by a scan of config/op/ was ruled out, because its order says nothing about the age. A commit whose answer was lost also looks into the changes that the replica keeps, and reports an unknown outcome when neither source can tell.

--- a/src/catalog/replica.hpp
+++ b/src/catalog/replica.hpp
@@ -169,7 +169,7 @@
                 "digits and -_.:"));
         change.set_operation_id(std::move(operation_id));
         step(std::make_shared<commit_task>(commit_task{std::move(change),
-            expected_revision, deadline, std::move(on_done), {}, {}, 0}));
+            expected_revision, deadline, std::move(on_done), {}, {}, 0, 0}));
     }
 
 private:
@@ -183,6 +183,8 @@
         /// Version of the head row that a transaction without an answer
         /// depends on; while the head keeps it, the transaction may apply.
         std::optional<std::int64_t> unanswered_version;
+        /// Revision of the first transaction without an answer, else 0.
+        std::int64_t attempted = 0;
         /// Heads read in a row that were older than the applied revision.
         int stale_heads = 0;
     };
@@ -372,6 +374,24 @@
             });
     }
 
+    /// Lowest revision whose change is kept here.
+    std::int64_t first_recent_revision() const
+    {
+        return revision() - static_cast<std::int64_t>(recent_.size()) + 1;
+    }
+
+    /// Revision at which a kept change committed the operation.
+    std::optional<std::int64_t> recent_revision(
+        const std::string& operation_id) const
+    {
+        const auto found = std::find_if(recent_.rbegin(), recent_.rend(),
+            [&](const config::Change& change)
+            { return change.operation_id() == operation_id; });
+        if (found == recent_.rend())
+            return std::nullopt;
+        return found->revision();
+    }
+
     void report_committed(const task_ptr& task, std::int64_t committed)
     {
         // The change is committed even when it can't be read back now.
@@ -403,6 +423,16 @@
             task->stale_heads = 0;
             return waiting_.push_back(task);
         }
+        // The operation's row may have been erased together with its log row.
+        if (const auto known = recent_revision(task->change.operation_id()))
+            return task->on_done(*known);
+        if (task->attempted != 0 && first_recent_revision() > task->attempted &&
+            revision() - task->attempted >= snapshot_interval)
+            return task->on_done(fail(error_code::store_outcome_unknown,
+                fmt::format("operation {} may be committed; its record may "
+                            "have been erased",
+                    task->change.operation_id()),
+                execution_state::unknown));
         if (auto checked = check_expected(*task); !checked)
             return task->on_done(tl::unexpected(checked.error()));
         auto& change = task->change;
@@ -428,6 +458,8 @@
             if (outcome.error().code() != error_code::store_outcome_unknown)
                 return wait_or_fail(task, outcome.error());
             task->unanswered_version = task->head.version;
+            if (task->attempted == 0)
+                task->attempted = task->change.revision();
             return step(task);
         }
         if (!outcome->applied)
--- a/src/catalog/replica_test.cpp
+++ b/src/catalog/replica_test.cpp
@@ -255,6 +255,11 @@
         CPPUNIT_ASSERT(!store_.rows().contains(rows::log(snapshot_interval)));
         CPPUNIT_ASSERT(
             store_.rows().contains(rows::log(snapshot_interval + 1)));
+        CPPUNIT_ASSERT(!store_.rows().contains(rows::operation("op256")));
+        CPPUNIT_ASSERT(store_.rows().contains(rows::operation("op257")));
+        // A running instance recognises operations whose rows are erased.
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("1"), commit(a_, workspace_change("w", 1), "op1", -1));
         b_.poll();
         CPPUNIT_ASSERT_EQUAL(1, b_.snapshots);
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), b_.applied.size());
--- a/src/catalog/snapshot_writer.hpp
+++ b/src/catalog/snapshot_writer.hpp
@@ -12,6 +12,7 @@
 #include "catalog/rows.hpp"
 #include "common/clock.hpp"
 #include "common/log.hpp"
+#include "config.pb.h"
 #include "platform/client.hpp"
 
 namespace tarragonquay::catalog
@@ -32,7 +33,8 @@
 };
 
 /// Stores a snapshot: the object first, then the row that names it, then the
-/// erasure of log rows that no reader needs any more. A failure leaves the
+/// erasure of the log rows that no reader needs any more and of the rows of
+/// their operations. A failure leaves the
 /// older snapshot and a longer log in place, which is safe. Steps run inside
 /// the store's handlers and touch no state of the replica.
 template <platform::table_store Store>
@@ -105,19 +107,28 @@
     }
 
     /// Keeps one interval below the snapshot for readers that have just
-    /// loaded the previous one.
+    /// loaded the previous one. The row of an operation is erased together
+    /// with its log row; as long as the log row is there, no later operation
+    /// can have taken the same id.
     void erase_log(const std::vector<platform::row>& found)
     {
         const auto last_erased = rows::log(revision_ - snapshot_interval);
+        std::vector<platform::condition> present;
         std::vector<platform::write> erasures;
         for (const auto& row : found)
         {
-            if (row.key <= last_erased)
-                erasures.push_back({row.key, std::nullopt});
+            if (row.key > last_erased)
+                continue;
+            present.push_back({row.key, row.version});
+            erasures.push_back({row.key, std::nullopt});
+            config::Change change;
+            if (change.ParseFromString(row.value))
+                erasures.push_back(
+                    {rows::operation(change.operation_id()), std::nullopt});
         }
         if (erasures.empty())
             return;
-        store_.transact({}, std::move(erasures), deadline_,
+        store_.transact(std::move(present), std::move(erasures), deadline_,
             [self = this->shared_from_this()](
                 const result<platform::transact_outcome>& outcome)
             {
