Refuse a view lease that is longer than the fencing

A removed member is fenced for 5 s plus a margin, but the settings accepted a view_lease_ms of up to an hour, with which a removed member could go on serving with its old share. Values above 5000 are now refused.

--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -14,6 +14,9 @@
 {
 
 constexpr std::int64_t max_interval_ms = 3'600'000;
+// A removed member is fenced for 5 s plus a margin; a longer view lease could
+// outlive that.
+constexpr std::int64_t longest_view_lease_ms = 5'000;
 // A settings file is a few hundred bytes; this bounds what is parsed.
 constexpr std::size_t max_file_bytes = 1 << 20;
 
@@ -65,7 +68,8 @@
 
 void read_intervals(reader& root, daemon_settings& values)
 {
-    root.read("view_lease_ms", values.view_lease_ms, 500, max_interval_ms);
+    root.read(
+        "view_lease_ms", values.view_lease_ms, 500, longest_view_lease_ms);
     root.read("head_poll_ms", values.head_poll_ms, 50, max_interval_ms);
     root.read("entries_keep_ms", values.entries_keep_ms, 0, max_interval_ms);
     root.read("stop_ms", values.stop_ms, 0, max_interval_ms);
