Open an epoch at once when nobody has to be fenced

The membership now tracks each member that was removed since an epoch was last open: since when its removal is settled, and whether it applied it. The epoch opens when all members have applied the last change and each removed member has either acknowledged its removal or is fenced since its own removal, so a join after a removal does not shorten the fencing. Counting the time from the last change alone was ruled out: it restarts with each join.

The fleet of the unit tests now applies changes one by one and pushes what it commits, as the daemon does, and its instances hold real view leases. A property checks under random cuts, ends, leaves and joins that nobody with a view lease serves with a share of an earlier epoch.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -113,8 +113,42 @@
     return &found->second;
 }
 
+void membership::note_removals(const membership_view& next)
+{
+    if (next.membership_revision != view_.membership_revision)
+    {
+        // A change is committed only when the one before it is settled.
+        for (auto& earlier : removals_)
+        {
+            if (!earlier.settled_at)
+                earlier.settled_at = parts_.now();
+        }
+        if (next.applied_revision != view_.applied_revision + 1)
+            knows_removals_ = false;
+        for (const auto& member : view_.members)
+        {
+            if (contains(next.members, member))
+                continue;
+            const bool local = member.instance == local_.instance &&
+                               member.incarnation == local_.incarnation;
+            removals_.push_back({member, next.membership_revision, {},
+                local || has_applied(member, next.membership_revision)});
+        }
+        // A member that joined again proposed that itself, after it had
+        // applied its removal.
+        std::erase_if(removals_, [&](const removal& earlier)
+            { return contains(next.members, earlier.member); });
+    }
+    if (next.epoch_open)
+    {
+        removals_.clear();
+        knows_removals_ = true;
+    }
+}
+
 void membership::update(membership_view view)
 {
+    note_removals(view);
     if (view.membership_revision != view_.membership_revision)
         settled_at_.reset();
     view_ = std::move(view);
@@ -281,17 +315,30 @@
     return true;
 }
 
-// Records what a peer has applied, and asks for what is missing here.
-void membership::observe(const peer::Envelope& envelope, std::int64_t revision)
+// Records what another instance has applied. A removed member is no peer, but
+// its acknowledgement still ends its fencing.
+void membership::acknowledge(
+    const peer::Envelope& envelope, std::int64_t revision)
 {
     const instance_id from(envelope.from_instance());
     if (auto* state = find_peer(from, envelope.from_incarnation()))
-    {
         state->applied_revision = std::max(state->applied_revision, revision);
-        update_settled();
-        complete_in_force();
+    for (auto& each : removals_)
+    {
+        if (each.member.instance == from &&
+            each.member.incarnation == envelope.from_incarnation() &&
+            revision >= each.revision)
+            each.acknowledged = true;
     }
-    request_catch_up(from, revision);
+}
+
+// Records what a peer has applied, and asks for what is missing here.
+void membership::observe(const peer::Envelope& envelope, std::int64_t revision)
+{
+    acknowledge(envelope, revision);
+    update_settled();
+    complete_in_force();
+    request_catch_up(instance_id(envelope.from_instance()), revision);
 }
 
 void membership::request_catch_up(
@@ -345,6 +392,10 @@
 void membership::on_push(const peer::Envelope& envelope, const peer::Push& push)
 {
     const instance_id from(envelope.from_instance());
+    // An instance pushes only what it has applied. A leaving member sends
+    // nothing after the push of its own removal.
+    if (!push.changes().empty())
+        acknowledge(envelope, push.changes().rbegin()->revision());
     parts_.apply_push(push);
     peer::Envelope reply;
     reply.mutable_push_ack()->set_applied_revision(view_.applied_revision);
@@ -450,6 +501,11 @@
         !majority_applied(view_.previous_members, revision, true))
         return;
     settled_at_ = parts_.now();
+    for (auto& each : removals_)
+    {
+        if (!each.settled_at)
+            each.settled_at = settled_at_;
+    }
     sync_peers();
 }
 
@@ -537,6 +593,26 @@
     return remaining;
 }
 
+// A removed member may serve with its old share until it has applied its
+// removal or can't hold a view lease any more.
+bool membership::removed_are_fenced() const
+{
+    const auto long_ago = [&](const std::optional<time_point>& since)
+    {
+        return since &&
+               parts_.now() - *since >= view_lease_validity + fencing_margin;
+    };
+    // The very first membership has nobody to fence.
+    if (view_.epoch <= 1)
+        return true;
+    // What was skipped was settled before the last change was.
+    if (!knows_removals_)
+        return long_ago(settled_at_);
+    return std::all_of(removals_.begin(), removals_.end(),
+        [&](const removal& each)
+        { return each.acknowledged || long_ago(each.settled_at); });
+}
+
 membership::action membership::next_action() const
 {
     const bool may_change = settled() || view_.members.empty();
@@ -546,11 +622,7 @@
         return action::leave;
     if (may_change && remaining_members().size() < view_.members.size())
         return action::remove;
-    // The very first membership has nobody to fence.
-    const bool fenced =
-        settled() &&
-        (view_.epoch <= 1 || parts_.now() - *settled_at_ >=
-                                 view_lease_validity + fencing_margin);
+    const bool fenced = settled() && removed_are_fenced();
     const bool all_applied =
         std::all_of(view_.members.begin(), view_.members.end(),
             [&](const catalog::member& member)
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -149,6 +149,16 @@
         time_point deadline;
         in_force_handler handler;
     };
+    /// A member that was removed since an epoch was last open.
+    struct removal
+    {
+        catalog::member member;
+        std::int64_t revision = 0;
+        /// Since when a majority is known to have acknowledged the removal.
+        std::optional<time_point> settled_at;
+        /// The member applied its own removal, so its share is 0.
+        bool acknowledged = false;
+    };
     enum class action
     {
         none,
@@ -168,6 +178,9 @@
         const instance_id& instance, const std::string& incarnation);
     const peer_state* find_peer(const catalog::member& member) const;
 
+    void note_removals(const membership_view& next);
+    void acknowledge(const peer::Envelope& envelope, std::int64_t revision);
+    bool removed_are_fenced() const;
     void sync_peers();
     void send_heartbeats();
     void reopen_silent_connections();
@@ -212,6 +225,10 @@
     std::optional<time_point> next_heartbeat_;
     std::optional<time_point> next_catch_up_;
     std::optional<time_point> settled_at_;
+    std::vector<removal> removals_;
+    // False when membership changes since the last open epoch were skipped
+    // by a snapshot, so that `removals_` may lack members.
+    bool knows_removals_ = true;
     std::vector<in_force_waiter> waiters_;
     std::vector<instance_id> serving_;
     action pending_ = action::none;
--- a/src/membership/membership_test.cpp
+++ b/src/membership/membership_test.cpp
@@ -1,10 +1,12 @@
 #include "membership/membership.hpp"
 
+#include <algorithm>
 #include <array>
 #include <memory>
 #include <optional>
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
 
 namespace tarragonquay::membership
 {
@@ -17,6 +19,12 @@
 
 constexpr milliseconds step{100};
 
+struct clock_ref
+{
+    const fake_clock* source;
+    time_point now() const { return source->now(); }
+};
+
 std::vector<catalog::member> members_of(const config::Membership_change& from)
 {
     std::vector<catalog::member> result;
@@ -57,6 +65,9 @@
         bool running = true;
         // Follows the store; otherwise changes come from peers only.
         bool reads_store = true;
+        // Exchanges messages with nobody.
+        bool isolated = false;
+        std::optional<view_lease<clock_ref>> lease;
         int reopened = 0;
         std::optional<in_force_report> report;
     };
@@ -67,6 +78,8 @@
         auto& made = *nodes.back();
         made.self = {instance_id(name),
             name + "-" + std::to_string(incarnation), name + ":1", "", "", ""};
+        made.lease.emplace(
+            clock_ref{&clock}, made.self.instance, made.self.incarnation);
         made.members = std::move(
             *membership::create(made.self, {"a:1", "b:1"}, parts(made)));
         return made;
@@ -81,8 +94,12 @@
             {
                 if (!nodes[i]->running)
                     continue;
-                if (nodes[i]->reads_store)
+                if (nodes[i]->reads_store && store_available)
+                {
                     catch_up(*nodes[i], log);
+                    nodes[i]->lease->renew_from_store(
+                        clock.now(), nodes[i]->view.applied_revision);
+                }
                 nodes[i]->members->update_platform_list(listed());
                 nodes[i]->members->tick();
                 deliver();
@@ -127,8 +144,14 @@
     void catch_up(node& target, const Changes& changes)
     {
         for (const auto& change : changes)
+        {
+            if (change.revision() != target.view.applied_revision + 1)
+                continue;
             target.view = apply(target.view, change);
-        target.members->update(target.view);
+            target.lease->update(
+                target.view.members, target.view.applied_revision);
+            target.members->update(target.view);
+        }
     }
 
     void send(const node& from, const std::string& address, peer::Envelope out)
@@ -136,7 +159,8 @@
         out.set_from_instance(from.self.instance.str());
         out.set_from_incarnation(from.self.incarnation);
         out.set_from_address(from.self.peer_address);
-        network_.emplace_back(address, std::move(out));
+        if (!from.isolated)
+            network_.emplace_back(address, std::move(out));
     }
 
     void deliver()
@@ -148,24 +172,32 @@
             const auto sender = message.from_incarnation();
             for (auto& each : nodes)
             {
-                if (each->running && each->self.peer_address == address &&
+                if (each->running && !each->isolated &&
+                    each->self.peer_address == address &&
                     each->self.incarnation != sender)
                     each->members->on_message(message);
             }
         }
     }
 
-    void try_commit(config::Change change, const membership_view& base,
+    void try_commit(node& self, config::Change change,
+        const membership_view& base,
         const collaborators::commit_handler& handler)
     {
         const auto current = head();
-        if (!store_available)
+        if (!store_available || !self.reads_store)
             handler(fail(error_code::store_unavailable, "no store"));
         else if (current.membership_revision != base.membership_revision ||
                  current.epoch_open != base.epoch_open)
             handler(fail(error_code::conflict, "another change was first"));
         else
-            handler(commit(std::move(change)));
+        {
+            // The daemon applies what it commits and pushes it at once.
+            change.set_revision(commit(change));
+            catch_up(self, log);
+            self.members->push({change});
+            handler(change.revision());
+        }
     }
 
     collaborators parts(node& self)
@@ -180,9 +212,10 @@
         made.set_peer = [](const instance_id&, const std::string&) {};
         made.remove_peer = [](const instance_id&) {};
         made.reopen = [&self](const instance_id&) { ++self.reopened; };
-        made.commit = [this](config::Change change, const membership_view& base,
+        made.commit = [this, &self](config::Change change,
+                          const membership_view& base,
                           const collaborators::commit_handler& handler)
-        { try_commit(std::move(change), base, handler); };
+        { try_commit(self, std::move(change), base, handler); };
         made.apply_push = [this, &self](const peer::Push& push)
         { catch_up(self, push.changes()); };
         made.apply_catch_up = [this, &self](const peer::Catch_up_reply& reply)
@@ -194,8 +227,11 @@
                 *reply.add_changes() = log[at];
             return reply;
         };
-        made.record_reply = [](const instance_id&, const std::string&,
-                                time_point, std::int64_t) {};
+        made.record_reply = [&self](const instance_id& peer,
+                                const std::string& incarnation,
+                                time_point sent_at, std::int64_t revision) {
+            self.lease->record_peer_reply(peer, incarnation, sent_at, revision);
+        };
         made.demands = [] { return std::vector<peer::Workspace_demand>(); };
         made.on_demands = [](const instance_id&, const peer::Heartbeat&) {};
         made.on_serving_changed = [](const std::vector<instance_id>&) {};
@@ -218,6 +254,9 @@
     CPPUNIT_TEST(instance_catches_up_from_peers_without_the_store);
     CPPUNIT_TEST(stopping_instance_is_not_serving_and_leaves);
     CPPUNIT_TEST(next_membership_change_waits_for_the_previous_one);
+    CPPUNIT_TEST(joins_and_planned_leaves_open_the_epoch_without_fencing);
+    CPPUNIT_TEST(join_after_a_removal_waits_for_the_fencing);
+    CPPUNIT_TEST(no_old_share_serves_in_an_open_epoch);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -345,7 +384,156 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(5), fleet_.head().members.size());
     }
 
+    // Guards against a closed epoch, in which no share moves, when nobody has
+    // to be fenced.
+    void joins_and_planned_leaves_open_the_epoch_without_fencing()
+    {
+        start(2);
+        fleet_.add("c");
+        fleet_.run(seconds(4));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), fleet_.head().members.size());
+        CPPUNIT_ASSERT(fleet_.head().epoch_open);
+        node(2).members->leave([&] { node(2).running = false; });
+        fleet_.run(seconds(4));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), fleet_.head().members.size());
+        CPPUNIT_ASSERT(fleet_.head().epoch_open);
+    }
+
+    // The join has nobody to fence, but the removal before it has.
+    void join_after_a_removal_waits_for_the_fencing()
+    {
+        start(3);
+        node(0).running = false;
+        while (fleet_.head().members.size() == 3)
+            fleet_.run(step);
+        fleet_.add("d");
+        fleet_.run(view_lease_validity);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), fleet_.head().members.size());
+        CPPUNIT_ASSERT(!fleet_.head().epoch_open);
+        fleet_.run(fencing_margin + seconds(4));
+        CPPUNIT_ASSERT(fleet_.head().epoch_open);
+    }
+
+    // Members that pause, are cut off, leave, restart and join at random. In
+    // an open epoch, whoever holds a view lease and takes itself for a member
+    // must have applied the membership change that began the epoch;
+    // otherwise it serves with a share that others were given.
+    void no_old_share_serves_in_an_open_epoch()
+    {
+        const bool held = rc::check("old shares end before an epoch opens",
+            []
+            {
+                const auto steps =
+                    *rc::gen::container<std::vector<std::uint32_t>>(
+                        80, rc::gen::resize(rc::kNominalSize,
+                                rc::gen::arbitrary<std::uint32_t>()));
+                fleet run;
+                for (const auto* name : {"a", "b", "c"})
+                    run.add(name);
+                run.run(seconds(5));
+                for (const auto each : steps)
+                {
+                    disturb(run, each & 0xf, (each >> 8) & 0xff);
+                    for (auto i = (each >> 16) & 0xf; i > 0; --i)
+                    {
+                        run.run(step);
+                        check_shares(run);
+                    }
+                }
+                // Without further faults the epoch opens again; the platform
+                // lists no process that has ended.
+                run.store_available = true;
+                run.add("f");
+                for (auto& node : run.nodes)
+                {
+                    node->isolated = false;
+                    node->reads_store = true;
+                }
+                for (int i = 0; i < 600; ++i)
+                {
+                    hide_ended(run);
+                    run.run(step);
+                    check_shares(run);
+                }
+                RC_ASSERT(run.head().epoch_open);
+            });
+        CPPUNIT_ASSERT(held);
+    }
+
 private:
+    static void check_shares(const fleet& run)
+    {
+        const auto head = run.head();
+        for (const auto& node : run.nodes)
+        {
+            const auto& own = node->view.members;
+            const bool holds_share =
+                std::find(own.begin(), own.end(), node->self) != own.end();
+            RC_ASSERT(!head.epoch_open || !holds_share ||
+                      node->view.epoch >= head.epoch ||
+                      !node->lease->valid(run.clock.now()));
+        }
+    }
+
+    static void hide_ended(fleet& run)
+    {
+        run.hidden_from_list.clear();
+        for (const auto& node : run.nodes)
+            run.hidden_from_list.insert(node->self.instance.str());
+        for (const auto& node : run.nodes)
+        {
+            if (node->running)
+                run.hidden_from_list.erase(node->self.instance.str());
+        }
+    }
+
+    static void disturb(fleet& run, std::uint32_t kind, std::uint32_t which)
+    {
+        auto& node = *run.nodes[which % run.nodes.size()];
+        const auto name = node.self.instance.str();
+        switch (kind)
+        {
+        case 0:
+        case 1:
+            node.isolated = !node.isolated;
+            break;
+        case 2:
+        case 3:
+            node.reads_store = !node.reads_store;
+            break;
+        case 4:
+            run.store_available = !run.store_available;
+            break;
+        case 5:
+            node.members->leave([&node] { node.running = false; });
+            break;
+        case 6:
+            // A process that has ended can't serve.
+            node.running = false;
+            node.lease.emplace(
+                clock_ref{&run.clock}, node.self.instance, "ended");
+            break;
+        case 7:
+        {
+            static constexpr std::array names{"a", "b", "c", "d", "e"};
+            const std::string wanted = names[which % names.size()];
+            const bool used = std::any_of(run.nodes.begin(), run.nodes.end(),
+                [&](const auto& each) {
+                    return each->running && each->self.instance.str() == wanted;
+                });
+            if (!used)
+                run.add(wanted, static_cast<int>(run.nodes.size()) + 1);
+            break;
+        }
+        case 8:
+            if (!run.hidden_from_list.erase(name))
+                run.hidden_from_list.insert(name);
+            break;
+        default:
+            break;
+        }
+    }
+
     fleet::node& node(std::size_t index) { return *fleet_.nodes[index]; }
 
     void start(int count)
