--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -1,5 +1,6 @@
 #include "support/deployment.hpp"
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -80,13 +81,15 @@
 
 void deployment::start_proxies()
 {
-    std::vector<std::string> targets = {platform_->address("platform")};
+    std::vector<std::string> targets;
     for (std::size_t i = 0; i < engines_.size(); ++i)
         targets.push_back(engine_address(i));
     for (std::size_t i = 0; i < services_.size(); ++i)
         targets.push_back(service_address(i));
     for (const auto& instance : daemons_)
         targets.push_back(loopback(instance.peer_port));
+    targets.insert(
+        targets.end(), daemons_.size(), platform_->address("platform"));
     std::vector<std::string> arguments;
     for (const auto& target : targets)
         arguments.insert(
@@ -128,10 +131,14 @@
     file << fmt::format("advertise: {{entry: \"{}\", peer: \"{}\"}}\n",
         loopback(instance.entry_port), instance.advertised_peer);
     file << fmt::format("platform: {{address: \"{}\"}}\npeers: [{}]\n",
-        route_address(0, platform_->address("platform")),
+        route_address(store_route(i), platform_->address("platform")),
         fmt::join(peers, ", "));
     file << fmt::format("traffic_threads: {}\nlog: {{level: info}}\n",
         options_.traffic_threads);
+    if (options_.view_lease_ms != 0)
+        file << fmt::format("view_lease_ms: {}\n", options_.view_lease_ms);
+    if (options_.head_poll_ms != 0)
+        file << fmt::format("head_poll_ms: {}\n", options_.head_poll_ms);
 }
 
 void deployment::start_daemon(std::size_t i)
@@ -150,6 +157,37 @@
         [&] { return fetch(entry(i), "/healthz").status == 200; }, time);
 }
 
+bool deployment::wait_epoch_open(
+    const std::vector<std::size_t>& members, milliseconds time) const
+{
+    std::vector<std::string> ids;
+    for (const auto i : members)
+        ids.push_back(daemons_.at(i).id);
+    const auto ready = [&](std::size_t i)
+    {
+        const auto found = status(i);
+        return found.is_object() && found.value("epoch_open", false) &&
+               found.value("members", std::vector<std::string>()) == ids;
+    };
+    return eventually([&]
+        { return std::all_of(members.begin(), members.end(), ready); },
+        time);
+}
+
+nlohmann::json deployment::status(std::size_t i) const
+{
+    const auto outcome = tqctl(i, {"status", "--timeout", "3000"});
+    if (outcome.exit_code != 0)
+        return nullptr;
+    return nlohmann::json::parse(outcome.output, nullptr, false);
+}
+
+void deployment::platform_mode(const nlohmann::json& mode) const
+{
+    if (post(platform_admin(), "/admin/mode", mode).status != 200)
+        throw std::runtime_error("the platform refused the mode");
+}
+
 std::string deployment::entry(std::size_t i) const
 {
     return loopback(daemons_.at(i).entry_port);
@@ -208,7 +246,13 @@
 
 void deployment::fault_platform(nlohmann::json fault_body)
 {
-    fault(0, std::move(fault_body));
+    for (std::size_t i = 0; i < daemons_.size(); ++i)
+        fault(store_route(i), fault_body);
+}
+
+void deployment::fault_store(std::size_t i, nlohmann::json fault_body)
+{
+    fault(store_route(i), std::move(fault_body));
 }
 
 void deployment::fault_engine(std::size_t i, nlohmann::json fault_body)
--- a/tests/support/deployment.hpp
+++ b/tests/support/deployment.hpp
@@ -24,6 +24,9 @@
     bool proxies = false;
     int traffic_threads = 2;
     std::int64_t engine_capacity_bytes = 80'000'000'000;
+    /// 0 keeps the product's default.
+    int view_lease_ms = 0;
+    int head_poll_ms = 0;
     std::vector<std::string> platform_arguments;
     std::vector<std::string> engine_arguments;
 };
@@ -63,17 +66,28 @@
 
     /// Applies faults to one proxy route; see "tq-standin proxy --help".
     void fault_platform(nlohmann::json fault);
+    /// Only what one daemon exchanges with the platform.
+    void fault_store(std::size_t i, nlohmann::json fault);
     void fault_engine(std::size_t i, nlohmann::json fault);
     void fault_service(std::size_t i, nlohmann::json fault);
     /// Everything that other instances send to this one.
     void fault_peer(std::size_t i, nlohmann::json fault);
 
+    /// Sets the mode of the platform, see "tq-standin platform --help".
+    void platform_mode(const nlohmann::json& mode) const;
+
     /// Starts a daemon again with the same settings.
     void start_daemon(std::size_t i);
     /// Whether /healthz of the daemon answers 200 in time.
     bool wait_healthy(
         std::size_t i, milliseconds time = milliseconds(20'000)) const;
 
+    /// Whether all listed daemons are the members and the epoch is open.
+    bool wait_epoch_open(const std::vector<std::size_t>& members,
+        milliseconds time = milliseconds(40'000)) const;
+    /// What "tqctl status" answers; null when it fails.
+    nlohmann::json status(std::size_t i) const;
+
     /// Runs tqctl against one daemon and adds "--output json".
     run_outcome tqctl(std::size_t i, std::vector<std::string> arguments) const;
 
@@ -117,15 +131,20 @@
     /// Address by which the daemons reach a target; the proxy's, if any.
     std::string route_address(std::size_t route, const std::string& own) const;
     void fault(std::size_t route, nlohmann::json fault);
-    // Routes of the proxy: platform, engines, services, peers.
-    std::size_t engine_route(std::size_t i) const { return 1 + i; }
+    // Routes of the proxy: engines, services, peers, the platform for each
+    // daemon.
+    std::size_t engine_route(std::size_t i) const { return i; }
     std::size_t service_route(std::size_t i) const
     {
-        return 1 + engines_.size() + i;
+        return engines_.size() + i;
     }
     std::size_t peer_route(std::size_t i) const
     {
-        return 1 + engines_.size() + services_.size() + i;
+        return engines_.size() + services_.size() + i;
+    }
+    std::size_t store_route(std::size_t i) const
+    {
+        return peer_route(daemons_.size()) + i;
     }
 
     deployment_options options_;
