--- a/src/daemon/application_ports.cpp
+++ b/src/daemon/application_ports.cpp
@@ -22,8 +22,12 @@
         post([this, spec = std::move(spec), on_done = std::move(on_done)]
             { core_->acquire(spec, on_done); });
     };
-    port.release = [this](std::uint64_t assignment, routing::outcome how)
-    { post([this, assignment, how] { core_->release(assignment, how); }); };
+    port.release = [this](std::uint64_t assignment, routing::outcome how,
+                       std::int64_t output_tokens)
+    {
+        post([this, assignment, how, output_tokens]
+            { core_->release(assignment, how, output_tokens); });
+    };
     port.entries = [this](auto on_done) {
         post([this, on_done = std::move(on_done)]
             { on_done(core_->entries()); });
@@ -36,6 +40,8 @@
     ingress::order_port port;
     port.begin = [this](orders::order_call call, auto on_done)
     { orders_->begin(std::move(call), std::move(on_done)); };
+    port.check = [this](const orders::dispatch_permit& permit)
+    { return orders_->check(permit); };
     port.complete = [this](orders::dispatch_permit permit,
                         orders::order_answer answer, auto on_done)
     {
--- a/tests/support/deployment.hpp
+++ b/tests/support/deployment.hpp
@@ -34,7 +34,9 @@
 /// A platform, endpoints, optional proxies and daemons on loopback addresses.
 ///
 /// The daemons' ports stay the same over restarts. Processes are ended by the
-/// destructor, daemons first.
+/// destructor, daemons first. When a test failure is being unwound, it prints
+/// the merged time line and the last lines of each process's output, so a test
+/// keeps its deployment in a local variable.
 class deployment
 {
 public:
@@ -51,6 +53,7 @@
 
     std::string entry(std::size_t i) const;
     std::string operator_address(std::size_t i) const;
+    std::string peer_address(std::size_t i) const;
     /// Own address of an endpoint, for its admin interface.
     std::string engine_address(std::size_t i) const;
     std::string service_address(std::size_t i) const;
@@ -102,7 +105,9 @@
         const std::string& id, const std::string& version, std::int64_t bytes);
     void put_adapter(const std::string& id, const std::string& model,
         const std::string& version, std::int64_t bytes);
-    void put_service(const std::string& name);
+    /// Routes as in "tqctl service put --route".
+    void put_service(
+        const std::string& name, const std::vector<std::string>& routes = {});
     /// Makes all engines and services of this deployment known; the services
     /// serve the service name.
     void put_endpoints(const std::string& service_name);
@@ -120,6 +125,8 @@
     };
 
     explicit deployment(const deployment_options& options);
+    /// Prints the events of all daemons, merged by time.
+    void print_timeline() const;
     void start_endpoints();
     void start_proxies();
     void write_settings(std::size_t i) const;
@@ -148,6 +155,7 @@
     }
 
     deployment_options options_;
+    const int exceptions_at_start_;
     std::string folder_;
     std::unique_ptr<process> platform_;
     std::vector<std::unique_ptr<process>> engines_;
