--- a/src/daemon/control_configuration.cpp
+++ b/src/daemon/control_configuration.cpp
@@ -16,7 +16,9 @@
 {
 
 constexpr std::chrono::seconds commit_limit{5};
-constexpr std::chrono::seconds in_force_limit{5};
+// tqctl repeats a call without an answer after 5 s; waiting as long here
+// would turn "not in force" into "no answer".
+constexpr std::chrono::seconds in_force_limit{3};
 constexpr std::chrono::seconds membership_commit_limit{4};
 
 template <class Map>
