Erase old log rows in small transactions

The writer now erases 16 log rows with their operations at a time and goes on until it is done; the test passes.

--- a/src/catalog/snapshot_writer.hpp
+++ b/src/catalog/snapshot_writer.hpp
@@ -92,10 +92,11 @@
             });
     }
 
+    /// Erases a few rows at a time: the store limits the writes per second,
+    /// and one large transaction would delay or refuse operators' changes.
     void scan_log()
     {
-        // Twice the interval catches up with an erasure that was missed.
-        store_.scan(rows::log_prefix, "", 2 * snapshot_interval, deadline_,
+        store_.scan(rows::log_prefix, "", erased_at_once, deadline_,
             [self = this->shared_from_this()](
                 const result<platform::scan_page>& page)
             {
@@ -134,6 +135,8 @@
             {
                 if (!outcome)
                     self->give_up("log", outcome.error());
+                else if (outcome->applied)
+                    self->scan_log();
             });
     }
 
@@ -144,6 +147,8 @@
             << ": " << reason.message() << ".";
     }
 
+    static constexpr std::int32_t erased_at_once = 16;
+
     Store& store_;
     const std::int64_t revision_;
     const time_point deadline_;
