Wait for the restarted instance itself in wait_epoch_open

Cause: revisions_never_go_down killed a second instance while the first one, restarted under the same name, was not a member yet; one of three members was left, so no majority could confirm a change. The time line shows the removal of the predecessor 6 s after the second kill. Ruled out: a lost change. The wait now requires that each instance names nothing that it waits for. integration.configuration: failed 1 of 1 before, passes 1 of 1.

--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -188,8 +188,12 @@
     const auto ready = [&](std::size_t i)
     {
         const auto found = status(i);
+        // A restarted instance is listed while its predecessor is still a
+        // member; it names the membership as what it waits for.
         return found.is_object() && found.value("epoch_open", false) &&
-               found.value("members", std::vector<std::string>()) == ids;
+               found.value("members", std::vector<std::string>()) == ids &&
+               fetch(entry(i), "/healthz").json().value("waiting_for", "") ==
+                   "";
     };
     return eventually([&]
         { return std::all_of(members.begin(), members.end(), ready); },
