--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -183,6 +183,7 @@
     const std::vector<std::size_t>& members, milliseconds time) const
 {
     std::vector<std::string> ids;
+    ids.reserve(members.size());
     for (const auto i : members)
         ids.push_back(daemons_.at(i).id);
     const auto ready = [&](std::size_t i)
@@ -192,8 +193,10 @@
         // member; it names the membership as what it waits for.
         return found.is_object() && found.value("epoch_open", false) &&
                found.value("members", std::vector<std::string>()) == ids &&
-               fetch(entry(i), "/healthz").json().value("waiting_for", "") ==
-                   "";
+               fetch(entry(i), "/healthz")
+                   .json()
+                   .value("waiting_for", "")
+                   .empty();
     };
     return eventually([&]
         { return std::all_of(members.begin(), members.end(), ready); },
