--- a/src/catalog/replica.hpp
+++ b/src/catalog/replica.hpp
@@ -468,7 +468,7 @@
         // A failure here leaves the change to the next poll.
         if (auto applied = apply_changes({task->change}); !applied)
             observer_.on_store_failure(applied.error());
-        if (committed % snapshot_interval == 0 && revision() == committed)
+        if (committed % snapshot_check_interval == 0 && revision() == committed)
             std::make_shared<snapshot_writer<Store>>(
                 store_, committed, clock_.now() + snapshot_limit)
                 ->start(objects_, current_.to_proto().SerializeAsString());
--- a/src/catalog/replica_test.cpp
+++ b/src/catalog/replica_test.cpp
@@ -58,14 +58,17 @@
     std::vector<std::int64_t> contacts;
     std::vector<error_code> failures;
     int snapshots = 0;
+    /// The object store refuses to store anything.
+    bool objects_fail = false;
 
 private:
-    static object_store make_objects(
-        std::map<std::string, std::string>& objects)
+    object_store make_objects(std::map<std::string, std::string>& objects)
     {
         return {[&](const std::string& name, const std::string& content,
                     time_point, const platform::handler<bool>& on_done)
             {
+                if (objects_fail)
+                    return on_done(fail(error_code::store_unavailable, "down"));
                 objects[name] = content;
                 on_done(true);
             },
@@ -115,6 +118,7 @@
     CPPUNIT_TEST(contact_follows_the_last_applied_change);
     CPPUNIT_TEST(peers_never_lower_the_revision_and_gaps_are_refused);
     CPPUNIT_TEST(a_new_instance_starts_from_the_stored_snapshot);
+    CPPUNIT_TEST(a_missed_snapshot_is_made_up_for_soon);
     CPPUNIT_TEST(changes_after_covers_only_what_is_kept);
     CPPUNIT_TEST_SUITE_END();
 
@@ -267,6 +271,30 @@
         CPPUNIT_ASSERT(b_.contacts == std::vector<std::int64_t>{count});
     }
 
+    // Guards against a log that grows by a whole interval because a snapshot
+    // failed or its writer ended.
+    void a_missed_snapshot_is_made_up_for_soon()
+    {
+        const auto commit_up_to = [&](std::int64_t last)
+        {
+            for (auto i = a_.get().revision() + 1; i <= last; ++i)
+                commit(
+                    a_, workspace_change("w", i), "op" + std::to_string(i), -1);
+        };
+        a_.objects_fail = true;
+        commit_up_to(snapshot_interval);
+        CPPUNIT_ASSERT(!store_.rows().contains(rows::snapshot_pointer));
+        a_.objects_fail = false;
+        commit_up_to(snapshot_interval + snapshot_check_interval);
+        CPPUNIT_ASSERT(store_.rows().contains(rows::snapshot_pointer));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), objects_.size());
+        // The next one is due a whole interval later.
+        commit_up_to(2 * snapshot_interval);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), objects_.size());
+        commit_up_to(2 * snapshot_interval + snapshot_check_interval);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), objects_.size());
+    }
+
     void changes_after_covers_only_what_is_kept()
     {
         for (int i = 1; i <= 1030; ++i)
--- a/src/catalog/snapshot_writer.hpp
+++ b/src/catalog/snapshot_writer.hpp
@@ -20,6 +20,10 @@
 
 /// Distance between stored snapshots in revisions.
 inline constexpr std::int64_t snapshot_interval = 256;
+/// Distance between the revisions whose committers look whether a snapshot is
+/// due. It is shorter than the interval, so that a snapshot whose writer ended
+/// is made up for soon.
+inline constexpr std::int64_t snapshot_check_interval = 16;
 
 /// Functions of the object store, so that tests need none.
 struct object_store
@@ -32,11 +36,11 @@
         fetch;
 };
 
-/// Stores a snapshot: the object first, then the row that names it, then the
-/// erasure of the log rows that no reader needs any more and of the rows of
-/// their operations. A failure leaves the
-/// older snapshot and a longer log in place, which is safe. Steps run inside
-/// the store's handlers and touch no state of the replica.
+/// Stores a snapshot when one is due: the object first, then the row that
+/// names it, then the erasure of the log rows that no reader needs any more
+/// and of the rows of their operations. A failure leaves the older snapshot
+/// and a longer log in place, which is safe. Steps run inside the store's
+/// handlers and touch no state of the replica.
 template <platform::table_store Store>
 class snapshot_writer
     : public std::enable_shared_from_this<snapshot_writer<Store>>
@@ -47,24 +51,23 @@
     {
     }
 
-    void start(const object_store& objects, std::string content)
+    void start(object_store objects, std::string content)
     {
-        objects.put(rows::snapshot_object(revision_), std::move(content),
-            deadline_,
-            [self = this->shared_from_this()](const result<bool>& stored)
+        read_pointer(
+            [self = this->shared_from_this(), objects = std::move(objects),
+                content = std::move(content)](const rows::revision_row& pointer)
             {
-                if (stored)
-                    self->read_pointer();
-                else
-                    self->give_up("object", stored.error());
+                if (pointer.revision <= self->revision_ - snapshot_interval)
+                    self->put_object(objects, content);
             });
     }
 
 private:
-    void read_pointer()
+    template <typename Function>
+    void read_pointer(Function on_read)
     {
         store_.read({rows::snapshot_pointer}, deadline_,
-            [self = this->shared_from_this()](
+            [self = this->shared_from_this(), on_read = std::move(on_read)](
                 const result<std::vector<platform::row>>& found)
             {
                 if (!found)
@@ -72,9 +75,25 @@
                 const auto pointer = rows::parse_revision_row(*found);
                 if (!pointer)
                     return self->give_up("pointer", pointer.error());
-                // A slow writer must not hide a newer snapshot.
-                if (pointer->revision < self->revision_)
-                    self->write_pointer(pointer->version);
+                on_read(*pointer);
+            });
+    }
+
+    void put_object(const object_store& objects, std::string content)
+    {
+        objects.put(rows::snapshot_object(revision_), std::move(content),
+            deadline_,
+            [self = this->shared_from_this()](const result<bool>& stored)
+            {
+                if (!stored)
+                    return self->give_up("object", stored.error());
+                self->read_pointer(
+                    [self](const rows::revision_row& pointer)
+                    {
+                        // A slow writer must not hide a newer snapshot.
+                        if (pointer.revision < self->revision_)
+                            self->write_pointer(pointer.version);
+                    });
             });
     }
 
