--- a/tests/keys_test.cpp
+++ b/tests/keys_test.cpp
@@ -37,7 +37,7 @@
 /// Issues a key and waits until all instances serve it.
 std::string issue(deployment& system, const std::string& id)
 {
-    const auto key = system.issue_key(id, "w1");
+    auto key = system.issue_key(id, "w1");
     for (std::size_t i = 0; i < system.daemons(); ++i)
         assert_serves(system, i, key);
     return key;
