Close idle connections of callers at a planned stop

The stop waited only for requests that had begun, so the process could end while a request arrived on a kept connection. Connections without a request are now closed 1 s after the listener, and the stop waits for all of them. From the begin of the stop, answers carry Connection: close.

--- a/src/ingress/connection.cpp
+++ b/src/ingress/connection.cpp
@@ -31,20 +31,17 @@
     return {text.data(), text.size()};
 }
 
-// Counts a running request.
-class request_scope
+// Counts an activity that has begun until it ends.
+class activity_scope
 {
 public:
-    explicit request_scope(request_counter& counter) : counter_(counter)
-    {
-        counter_.begin();
-    }
-    ~request_scope() { counter_.end(); }
-    request_scope(const request_scope&) = delete;
-    request_scope& operator=(const request_scope&) = delete;
+    explicit activity_scope(activity_counter& counter) : counter_(counter) {}
+    ~activity_scope() { counter_.end(); }
+    activity_scope(const activity_scope&) = delete;
+    activity_scope& operator=(const activity_scope&) = delete;
 
 private:
-    request_counter& counter_;
+    activity_counter& counter_;
 };
 
 // Reserves memory for the body of one request.
@@ -85,16 +82,7 @@
 
     asio::awaitable<void> run()
     {
-        while (keep_alive_)
-        {
-            // g++ 12 evaluates a co_await behind && in a loop condition even
-            // when the left side is false, so this is a statement of its own.
-            const bool arrived = co_await wait_for_request();
-            if (!arrived)
-                break;
-            const request_scope scope(on_->shared->requests);
-            co_await serve_next();
-        }
+        co_await serve_all();
         co_await linger();
     }
 
@@ -110,7 +98,7 @@
 
     asio::awaitable<result<void>> respond(caller_answer answer) override
     {
-        if (on_->shared->stopping)
+        if (stopping())
             keep_alive_ = false;
         auto text = fmt::format("HTTP/1.1 {} {}\r\nX-Request-Id: {}\r\n",
             answer.status, reason_phrase(answer.status), request_id_);
@@ -130,7 +118,7 @@
 
     asio::awaitable<result<void>> begin_stream() override
     {
-        if (on_->shared->stopping)
+        if (stopping())
             keep_alive_ = false;
         stream_started_ = true;
         auto text =
@@ -167,6 +155,13 @@
     }
 
 private:
+    // From the begin of the stop, so that callers leave busy connections
+    // before idle ones are closed.
+    bool stopping() const
+    {
+        return on_->shared->stopping || on_->services().state->stopping();
+    }
+
     std::string connection_header() const
     {
         return keep_alive_ ? "Connection: keep-alive\r\n\r\n"
@@ -187,6 +182,20 @@
             execution_state::unknown);
     }
 
+    asio::awaitable<void> serve_all()
+    {
+        const activity_scope scope(on_->shared->activities);
+        while (keep_alive_)
+        {
+            // g++ 12 evaluates a co_await behind && in a loop condition even
+            // when the left side is false, so this is a statement of its own.
+            const bool arrived = co_await wait_for_request();
+            if (!arrived)
+                break;
+            co_await serve_next();
+        }
+    }
+
     // Closing a socket with unread input resets the connection, which can
     // destroy the last answer before the caller has read it.
     asio::awaitable<void> linger()
@@ -209,13 +218,23 @@
     {
         if (buffer_.size() != 0)
             co_return true;
-        boost::system::error_code ec;
-        stream_.expires_after(on_->shared->settings.idle_limit);
         constexpr std::size_t read_size = 4096;
-        const auto count =
-            co_await stream_.async_read_some(buffer_.prepare(read_size),
-                asio::redirect_error(asio::use_awaitable, ec));
-        buffer_.commit(count);
+        auto& socket = stream_.socket();
+        boost::system::error_code ec;
+        do
+        {
+            // The stop closes idle connections, but a request that has
+            // arrived by then is served.
+            if (on_->closes_idle && socket.available(ec) == 0)
+                co_return false;
+            stream_.expires_after(on_->shared->settings.idle_limit);
+            on_->idle.insert(&socket);
+            const auto count =
+                co_await stream_.async_read_some(buffer_.prepare(read_size),
+                    asio::redirect_error(asio::use_awaitable, ec));
+            on_->idle.erase(&socket);
+            buffer_.commit(count);
+        } while (ec == asio::error::operation_aborted && on_->closes_idle);
         co_return !ec;
     }
 
--- a/src/ingress/server.cpp
+++ b/src/ingress/server.cpp
@@ -26,6 +26,8 @@
 // A refusal holds its descriptor for up to about a second. Beyond this number,
 // connections are closed without an answer, which bounds the memory.
 constexpr std::size_t max_refusals = 256;
+// Time for a request that was sent before the stop closes idle connections.
+constexpr std::chrono::seconds idle_grace{1};
 
 result<tcp::endpoint> parse_listen_address(const std::string& text)
 {
@@ -75,7 +77,7 @@
     void accept()
     {
         if (shared->stopping)
-            return;
+            return shared->activities.end();
         auto next = workers[next_worker++ % workers.size()];
         acceptor.async_accept(next->executor,
             [self = shared_from_this(), next](
@@ -87,7 +89,7 @@
         const std::shared_ptr<worker>& on, tcp::socket socket)
     {
         if (ec == asio::error::operation_aborted)
-            return;
+            return shared->activities.end();
         if (ec)
         {
             TQ_LOG(shared->logger, warning)
@@ -97,7 +99,7 @@
                 [self = shared_from_this()](
                     const boost::system::error_code& failed)
                 {
-                    if (!failed)
+                    if (!failed || self->shared->stopping)
                         self->accept();
                 });
             return;
@@ -117,6 +119,7 @@
         {
             boost::system::error_code ignored;
             socket.set_option(tcp::no_delay(true), ignored);
+            shared->activities.begin();
             spawn(on, serve_connection(on, std::move(socket)),
                 shared->connections);
         }
@@ -184,6 +187,7 @@
 
 void server::start()
 {
+    implementation_->shared->activities.begin();
     asio::post(implementation_->acceptor.get_executor(),
         [parts = implementation_] { parts->accept(); });
 }
@@ -198,11 +202,24 @@
             parts->acceptor.close(ignored);
             parts->pause.cancel();
         });
+    for (const auto& each : implementation_->workers)
+        asio::post(each->executor,
+            [each]
+            {
+                auto timer = std::make_shared<asio::steady_timer>(
+                    each->executor, idle_grace);
+                timer->async_wait(
+                    [each, timer](const boost::system::error_code& failed)
+                    {
+                        if (!failed)
+                            each->close_idle();
+                    });
+            });
 }
 
 void server::wait_until_idle(std::function<void()> handler)
 {
-    implementation_->shared->requests.when_idle(std::move(handler));
+    implementation_->shared->activities.when_idle(std::move(handler));
 }
 
 } // namespace tarragonquay::ingress
--- a/src/ingress/server.hpp
+++ b/src/ingress/server.hpp
@@ -85,11 +85,12 @@
     unsigned short port() const;
 
     void start();
-    /// Takes no new connections; requests on open connections are served
-    /// and answered with `Connection: close`.
+    /// Takes no new connections. Requests on open connections are served and
+    /// answered with `Connection: close`; connections on which none arrives
+    /// shortly are closed.
     void stop_accepting();
-    /// Calls the handler once no request is running. Call it after
-    /// stop_accepting().
+    /// Calls the handler once no request is running or can arrive. Call it
+    /// after stop_accepting().
     void wait_until_idle(std::function<void()> handler);
 
 private:
--- a/src/ingress/server_test.cpp
+++ b/src/ingress/server_test.cpp
@@ -56,6 +56,8 @@
     CPPUNIT_TEST(order_is_recorded_anew_when_the_membership_changes);
     CPPUNIT_TEST(idempotent_call_is_tried_elsewhere);
     CPPUNIT_TEST(stop_waits_for_running_requests);
+    CPPUNIT_TEST(stop_closes_idle_connections);
+    CPPUNIT_TEST(stop_serves_a_request_that_is_being_sent);
     CPPUNIT_TEST(connection_above_the_limit_is_answered);
     CPPUNIT_TEST(malformed_requests_are_answered);
     CPPUNIT_TEST_SUITE_END();
@@ -249,6 +251,36 @@
         CPPUNIT_ASSERT(idle);
     }
 
+    // Guards against idle connections that delay a stop or outlive it.
+    void stop_closes_idle_connections()
+    {
+        for (const std::string before : {"", "GET /healthz HTTP/1.1\r\n\r\n"})
+        {
+            server_fixture all({});
+            bool idle = false;
+            const auto answer = all.call_across_stop(before, "", idle);
+            CPPUNIT_ASSERT_EQUAL(before.empty(), answer.empty());
+            CPPUNIT_ASSERT(idle);
+        }
+    }
+
+    // Guards against a stop that breaks a request whose first bytes have
+    // arrived, or one that a caller sends before it sees the close.
+    void stop_serves_a_request_that_is_being_sent()
+    {
+        const std::string text = "GET /healthz HTTP/1.1\r\n\r\n";
+        for (const std::size_t sent : {std::size_t{0}, text.size() / 2})
+        {
+            server_fixture all({});
+            bool idle = false;
+            const auto answer = all.call_across_stop(
+                text.substr(0, sent), text.substr(sent), idle);
+            assert_contains("HTTP/1.1 503", answer);
+            assert_contains("Connection: close", answer);
+            CPPUNIT_ASSERT(idle);
+        }
+    }
+
     // Guards against a caller that can't tell a full instance from a dead
     // one.
     void connection_above_the_limit_is_answered()
--- a/src/ingress/server_test_support.hpp
+++ b/src/ingress/server_test_support.hpp
@@ -10,6 +10,7 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "common/digest.hpp"
 #include "common/random.hpp"
@@ -85,6 +86,15 @@
         return endpoint.run(exchange_text(std::move(text)));
     }
 
+    /// Sends a part of the text before the server stops and the rest shortly
+    /// after, and returns all that arrives. `idle` is set at the idle handler.
+    std::string call_across_stop(
+        std::string before, std::string after, bool& idle)
+    {
+        return endpoint.run(
+            exchange_across_stop(std::move(before), std::move(after), idle));
+    }
+
     static std::string request_text(const std::string& start,
         const std::string& headers, const std::string& body = {})
     {
@@ -123,6 +133,33 @@
         co_return answer;
     }
 
+    asio::awaitable<std::string> exchange_across_stop(
+        std::string before, std::string after, bool& idle)
+    {
+        asio::ip::tcp::socket socket(endpoint.context);
+        co_await socket.async_connect(
+            {asio::ip::address_v4::loopback(), tested->port()},
+            asio::use_awaitable);
+        co_await asio::async_write(
+            socket, asio::buffer(before), asio::use_awaitable);
+        // Lets the server accept the connection and read what was sent.
+        asio::steady_timer pause(endpoint.context);
+        constexpr std::chrono::milliseconds delivery{100};
+        pause.expires_after(delivery);
+        co_await pause.async_wait(asio::use_awaitable);
+        tested->stop_accepting();
+        tested->wait_until_idle([&idle] { idle = true; });
+        pause.expires_after(delivery);
+        co_await pause.async_wait(asio::use_awaitable);
+        co_await asio::async_write(
+            socket, asio::buffer(after), asio::use_awaitable);
+        std::string answer;
+        boost::system::error_code ec;
+        co_await asio::async_read(socket, asio::dynamic_buffer(answer),
+            asio::redirect_error(asio::use_awaitable, ec));
+        co_return answer;
+    }
+
     /// Whether each reservation and assignment was ended exactly once.
     bool balanced() const
     {
--- a/src/ingress/worker.cpp
+++ b/src/ingress/worker.cpp
@@ -3,13 +3,13 @@
 namespace tarragonquay::ingress
 {
 
-void request_counter::begin()
+void activity_counter::begin()
 {
     const std::lock_guard lock(mutex_);
     ++running_;
 }
 
-void request_counter::end()
+void activity_counter::end()
 {
     std::vector<std::function<void()>> ready;
     {
@@ -21,7 +21,7 @@
         handler();
 }
 
-void request_counter::when_idle(std::function<void()> handler)
+void activity_counter::when_idle(std::function<void()> handler)
 {
     {
         const std::lock_guard lock(mutex_);
@@ -31,4 +31,12 @@
     handler();
 }
 
+void worker::close_idle()
+{
+    closes_idle = true;
+    boost::system::error_code ignored;
+    for (auto* socket : idle)
+        socket->cancel(ignored);
+}
+
 } // namespace tarragonquay::ingress
--- a/src/ingress/worker.hpp
+++ b/src/ingress/worker.hpp
@@ -6,9 +6,11 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <vector>
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
 
 #include "common/log.hpp"
 #include "endpoints/http_exchange.hpp"
@@ -17,13 +19,13 @@
 namespace tarragonquay::ingress
 {
 
-/// Counts running requests and tells when there are none. Thread-safe.
-class request_counter
+/// Counts activities and tells when there are none. Thread-safe.
+class activity_counter
 {
 public:
     void begin();
     void end();
-    /// Calls the handler once no request is running.
+    /// Calls the handler once nothing is running.
     void when_idle(std::function<void()> handler);
 
 private:
@@ -43,7 +45,9 @@
     std::atomic<std::size_t> refusals{0};
     /// Reserved for bodies that are being read or processed.
     std::atomic<std::size_t> body_bytes{0};
-    request_counter requests;
+    /// Connections that a request is read from or may still arrive on, and
+    /// the loop that accepts them.
+    activity_counter activities;
     log::logger logger = log::make_logger("ingress");
 };
 
@@ -53,6 +57,14 @@
     std::shared_ptr<server_shared> shared;
     boost::asio::any_io_executor executor;
     endpoints::connection_pool pool;
+    /// Sockets that wait for the first byte of a request.
+    std::set<boost::asio::ip::tcp::socket*> idle;
+    /// No connection waits for a further request any more.
+    bool closes_idle = false;
+
+    /// Ends the waits of idle connections; those with a request that has
+    /// arrived serve it. Runs on the worker's thread.
+    void close_idle();
 
     const server_services& services() const { return shared->services; }
 };
--- /dev/null
+++ b/tests/stopping_test.cpp
@@ -0,0 +1,191 @@
+#include <csignal>
+#include <memory>
+#include <vector>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+
+#include "support/background_stream.hpp"
+#include "support/caller_loops.hpp"
+#include "support/timeline.hpp"
+
+namespace tarragonquay::test_support
+{
+namespace
+{
+
+using nlohmann::json;
+
+// A stop lasts for the keep time of 5 s, the running requests and the leave.
+// Below the idle limit of 60 s, so that idle connections can't delay it.
+constexpr milliseconds stop_time{40'000};
+// Longer than the keep time at the 10 ms per token of the engine.
+constexpr int long_stream = 900;
+
+void assert_whole(background_stream& stream, int tokens)
+{
+    const completion_call call{.max_tokens = tokens};
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(), failure_of("stream", call, stream.reply()));
+}
+
+void assert_stops(process& daemon)
+{
+    daemon.send_signal(SIGTERM);
+    CPPUNIT_ASSERT_MESSAGE(
+        "the daemon did not end by itself", daemon.wait(stop_time));
+    CPPUNIT_ASSERT_EQUAL(0, daemon.exit_code());
+}
+
+/// Callers that use one instance for as long as any answer of
+/// GET /v1/entries permits it.
+class callers_of_one
+{
+public:
+    callers_of_one(const configured_system& system, std::size_t instance)
+        : target_(system->entry(instance)), key_(system.key1)
+    {
+        for (std::size_t i = 0; i < system->daemons(); ++i)
+            loops_.add([this, from = system->entry(i)] { return ask(from); },
+                milliseconds(20));
+    }
+
+    /// Waits until the target was named.
+    void wait_named() const
+    {
+        CPPUNIT_ASSERT(eventually([&] { return permitted(); }));
+    }
+    void add_new_connections(const completion_call& call)
+    {
+        add(milliseconds(5), [this, call]
+            { return failure_of("new", call, complete(target_, key_, call)); });
+    }
+    /// Short pauses make a busy connection, long ones an idle one.
+    void add_kept_connection(milliseconds pause)
+    {
+        auto client = std::make_shared<http_client>(target_);
+        const completion_call call{.max_tokens = 2, .stream = false};
+        const auto what = fmt::format("kept, pause {} ms", pause.count());
+        add(pause, [this, client, call, what]
+            { return failure_of(what, call, client->send(call.request(key_))); });
+    }
+    void add_orders(int thread)
+    {
+        auto number = std::make_shared<int>(0);
+        add(milliseconds(5),
+            [this, number, thread]
+            {
+                const auto order = fmt::format("o-{}-{}", thread, ++*number);
+                const auto reply =
+                    send_once(target_, order_request(key_, order));
+                const std::lock_guard lock(mutex_);
+                orders_.push_back(order);
+                return reply.status == 200 ? "" : "order: " + describe(reply);
+            });
+    }
+    /// Returns the failures.
+    std::string stop()
+    {
+        loops_.stop();
+        return loops_.failures();
+    }
+    const std::vector<std::string>& orders() const { return orders_; }
+
+private:
+    bool permitted() const { return unix_ms() < keep_until_; }
+
+    void add(milliseconds pause, caller_loops::call call)
+    {
+        loops_.add([this, call = std::move(call)]
+            { return permitted() ? call() : std::string(); },
+            pause);
+    }
+
+    // The stopped instance itself can't be asked at the end.
+    std::string ask(const std::string& from)
+    {
+        const auto answer = fetch_entries(from, "w1");
+        if (answer.addresses.empty() && from != target_)
+            return "no entries from " + from;
+        if (!answer.names(target_))
+            return {};
+        auto known = keep_until_.load();
+        while (known < answer.keep_until_unix_ms &&
+               !keep_until_.compare_exchange_weak(
+                   known, answer.keep_until_unix_ms))
+        {
+        }
+        return {};
+    }
+
+    const std::string target_;
+    const std::string key_;
+    std::atomic<std::int64_t> keep_until_ = 0;
+    std::mutex mutex_;
+    std::vector<std::string> orders_;
+    caller_loops loops_;
+};
+
+class stopping_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(stopping_test);
+    CPPUNIT_TEST(planned_stop_interrupts_nothing);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a stop that cuts or refuses a request, closes its
+    // address before the answers that named it expire, or does not end.
+    void planned_stop_interrupts_nothing()
+    {
+        const auto system = start_configured({});
+        with_timeline(*system.system, 0, [&] { stop_under_load(system); });
+    }
+
+private:
+    static void stop_under_load(const configured_system& system)
+    {
+        constexpr std::size_t stopped = 1;
+        constexpr int threads = 3;
+        CPPUNIT_ASSERT(system->wait_epoch_open({0, 1, 2}));
+        const auto target = system->entry(stopped);
+        post(system->service_address(0), "/admin/faults",
+            {{"delay_after_ms", 400}});
+        std::vector<std::unique_ptr<http_client>> idle;
+        std::vector<std::unique_ptr<background_stream>> streams;
+        const completion_call short_call{.max_tokens = 2, .stream = false};
+        callers_of_one callers(system, stopped);
+        callers.wait_named();
+        for (int i = 0; i < threads; ++i)
+        {
+            idle.push_back(std::make_unique<http_client>(target));
+            CPPUNIT_ASSERT_EQUAL(
+                200, idle.back()->send(short_call.request(system.key2)).status);
+            CPPUNIT_ASSERT(idle.back()->connected());
+            streams.push_back(std::make_unique<background_stream>(
+                target, system.key2, long_stream));
+            callers.add_new_connections(short_call);
+            callers.add_new_connections({.max_tokens = 60});
+            callers.add_kept_connection(milliseconds(5));
+            callers.add_kept_connection(milliseconds(1'100 + 300 * i));
+            callers.add_orders(i);
+        }
+        for (const auto& stream : streams)
+            CPPUNIT_ASSERT(eventually([&] { return stream->events() > 3; }));
+
+        assert_stops(system->daemon(stopped));
+        CPPUNIT_ASSERT_EQUAL(std::string(), callers.stop());
+        for (const auto& stream : streams)
+            assert_whole(*stream, long_stream);
+        const auto ran = fetch(system->service_address(0), "/admin/orders")
+                             .json()
+                             .at("orders");
+        CPPUNIT_ASSERT(!callers.orders().empty());
+        for (const auto& order : callers.orders())
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(order, 1, ran.value(order, 0));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(stopping_test);
+
+} // namespace
+} // namespace tarragonquay::test_support
