Name only instances that can admit requests in GET /v1/entries

Heartbeats and their replies report how long the sender can admit requests. A new instance was named before its epoch opened and refused everything. A stopping instance waits until each peer has answered a heartbeat of the stop; a peer without one named its address beyond the time it was open. The time limit for running requests now counts from the close of the address, so that a request accepted last has its whole default deadline.

--- a/src/daemon/application.cpp
+++ b/src/daemon/application.cpp
@@ -15,6 +15,9 @@
 namespace
 {
 
+// A request that was sent just before its answer of GET /v1/entries expired
+// still has to arrive.
+constexpr std::chrono::seconds last_use_margin{1};
 // Time for the shares and the membership, after the last request has ended.
 constexpr std::chrono::seconds leave_limit{5};
 constexpr std::chrono::seconds operators_close_limit{2};
@@ -215,23 +218,26 @@
 
 void application::begin_stop()
 {
-    if (stop_deadline_)
+    if (stopping_)
         return;
-    stop_deadline_ = std::chrono::steady_clock::now() +
-                     std::chrono::milliseconds(settings_.stop_ms);
+    stopping_ = true;
     TQ_LOG(logger_, info) << "Stopping.";
     events_.record(events::kind::process_stopping, settings_.instance.str());
-    core_->begin_stopping();
     // Callers may use this address until the last answer has expired.
-    post_after(std::chrono::milliseconds(settings_.entries_keep_ms),
-        [this] { close_ingress(); });
+    core_->begin_stopping(
+        [this]
+        {
+            post_after(std::chrono::milliseconds(settings_.entries_keep_ms) +
+                           last_use_margin,
+                [this] { close_ingress(); });
+        });
 }
 
 void application::close_ingress()
 {
     server_->stop_accepting();
     server_->wait_until_idle([this] { post([this] { leave_membership(); }); });
-    post_after(*stop_deadline_ - std::chrono::steady_clock::now(),
+    post_after(std::chrono::milliseconds(settings_.stop_ms),
         [this]
         {
             if (!left_ingress_)
--- a/src/daemon/application.hpp
+++ b/src/daemon/application.hpp
@@ -2,7 +2,6 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <thread>
 #include <vector>
 
@@ -105,7 +104,7 @@
     std::unique_ptr<ingress::server> server_;
     std::unique_ptr<operators::service> operators_;
     boost::asio::signal_set signals_{control_};
-    std::optional<time_point> stop_deadline_;
+    bool stopping_ = false;
     bool left_ingress_ = false;
     std::thread closing_;
     log::logger logger_ = log::make_logger("daemon");
--- a/src/daemon/control_core.cpp
+++ b/src/daemon/control_core.cpp
@@ -2,6 +2,8 @@
 
 #include "daemon/control_core.hpp"
 
+#include <algorithm>
+
 #include <boost/asio/post.hpp>
 #include <fmt/format.h>
 
@@ -155,6 +157,8 @@
     scheduler_.tick(now);
     publish_lease();
     process_.published.publish_waiting_for(waiting_for());
+    if (on_unnamed_ && membership_->stopping_known())
+        std::exchange(on_unnamed_, nullptr)();
     end_leave_when_done();
 }
 
@@ -241,11 +245,8 @@
 std::vector<ingress::entry_address> control_core::entries() const
 {
     std::vector<ingress::entry_address> usable;
-    for (const auto& instance : membership_->serving())
+    for (const auto& instance : membership_->admitting())
     {
-        const bool local = instance == local_.instance;
-        if (local && (stopping_ || !lease_->valid(clock_.now())))
-            continue;
         const auto* member = replica_->current().find_member(instance);
         if (member != nullptr)
             usable.push_back(
@@ -254,6 +255,13 @@
     return usable;
 }
 
+duration control_core::admits_for() const
+{
+    if (stopping_ || !limiter_->has_shares())
+        return duration::zero();
+    return std::max(lease_->deadline() - clock_.now(), duration::zero());
+}
+
 std::string control_core::waiting_for() const
 {
     if (stopping_)
@@ -267,8 +275,9 @@
     return {};
 }
 
-void control_core::begin_stopping()
+void control_core::begin_stopping(std::function<void()> on_unnamed)
 {
+    on_unnamed_ = std::move(on_unnamed);
     stopping_ = true;
     process_.published.publish_stopping();
     membership_->begin_stopping();
--- a/src/daemon/control_core.hpp
+++ b/src/daemon/control_core.hpp
@@ -71,6 +71,7 @@
         std::function<void(result<routing::assignment>)> on_done);
     void release(std::uint64_t assignment, routing::outcome how,
         std::int64_t output_tokens);
+    /// Instances that can admit requests.
     std::vector<ingress::entry_address> entries() const;
     /// What the instance waits for before it can serve; empty when ready.
     std::string waiting_for() const;
@@ -86,8 +87,9 @@
     void collect_events(
         bool all_instances, std::size_t limit, timeline::handler on_done);
 
-    /// Leaves the answers of GET /v1/entries.
-    void begin_stopping();
+    /// Leaves the answers of GET /v1/entries. The handler is called once no
+    /// instance names this one any more.
+    void begin_stopping(std::function<void()> on_unnamed);
     /// Gives the shares to others, then leaves the membership. The handler
     /// is called when both ended or at the deadline.
     void leave(time_point deadline, std::function<void()> on_left);
@@ -133,6 +135,8 @@
     void tick_placement();
     void poll_instance_list();
     void on_instance_list(const std::vector<platform::listed_instance>& listed);
+    /// How long this instance can certainly admit requests.
+    duration admits_for() const;
     void publish_lease();
     void publish_metrics();
     void on_endpoint_state(const endpoint_id& endpoint,
@@ -163,6 +167,7 @@
     bool placement_was_active_ = false;
     bool store_reachable_ = false;
     bool stopping_ = false;
+    std::function<void()> on_unnamed_;
     bool listing_ = false;
     // Instances that the platform listed at least once; only these can be
     // missing from the list.
--- a/src/daemon/control_messages.cpp
+++ b/src/daemon/control_messages.cpp
@@ -44,6 +44,7 @@
     parts.on_demands =
         [this](const instance_id& from, const peer::Heartbeat& heartbeat)
     { limiter_->on_demands(from, heartbeat, clock_.now()); };
+    parts.admits_for = [this] { return admits_for(); };
     parts.on_serving_changed = [this](const std::vector<instance_id>& serving) {
         TQ_LOG(logger_, info)
             << "Instances that serve: " << serving.size() << ".";
--- a/src/ingress/routes.cpp
+++ b/src/ingress/routes.cpp
@@ -47,6 +47,12 @@
     worker& on, const caller_request& request, responder& out)
 {
     const auto& control = on.services().control;
+    // Taken first, because a stopping instance counts the time from when the
+    // entries were last chosen with it.
+    const auto keep_until =
+        unix_ms() + std::chrono::duration_cast<std::chrono::milliseconds>(
+                        on.shared->settings.entries_keep)
+                        .count();
     auto entries = co_await await_callback<std::vector<entry_address>>(
         [&control](auto handler) { control.entries(std::move(handler)); });
     auto zone = request.parameter("availability_zone");
@@ -57,10 +63,8 @@
     for (const auto& entry : entries)
         list.push_back({{"address", entry.address},
             {"availability_zone", entry.availability_zone}});
-    const auto keep = std::chrono::duration_cast<std::chrono::milliseconds>(
-        on.shared->settings.entries_keep);
-    auto answer = json_answer(
-        {{"entries", list}, {"keep_until_unix_ms", unix_ms() + keep.count()}});
+    auto answer =
+        json_answer({{"entries", list}, {"keep_until_unix_ms", keep_until}});
     co_await out.respond(std::move(answer));
 }
 
--- a/src/limits/limiter.cpp
+++ b/src/limits/limiter.cpp
@@ -184,6 +184,7 @@
         is_member_ = is_member_ || (member.instance == local_ &&
                                        member.incarnation == incarnation_);
     }
+    has_shares_ = has_shares_ && is_member_;
     std::sort(members_.begin(), members_.end());
     outgoing_.clear();
     last_transfer_.clear();
@@ -206,6 +207,7 @@
 void basic_limiter<Policy>::open_epoch(time_point /*now*/)
 {
     open_ = true;
+    has_shares_ = is_member_;
     for (auto& [id, item] : buckets_)
     {
         item.shares = allotment(id);
--- a/src/limits/limiter.hpp
+++ b/src/limits/limiter.hpp
@@ -131,6 +131,10 @@
     /// Whether nothing is held and all transfers are acknowledged.
     bool handed_over() const;
 
+    /// Whether this member has got shares in an open epoch since it joined.
+    /// It keeps a part of them while the next epoch is closed.
+    bool has_shares() const { return has_shares_; }
+
     bucket_state state(const workspace_id& workspace, time_point now);
 
 private:
@@ -227,6 +231,7 @@
     bool is_member_ = false;
     std::int64_t epoch_ = 0;
     bool open_ = false;
+    bool has_shares_ = false;
     std::map<workspace_id, bucket> buckets_;
     std::map<workspace_id, std::deque<waiter>> waiters_;
     // Reservations of the current epoch that have not been settled.
--- a/src/limits/limiter_test.cpp
+++ b/src/limits/limiter_test.cpp
@@ -372,6 +372,7 @@
     CPPUNIT_TEST(hand_over_leaves_nothing_behind);
     CPPUNIT_TEST(hand_over_follows_demand_and_passes_over_stopping_members);
     CPPUNIT_TEST(repeated_transfer_is_applied_once);
+    CPPUNIT_TEST(shares_are_had_from_the_first_open_epoch_on);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -451,6 +452,24 @@
         CPPUNIT_ASSERT(restarted.state(acme, now_) == bucket_state{});
     }
 
+    // Guards against callers that are sent to a new member without shares, or
+    // to no member at all while an epoch is closed.
+    void shares_are_had_from_the_first_open_epoch_on()
+    {
+        limiter joined(member_of(1).instance, member_of(1).incarnation);
+        CPPUNIT_ASSERT(!joined.has_shares());
+        joined.apply(view_of(1, 1, true), now_);
+        CPPUNIT_ASSERT(!joined.has_shares());
+        joined.apply(view_of(2, 2, false), now_);
+        CPPUNIT_ASSERT(!joined.has_shares());
+        joined.apply(view_of(2, 2, true), now_);
+        CPPUNIT_ASSERT(joined.has_shares());
+        joined.apply(view_of(3, 3, false), now_);
+        CPPUNIT_ASSERT(joined.has_shares());
+        joined.apply(view_of(1, 4, false), now_);
+        CPPUNIT_ASSERT(!joined.has_shares());
+    }
+
     // A transfer that was on its way when the workspace was removed arrives
     // after it has been created again in the same epoch.
     void workspace_created_again_gets_no_further_shares()
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -243,6 +243,7 @@
     heartbeat.set_sequence(next_sequence_++);
     heartbeat.set_applied_revision(view_.applied_revision);
     heartbeat.set_stopping(stopping_);
+    heartbeat.set_admits_for_ms(admits_for_ms());
     for (const auto& member : view_.members)
     {
         if (is_silent(member))
@@ -363,10 +364,12 @@
     reply.mutable_heartbeat_reply()->set_sequence(heartbeat.sequence());
     reply.mutable_heartbeat_reply()->set_applied_revision(
         view_.applied_revision);
+    reply.mutable_heartbeat_reply()->set_stopping(stopping_);
+    reply.mutable_heartbeat_reply()->set_admits_for_ms(admits_for_ms());
     parts_.send(from, std::move(reply));
     if (auto* state = find_peer(from, envelope.from_incarnation()))
     {
-        state->stopping = heartbeat.stopping();
+        note_report(*state, heartbeat.stopping(), heartbeat.admits_for_ms());
         state->silent.clear();
         for (const auto& silent : heartbeat.silent_instances())
             state->silent.insert(instance_id(silent));
@@ -375,6 +378,31 @@
     observe(envelope, heartbeat.applied_revision());
 }
 
+std::int64_t membership::admits_for_ms() const
+{
+    if (stopping_)
+        return 0;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        parts_.admits_for())
+        .count();
+}
+
+void membership::note_report(
+    peer_state& state, bool stopping, std::int64_t admits_for_ms)
+{
+    // No view lease is longer, so a larger value is wrong.
+    constexpr std::int64_t longest_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            view_lease_validity)
+            .count();
+    const std::chrono::milliseconds admits_for(
+        std::clamp<std::int64_t>(admits_for_ms, 0, longest_ms));
+    // A stop is final, and an older report may come after a newer one when
+    // the connection was reopened.
+    state.stopping = state.stopping || stopping;
+    state.admits_until = parts_.now() + admits_for;
+}
+
 void membership::on_heartbeat_reply(
     const peer::Envelope& envelope, const peer::Heartbeat_reply& reply)
 {
@@ -382,10 +410,15 @@
     const auto sent =
         std::find_if(sent_heartbeats_.begin(), sent_heartbeats_.end(),
             [&](const auto& entry) { return entry.first == reply.sequence(); });
-    const auto* state = find_peer(from, envelope.from_incarnation());
+    auto* state = find_peer(from, envelope.from_incarnation());
     if (state != nullptr && sent != sent_heartbeats_.end())
+    {
+        note_report(*state, reply.stopping(), reply.admits_for_ms());
+        if (stopping_ && reply.sequence() >= stopping_sequence_)
+            state->knows_stopping = true;
         parts_.record_reply(from, envelope.from_incarnation(), sent->second,
             reply.applied_revision());
+    }
     observe(envelope, reply.applied_revision());
 }
 
@@ -570,9 +603,46 @@
     parts_.on_serving_changed(serving_);
 }
 
+std::vector<instance_id> membership::admitting() const
+{
+    const auto now = parts_.now();
+    std::vector<instance_id> certain;
+    std::vector<instance_id> possible;
+    for (const auto& instance : serving_)
+    {
+        if (instance == local_.instance)
+        {
+            if (parts_.admits_for() > duration::zero())
+                certain.push_back(instance);
+            continue;
+        }
+        const bool admits = peers_.at(instance).admits_until > now;
+        (admits ? certain : possible).push_back(instance);
+    }
+    return certain.empty() ? possible : certain;
+}
+
+void membership::begin_stopping()
+{
+    if (std::exchange(stopping_, true))
+        return;
+    stopping_since_ = parts_.now();
+    stopping_sequence_ = next_sequence_;
+    next_heartbeat_.reset();
+}
+
+bool membership::stopping_known() const
+{
+    // By then, a peer that received nothing takes this instance for silent.
+    if (parts_.now() - stopping_since_ >= suspicion_time)
+        return true;
+    return std::all_of(peers_.begin(), peers_.end(),
+        [](const auto& entry) { return entry.second.knows_stopping; });
+}
+
 void membership::leave(std::function<void()> on_left)
 {
-    stopping_ = true;
+    begin_stopping();
     leaving_ = true;
     on_left_ = std::move(on_left);
     if (!is_member() && on_left_)
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -86,6 +86,9 @@
     /// Demand of each workspace, for the next heartbeat.
     std::function<std::vector<peer::Workspace_demand>()> demands;
     std::function<void(const instance_id&, const peer::Heartbeat&)> on_demands;
+    /// How long this instance can certainly admit requests; zero when it
+    /// can't.
+    std::function<duration()> admits_for;
     /// Called when the list of serving instances changes.
     std::function<void(const std::vector<instance_id>&)> on_serving_changed;
 };
@@ -121,12 +124,18 @@
         std::int64_t revision, time_point deadline, in_force_handler handler);
 
     /// Marks this instance as stopping in its heartbeats.
-    void begin_stopping() { stopping_ = true; }
+    void begin_stopping();
+    /// Whether no other instance names this one any more: each peer has
+    /// answered a heartbeat of the stop, or takes this instance for silent.
+    bool stopping_known() const;
     /// Removes this instance from the membership.
     void leave(std::function<void()> on_left);
 
     /// Members that are neither silent nor stopping.
     const std::vector<instance_id>& serving() const { return serving_; }
+    /// Members that can admit requests now, for GET /v1/entries. When none is
+    /// known to, those that may.
+    std::vector<instance_id> admitting() const;
     bool is_member() const { return is_current(local_); }
     /// Whether the last membership change is acknowledged by a majority of
     /// the old and of the new members.
@@ -141,6 +150,11 @@
         time_point last_heard;
         time_point last_reopened;
         bool stopping = false;
+        /// Until when the peer can admit requests, by its last report; a past
+        /// time before the first one.
+        time_point admits_until{};
+        /// Answered a heartbeat that marks this instance as stopping.
+        bool knows_stopping = false;
         std::set<instance_id> silent;
     };
     struct in_force_waiter
@@ -187,6 +201,9 @@
     void observe(const peer::Envelope& envelope, std::int64_t revision);
     void on_heartbeat(
         const peer::Envelope& envelope, const peer::Heartbeat& heartbeat);
+    void note_report(
+        peer_state& state, bool stopping, std::int64_t admits_for_ms);
+    std::int64_t admits_for_ms() const;
     void on_heartbeat_reply(
         const peer::Envelope& envelope, const peer::Heartbeat_reply& reply);
     void on_push(const peer::Envelope& envelope, const peer::Push& push);
@@ -236,6 +253,9 @@
     std::optional<time_point> proposal_until_;
     std::int64_t proposal_number_ = 0;
     bool stopping_ = false;
+    time_point stopping_since_;
+    // Sequence number of the first heartbeat that marks the stop.
+    std::int64_t stopping_sequence_ = 0;
     bool leaving_ = false;
     std::function<void()> on_left_;
     log::logger logger_ = log::make_logger("membership");
--- a/src/membership/membership_test.cpp
+++ b/src/membership/membership_test.cpp
@@ -69,6 +69,7 @@
         bool isolated = false;
         std::optional<view_lease<clock_ref>> lease;
         int reopened = 0;
+        bool admits = true;
         std::optional<in_force_report> report;
     };
 
@@ -234,6 +235,8 @@
         };
         made.demands = [] { return std::vector<peer::Workspace_demand>(); };
         made.on_demands = [](const instance_id&, const peer::Heartbeat&) {};
+        made.admits_for = [&self]
+        { return self.admits ? view_lease_validity : duration::zero(); };
         made.on_serving_changed = [](const std::vector<instance_id>&) {};
         return made;
     }
@@ -253,6 +256,9 @@
     CPPUNIT_TEST(change_is_in_force_only_after_a_majority);
     CPPUNIT_TEST(instance_catches_up_from_peers_without_the_store);
     CPPUNIT_TEST(stopping_instance_is_not_serving_and_leaves);
+    CPPUNIT_TEST(stop_is_known_when_every_peer_has_answered);
+    CPPUNIT_TEST(only_instances_that_admit_are_named);
+    CPPUNIT_TEST(instances_are_named_when_none_is_known_to_admit);
     CPPUNIT_TEST(next_membership_change_waits_for_the_previous_one);
     CPPUNIT_TEST(joins_and_planned_leaves_open_the_epoch_without_fencing);
     CPPUNIT_TEST(join_after_a_removal_waits_for_the_fencing);
@@ -356,6 +362,71 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), fleet_.head().members.size());
     }
 
+    // Guards against an instance that closes its address while a peer still
+    // gives it to callers.
+    void stop_is_known_when_every_peer_has_answered()
+    {
+        start(3);
+        node(1).isolated = true;
+        node(2).members->begin_stopping();
+        fleet_.run(seconds(3));
+        CPPUNIT_ASSERT(!node(2).members->stopping_known());
+        CPPUNIT_ASSERT(names(1, "c"));
+        node(1).isolated = false;
+        fleet_.run(seconds(1));
+        CPPUNIT_ASSERT(node(2).members->stopping_known());
+        CPPUNIT_ASSERT(!names(1, "c"));
+
+        node(0).isolated = true;
+        node(1).members->begin_stopping();
+        fleet_.run(suspicion_time - seconds(1));
+        CPPUNIT_ASSERT(!node(1).members->stopping_known());
+        fleet_.run(seconds(1));
+        CPPUNIT_ASSERT(node(1).members->stopping_known());
+        CPPUNIT_ASSERT(!names(0, "b"));
+    }
+
+    // Guards against entries that refuse every request: an instance without
+    // shares or without a view lease, or one whose state is not known.
+    void only_instances_that_admit_are_named()
+    {
+        start(3);
+        CPPUNIT_ASSERT(names(0, "a") && names(0, "b") && names(0, "c"));
+        node(0).admits = node(1).admits = false;
+        fleet_.run(seconds(1));
+        for (const std::size_t i : {0, 1, 2})
+            CPPUNIT_ASSERT(
+                node(i).members->admitting() ==
+                std::vector<instance_id>{instance_id("c")});
+        node(0).admits = node(1).admits = true;
+        fleet_.run(seconds(1));
+        CPPUNIT_ASSERT(names(2, "a") && names(2, "b"));
+        node(1).isolated = true;
+        fleet_.run(view_lease_validity + seconds(1));
+        CPPUNIT_ASSERT(names(0, "a") && !names(0, "b") && names(0, "c"));
+        CPPUNIT_ASSERT(names(1, "b") && !names(1, "a"));
+
+        // An instance that has not joined asks by heartbeats alone.
+        auto& joiner = fleet_.add("d");
+        joiner.admits = false;
+        fleet_.store_available = false;
+        fleet_.run(seconds(2));
+        CPPUNIT_ASSERT(!joiner.members->is_member());
+        CPPUNIT_ASSERT(names(3, "a") && names(3, "c") && !names(3, "d"));
+    }
+
+    // Guards against empty answers while some instance may serve.
+    void instances_are_named_when_none_is_known_to_admit()
+    {
+        start(3);
+        node(0).admits = node(1).admits = node(2).admits = false;
+        fleet_.run(seconds(1));
+        CPPUNIT_ASSERT(!names(0, "a") && names(0, "b") && names(0, "c"));
+        node(1).members->begin_stopping();
+        fleet_.run(seconds(1));
+        CPPUNIT_ASSERT(!names(0, "b") && names(0, "c"));
+    }
+
     // Two changes without acknowledgement in between could leave two
     // majorities that share no member.
     void next_membership_change_waits_for_the_previous_one()
@@ -536,6 +607,14 @@
 
     fleet::node& node(std::size_t index) { return *fleet_.nodes[index]; }
 
+    /// Whether an instance names another one to callers.
+    bool names(std::size_t index, const std::string& instance)
+    {
+        const auto named = node(index).members->admitting();
+        return std::find(named.begin(), named.end(), instance_id(instance)) !=
+               named.end();
+    }
+
     void start(int count)
     {
         const std::array<const char*, 3> names{"a", "b", "c"};
--- a/tests/stopping_test.cpp
+++ b/tests/stopping_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <csignal>
 #include <memory>
 #include <vector>
@@ -130,6 +131,8 @@
 {
     CPPUNIT_TEST_SUITE(stopping_test);
     CPPUNIT_TEST(planned_stop_interrupts_nothing);
+    CPPUNIT_TEST(new_instance_is_named_once_it_has_shares);
+    CPPUNIT_TEST(rolling_replacement_refuses_nothing);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -141,7 +144,126 @@
         with_timeline(*system.system, 0, [&] { stop_under_load(system); });
     }
 
+    // Guards against callers that are sent to an instance without shares,
+    // which refuses all requests, and against empty answers meanwhile.
+    void new_instance_is_named_once_it_has_shares()
+    {
+        deployment_options options;
+        options.daemons = 4;
+        const auto system = start_configured(options);
+        with_timeline(*system.system, 0, [&] { join_closed_epoch(system); });
+    }
+
+    // Guards against a replacement that refuses or cuts requests of callers
+    // within their rate, or leaves them without a usable address.
+    void rolling_replacement_refuses_nothing()
+    {
+        const auto system = start_configured({});
+        with_timeline(*system.system, 0, [&] { replace_each(system); });
+    }
+
 private:
+    static bool names(const configured_system& system, std::size_t asked,
+        std::size_t named)
+    {
+        return fetch_entries(system->entry(asked), "w1")
+            .names(system->entry(named));
+    }
+
+    static bool is_member(
+        const configured_system& system, const std::string& instance)
+    {
+        const auto status = system->status(0);
+        if (!status.is_object())
+            return false;
+        const auto members =
+            status.value("members", std::vector<std::string>());
+        return std::find(members.begin(), members.end(), instance) !=
+               members.end();
+    }
+
+    // The epoch opens only after all members have applied the change, so a
+    // paused one keeps it closed for about 16 s, until it is fenced.
+    static void join_closed_epoch(const configured_system& system)
+    {
+        constexpr std::size_t paused = 2;
+        constexpr std::size_t joining = 3;
+        constexpr int rounds = 20;
+        CPPUNIT_ASSERT(system->wait_epoch_open({0, 1, 2, 3}));
+        assert_stops(system->daemon(joining));
+        CPPUNIT_ASSERT(system->wait_epoch_open({0, 1, 2}));
+        system->daemon(paused).send_signal(SIGSTOP);
+        system->start_daemon(joining);
+        CPPUNIT_ASSERT(eventually([&] { return is_member(system, "i4"); }));
+        CPPUNIT_ASSERT(eventually([&] { return names(system, joining, 0); }));
+        const completion_call call{.max_tokens = 1};
+        for (int i = 0; i < rounds; ++i)
+        {
+            CPPUNIT_ASSERT(!system->status(0).value("epoch_open", true));
+            for (const std::size_t asked : {std::size_t{0}, joining})
+            {
+                CPPUNIT_ASSERT(names(system, asked, 0));
+                CPPUNIT_ASSERT(names(system, asked, 1));
+                CPPUNIT_ASSERT(!names(system, asked, joining));
+            }
+            for (const std::size_t named : {0, 1})
+                CPPUNIT_ASSERT_EQUAL(std::string(),
+                    failure_of("closed epoch", call,
+                        complete(system->entry(named), system.key1, call)));
+        }
+        system->daemon(paused).send_signal(SIGCONT);
+        for (const std::size_t asked : {0, 1, 2, 3})
+            for (const std::size_t named : {0, 1, 2, 3})
+                CPPUNIT_ASSERT(
+                    eventually([&] { return names(system, asked, named); },
+                        milliseconds(30'000)));
+        CPPUNIT_ASSERT_EQUAL(std::string(),
+            failure_of("joined", call,
+                complete(system->entry(joining), system.key1, call)));
+    }
+
+    static void add_follower(caller_loops& loops,
+        const configured_system& system, std::size_t first,
+        const std::string& workspace, const completion_call& call)
+    {
+        auto follower = std::make_shared<entries_follower>(
+            system->entry(first), workspace);
+        const auto key = workspace == "w1" ? system.key1 : system.key2;
+        loops.add(
+            [follower, call, key, workspace]
+            {
+                const auto address = follower->address();
+                return address.empty()
+                           ? "no entries"
+                           : failure_of(workspace + " at " + address, call,
+                                 complete(address, key, call));
+            },
+            milliseconds(20));
+    }
+
+    static void replace_each(const configured_system& system)
+    {
+        CPPUNIT_ASSERT(system->wait_epoch_open({0, 1, 2}));
+        // Six callers with less than 1,000 tokens each and 50 calls a second
+        // stay within a tenth of the rate.
+        caller_loops loops;
+        for (const std::size_t i : {0, 1, 2})
+        {
+            add_follower(loops, system, i, "w1",
+                {.max_tokens = 2, .stream = false});
+            add_follower(loops, system, i, "w2", {.max_tokens = 100});
+        }
+        for (std::size_t i = 0; i < system->daemons(); ++i)
+        {
+            assert_stops(system->daemon(i));
+            system->start_daemon(i);
+            CPPUNIT_ASSERT(eventually([&] { return names(system, i, i); },
+                milliseconds(30'000)));
+        }
+        loops.stop();
+        CPPUNIT_ASSERT_EQUAL(std::string(), loops.failures());
+    }
+
     static void stop_under_load(const configured_system& system)
     {
         constexpr std::size_t stopped = 1;
