--- a/src/membership/membership_test.cpp
+++ b/src/membership/membership_test.cpp
@@ -395,9 +395,8 @@
         node(0).admits = node(1).admits = false;
         fleet_.run(seconds(1));
         for (const std::size_t i : {0, 1, 2})
-            CPPUNIT_ASSERT(
-                node(i).members->admitting() ==
-                std::vector<instance_id>{instance_id("c")});
+            CPPUNIT_ASSERT(node(i).members->admitting() ==
+                           std::vector<instance_id>{instance_id("c")});
         node(0).admits = node(1).admits = true;
         fleet_.run(seconds(1));
         CPPUNIT_ASSERT(names(2, "a") && names(2, "b"));
--- a/tests/stopping_test.cpp
+++ b/tests/stopping_test.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <csignal>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -67,8 +68,10 @@
         auto client = std::make_shared<http_client>(target_);
         const completion_call call{.max_tokens = 2, .stream = false};
         const auto what = fmt::format("kept, pause {} ms", pause.count());
-        add(pause, [this, client, call, what]
-            { return failure_of(what, call, client->send(call.request(key_))); });
+        add(pause,
+            [this, client, call, what] {
+                return failure_of(what, call, client->send(call.request(key_)));
+            });
     }
     void add_orders(int thread)
     {
@@ -133,6 +136,8 @@
     CPPUNIT_TEST(planned_stop_interrupts_nothing);
     CPPUNIT_TEST(new_instance_is_named_once_it_has_shares);
     CPPUNIT_TEST(rolling_replacement_refuses_nothing);
+    CPPUNIT_TEST(engine_that_says_it_leaves_gets_no_new_work);
+    CPPUNIT_TEST(engine_that_the_list_calls_leaving_gets_no_new_work);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -162,9 +167,104 @@
         with_timeline(*system.system, 0, [&] { replace_each(system); });
     }
 
+    // Guards against new work for an endpoint that the lagging list does not
+    // show as leaving yet, and against a cut of its running streams.
+    void engine_that_says_it_leaves_gets_no_new_work()
+    {
+        const auto system = start_configured({});
+        with_timeline(*system.system, 0,
+            [&]
+            {
+                leave_under_load(system,
+                    [&](std::size_t engine)
+                    {
+                        post(system->engine_address(engine), "/admin/faults",
+                            {{"leaving", true}});
+                    });
+            });
+    }
+
+    // The same for an engine that does not know that it leaves.
+    void engine_that_the_list_calls_leaving_gets_no_new_work()
+    {
+        const auto system = start_configured({});
+        with_timeline(*system.system, 0,
+            [&]
+            {
+                leave_under_load(system,
+                    [&](std::size_t engine)
+                    {
+                        system->list_instance(fmt::format("e{}", engine + 1),
+                            system->engine_address(engine), true);
+                    });
+            });
+    }
+
 private:
-    static bool names(const configured_system& system, std::size_t asked,
-        std::size_t named)
+    static json counts_of(const configured_system& system, std::size_t engine)
+    {
+        return fetch(system->engine_address(engine), "/admin/counts").json();
+    }
+
+    static void leave_under_load(const configured_system& system,
+        const std::function<void(std::size_t)>& announce)
+    {
+        // The state of an engine is polled each second and the list every
+        // two seconds, and a poll of either takes up to two seconds.
+        constexpr milliseconds notice_time{5'000};
+        constexpr milliseconds watched_time{4'000};
+        constexpr int threads = 4;
+        CPPUNIT_ASSERT(system->wait_epoch_open({0, 1, 2}));
+        caller_loops loops;
+        std::vector<std::unique_ptr<background_stream>> streams;
+        for (int i = 0; i < threads; ++i)
+        {
+            const auto entry = system->entry(i % system->daemons());
+            const completion_call call{.max_tokens = 5, .stream = i % 2 == 0};
+            loops.add(
+                [entry, call, key = system.key1] {
+                    return failure_of("load", call, complete(entry, key, call));
+                },
+                milliseconds(10));
+            streams.push_back(std::make_unique<background_stream>(
+                entry, system.key2, long_stream));
+        }
+        for (const auto& stream : streams)
+            CPPUNIT_ASSERT(eventually([&] { return stream->events() > 3; }));
+        const std::size_t leaving = counts_of(system, 0).at("requests") >
+                                            counts_of(system, 1).at("requests")
+                                        ? 0
+                                        : 1;
+        const auto before = counts_of(system, leaving).at("requests");
+        CPPUNIT_ASSERT_MESSAGE("the engine has no load",
+            eventually(
+                [&] {
+                    return before < counts_of(system, leaving).at("requests");
+                }));
+        CPPUNIT_ASSERT(eventually(
+            [&]
+            {
+                return fetch(system->engine_address(leaving), "/control/state")
+                           .json()
+                           .at("running") > 0;
+            }));
+        announce(leaving);
+        std::this_thread::sleep_for(notice_time);
+        const auto noticed = counts_of(system, leaving).at("requests");
+        const auto other = counts_of(system, 1 - leaving).at("requests");
+        std::this_thread::sleep_for(watched_time);
+        CPPUNIT_ASSERT_EQUAL(
+            noticed.dump(), counts_of(system, leaving).at("requests").dump());
+        CPPUNIT_ASSERT_MESSAGE("the other engine had no load",
+            other < counts_of(system, 1 - leaving).at("requests"));
+        loops.stop();
+        CPPUNIT_ASSERT_EQUAL(std::string(), loops.failures());
+        for (const auto& stream : streams)
+            assert_whole(*stream, long_stream);
+    }
+
+    static bool names(
+        const configured_system& system, std::size_t asked, std::size_t named)
     {
         return fetch_entries(system->entry(asked), "w1")
             .names(system->entry(named));
@@ -222,13 +322,11 @@
                 complete(system->entry(joining), system.key1, call)));
     }
 
-    static void add_follower(caller_loops& loops,
-        const configured_system& system, std::size_t first,
-        const std::string& workspace, const completion_call& call)
+    static void add_follower(caller_loops& loops, const std::string& first,
+        const std::string& workspace, const std::string& key,
+        const completion_call& call, milliseconds pause)
     {
-        auto follower = std::make_shared<entries_follower>(
-            system->entry(first), workspace);
-        const auto key = workspace == "w1" ? system.key1 : system.key2;
+        auto follower = std::make_shared<entries_follower>(first, workspace);
         loops.add(
             [follower, call, key, workspace]
             {
@@ -238,27 +336,36 @@
                            : failure_of(workspace + " at " + address, call,
                                  complete(address, key, call));
             },
-            milliseconds(20));
+            pause);
     }
 
     static void replace_each(const configured_system& system)
     {
         CPPUNIT_ASSERT(system->wait_epoch_open({0, 1, 2}));
-        // Six callers with less than 1,000 tokens each and 50 calls a second
-        // stay within a tenth of the rate.
+        // A short call reserves 36 tokens (17 bytes, 16 for the message and 3
+        // of output), so at most 20 calls a second take at most 720 tokens.
+        constexpr milliseconds pause{50};
+        const completion_call short_call{.max_tokens = 3, .stream = false};
+        system->put_workspace("w3", 800, 1'600);
+        const auto key3 = system->issue_key("k3", "w3");
         caller_loops loops;
-        for (const std::size_t i : {0, 1, 2})
+        add_follower(loops, system->entry(0), "w3", key3, short_call, pause);
+        // The name decides which instance comes first in the answers, so that
+        // each instance has callers, also right after it has joined.
+        constexpr int followers = 10;
+        for (int i = 0; i < followers; ++i)
         {
-            add_follower(loops, system, i, "w1",
-                {.max_tokens = 2, .stream = false});
-            add_follower(loops, system, i, "w2", {.max_tokens = 100});
+            const auto first = system->entry(i % system->daemons());
+            add_follower(loops, first, fmt::format("n{}", i), system.key1,
+                short_call, milliseconds(10));
+            add_follower(loops, first, fmt::format("n{}", i), system.key2,
+                {.max_tokens = 100}, pause);
         }
         for (std::size_t i = 0; i < system->daemons(); ++i)
         {
             assert_stops(system->daemon(i));
             system->start_daemon(i);
-            CPPUNIT_ASSERT(eventually([&] { return names(system, i, i); },
-                milliseconds(30'000)));
+            CPPUNIT_ASSERT(system->wait_healthy(i));
         }
         loops.stop();
         CPPUNIT_ASSERT_EQUAL(std::string(), loops.failures());
