--- a/src/catalog/snapshot.hpp
+++ b/src/catalog/snapshot.hpp
@@ -156,12 +156,17 @@
     bool stopping() const { return stopping_.load(); }
     void publish_stopping() { stopping_.store(true); }
 
+    /// Whether running requests have to end, at the deadline of a stop.
+    bool stop_deadline_passed() const { return stop_deadline_passed_.load(); }
+    void publish_stop_deadline_passed() { stop_deadline_passed_.store(true); }
+
 private:
     std::atomic<snapshot_ptr> current_;
     std::atomic<std::int64_t> lease_deadline_ns_{0};
     std::atomic<std::shared_ptr<const std::string>> waiting_for_{
         std::make_shared<const std::string>("the start")};
     std::atomic<bool> stopping_{false};
+    std::atomic<bool> stop_deadline_passed_{false};
 };
 
 } // namespace tarragonquay::catalog
--- a/src/daemon/application.cpp
+++ b/src/daemon/application.cpp
@@ -18,6 +18,8 @@
 // A request that was sent just before its answer of GET /v1/entries expired
 // still has to arrive.
 constexpr std::chrono::seconds last_use_margin{1};
+// Time for the error events of streams that run at the stop deadline.
+constexpr std::chrono::seconds last_events_limit{1};
 // Time for the shares and the membership, after the last request has ended.
 constexpr std::chrono::seconds leave_limit{5};
 constexpr std::chrono::seconds operators_close_limit{2};
@@ -240,10 +242,12 @@
     post_after(std::chrono::milliseconds(settings_.stop_ms),
         [this]
         {
-            if (!left_ingress_)
-                TQ_LOG(logger_, warning)
-                    << "Requests still run at the stop deadline.";
-            leave_membership();
+            if (left_ingress_)
+                return;
+            TQ_LOG(logger_, warning)
+                << "Requests still run at the stop deadline.";
+            published_.publish_stop_deadline_passed();
+            post_after(last_events_limit, [this] { leave_membership(); });
         });
 }
 
--- a/src/ingress/completion_route.cpp
+++ b/src/ingress/completion_route.cpp
@@ -261,6 +261,7 @@
            !call.first_seen && cause.code() != error_code::cancelled &&
            cause.code() != error_code::withdrawn_key &&
            cause.code() != error_code::no_view_lease &&
+           cause.code() != error_code::stopping &&
            (cause.code() != error_code::endpoint_rejected ||
                cause.execution() != execution_state::not_run) &&
            std::chrono::steady_clock::now() < call.request.deadline;
--- a/src/ingress/routes.cpp
+++ b/src/ingress/routes.cpp
@@ -160,6 +160,7 @@
     case error_code::cancelled:
     case error_code::withdrawn_key:
     case error_code::no_view_lease:
+    case error_code::stopping:
         return routing::outcome::cancelled;
     default:
         return routing::outcome::failed;
--- a/src/ingress/server_test.cpp
+++ b/src/ingress/server_test.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(refusals_reach_no_endpoint);
     CPPUNIT_TEST(lease_is_checked_again_before_the_dispatch);
     CPPUNIT_TEST(withdrawn_key_ends_a_running_stream);
+    CPPUNIT_TEST(stop_deadline_ends_a_running_stream);
     CPPUNIT_TEST(caller_that_leaves_cancels_the_stream);
     CPPUNIT_TEST(order_runs_once_and_its_answer_is_replayed);
     CPPUNIT_TEST(broken_order_is_never_sent_again);
@@ -140,6 +141,24 @@
         CPPUNIT_ASSERT(all.balanced());
     }
 
+    // Guards against a stream that is cut without an error event.
+    void stop_deadline_ends_a_running_stream()
+    {
+        server_fixture all({{stream_head + chunk(first_event), then::silent},
+            {head + "Content-Length: 0\r\n\r\n"}});
+        asio::steady_timer later(all.endpoint.context);
+        later.expires_after(std::chrono::milliseconds(100));
+        later.async_wait([&all](const boost::system::error_code&)
+            { all.state.publish_stop_deadline_passed(); });
+        const auto answer = all.call(server_fixture::completion_text(true));
+        assert_contains("event: error\ndata: ", answer);
+        assert_contains("\"stopping\"", answer);
+        CPPUNIT_ASSERT(answer.ends_with("\r\n0\r\n\r\n"));
+        while (!all.endpoint_saw("DELETE /v1/streams/"))
+            all.endpoint.context.run_one();
+        CPPUNIT_ASSERT(all.balanced());
+    }
+
     void caller_that_leaves_cancels_the_stream()
     {
         server_fixture all({{stream_head + chunk(first_event), then::silent},
--- a/src/ingress/stream_watch.cpp
+++ b/src/ingress/stream_watch.cpp
@@ -63,6 +63,10 @@
 
 std::optional<error> stream_authorization::check(time_point now)
 {
+    if (state_.stop_deadline_passed())
+        return error(error_code::stopping,
+            "the instance has to end before the request",
+            execution_state::unknown);
     const auto view = state_.current();
     const auto who = find_caller(*view, secret_sha256_);
     if (!who)
--- a/tests/stopping_test.cpp
+++ b/tests/stopping_test.cpp
@@ -134,6 +134,7 @@
 {
     CPPUNIT_TEST_SUITE(stopping_test);
     CPPUNIT_TEST(planned_stop_interrupts_nothing);
+    CPPUNIT_TEST(stream_beyond_the_stop_deadline_ends_with_an_error);
     CPPUNIT_TEST(new_instance_is_named_once_it_has_shares);
     CPPUNIT_TEST(rolling_replacement_refuses_nothing);
     CPPUNIT_TEST(engine_that_says_it_leaves_gets_no_new_work);
@@ -149,6 +150,23 @@
         with_timeline(*system.system, 0, [&] { stop_under_load(system); });
     }
 
+    // Guards against a stream that is truncated silently when it runs for
+    // longer than a stop may take.
+    void stream_beyond_the_stop_deadline_ends_with_an_error()
+    {
+        constexpr int endless = 5'000;
+        deployment_options options;
+        options.daemons = 1;
+        options.stop_ms = 500;
+        const auto system = start_configured(options);
+        background_stream stream(system->entry(0), system.key1, endless);
+        CPPUNIT_ASSERT(eventually([&] { return stream.events() > 3; }));
+        assert_stops(system->daemon(0));
+        const auto& reply = stream.reply();
+        CPPUNIT_ASSERT_MESSAGE(describe(reply), ends_with_error_event(reply));
+        CPPUNIT_ASSERT_EQUAL(std::string("stopping"), error_code_of(reply));
+    }
+
     // Guards against callers that are sent to an instance without shares,
     // which refuses all requests, and against empty answers meanwhile.
     void new_instance_is_named_once_it_has_shares()
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -161,6 +161,8 @@
         file << fmt::format("view_lease_ms: {}\n", options_.view_lease_ms);
     if (options_.head_poll_ms != 0)
         file << fmt::format("head_poll_ms: {}\n", options_.head_poll_ms);
+    if (options_.stop_ms != 0)
+        file << fmt::format("stop_ms: {}\n", options_.stop_ms);
 }
 
 void deployment::start_daemon(std::size_t i)
@@ -183,6 +185,7 @@
     const std::vector<std::size_t>& members, milliseconds time) const
 {
     std::vector<std::string> ids;
+    ids.reserve(members.size());
     for (const auto i : members)
         ids.push_back(daemons_.at(i).id);
     const auto ready = [&](std::size_t i)
--- a/tests/support/deployment.hpp
+++ b/tests/support/deployment.hpp
@@ -27,6 +27,7 @@
     /// 0 keeps the product's default.
     int view_lease_ms = 0;
     int head_poll_ms = 0;
+    int stop_ms = 0;
     std::vector<std::string> platform_arguments;
     std::vector<std::string> engine_arguments;
 };
