--- a/src/ingress/server_test.cpp
+++ b/src/ingress/server_test.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(refusals_reach_no_endpoint);
     CPPUNIT_TEST(lease_is_checked_again_before_the_dispatch);
     CPPUNIT_TEST(withdrawn_key_ends_a_running_stream);
+    CPPUNIT_TEST(stop_deadline_ends_a_running_stream);
     CPPUNIT_TEST(caller_that_leaves_cancels_the_stream);
     CPPUNIT_TEST(order_runs_once_and_its_answer_is_replayed);
     CPPUNIT_TEST(broken_order_is_never_sent_again);
@@ -56,6 +57,8 @@
     CPPUNIT_TEST(order_is_recorded_anew_when_the_membership_changes);
     CPPUNIT_TEST(idempotent_call_is_tried_elsewhere);
     CPPUNIT_TEST(stop_waits_for_running_requests);
+    CPPUNIT_TEST(stop_closes_idle_connections);
+    CPPUNIT_TEST(stop_serves_a_request_that_is_being_sent);
     CPPUNIT_TEST(connection_above_the_limit_is_answered);
     CPPUNIT_TEST(malformed_requests_are_answered);
     CPPUNIT_TEST_SUITE_END();
@@ -138,6 +141,24 @@
         CPPUNIT_ASSERT(all.balanced());
     }
 
+    // Guards against a stream that is cut without an error event.
+    void stop_deadline_ends_a_running_stream()
+    {
+        server_fixture all({{stream_head + chunk(first_event), then::silent},
+            {head + "Content-Length: 0\r\n\r\n"}});
+        asio::steady_timer later(all.endpoint.context);
+        later.expires_after(std::chrono::milliseconds(100));
+        later.async_wait([&all](const boost::system::error_code&)
+            { all.state.publish_stop_deadline_passed(); });
+        const auto answer = all.call(server_fixture::completion_text(true));
+        assert_contains("event: error\ndata: ", answer);
+        assert_contains("\"stopping\"", answer);
+        CPPUNIT_ASSERT(answer.ends_with("\r\n0\r\n\r\n"));
+        while (!all.endpoint_saw("DELETE /v1/streams/"))
+            all.endpoint.context.run_one();
+        CPPUNIT_ASSERT(all.balanced());
+    }
+
     void caller_that_leaves_cancels_the_stream()
     {
         server_fixture all({{stream_head + chunk(first_event), then::silent},
@@ -249,6 +270,36 @@
         CPPUNIT_ASSERT(idle);
     }
 
+    // Guards against idle connections that delay a stop or outlive it.
+    void stop_closes_idle_connections()
+    {
+        for (const std::string before : {"", "GET /healthz HTTP/1.1\r\n\r\n"})
+        {
+            server_fixture all({});
+            bool idle = false;
+            const auto answer = all.call_across_stop(before, "", idle);
+            CPPUNIT_ASSERT_EQUAL(before.empty(), answer.empty());
+            CPPUNIT_ASSERT(idle);
+        }
+    }
+
+    // Guards against a stop that breaks a request whose first bytes have
+    // arrived, or one that a caller sends before it sees the close.
+    void stop_serves_a_request_that_is_being_sent()
+    {
+        const std::string text = "GET /healthz HTTP/1.1\r\n\r\n";
+        for (const std::size_t sent : {std::size_t{0}, text.size() / 2})
+        {
+            server_fixture all({});
+            bool idle = false;
+            const auto answer = all.call_across_stop(
+                text.substr(0, sent), text.substr(sent), idle);
+            assert_contains("HTTP/1.1 503", answer);
+            assert_contains("Connection: close", answer);
+            CPPUNIT_ASSERT(idle);
+        }
+    }
+
     // Guards against a caller that can't tell a full instance from a dead
     // one.
     void connection_above_the_limit_is_answered()
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -161,6 +161,8 @@
         file << fmt::format("view_lease_ms: {}\n", options_.view_lease_ms);
     if (options_.head_poll_ms != 0)
         file << fmt::format("head_poll_ms: {}\n", options_.head_poll_ms);
+    if (options_.stop_ms != 0)
+        file << fmt::format("stop_ms: {}\n", options_.stop_ms);
 }
 
 void deployment::start_daemon(std::size_t i)
