--- a/src/daemon/control_core.cpp
+++ b/src/daemon/control_core.cpp
@@ -138,6 +138,9 @@
     every(tick_interval, &control_core::tick);
     every(list_interval, &control_core::poll_instance_list);
     every(metrics_interval, &control_core::publish_metrics);
+    // The holder of the placement lease needs the demand at all instances,
+    // also at those that may not hold the lease.
+    every(placement_interval, &control_core::report_demand);
     if (process_.settings.placement.enabled)
         every(placement_interval, &control_core::tick_placement);
     tasks_.push_back(std::make_unique<periodic_task>(control_,
@@ -158,21 +161,24 @@
     end_leave_when_done();
 }
 
-void control_core::tick_placement()
+void control_core::report_demand()
 {
-    const auto now = clock_.now();
     const auto own = scheduler_.demand();
-    if (!own.empty())
+    if (own.empty())
+        return;
+    peer::Envelope message;
+    *message.mutable_demand_report() =
+        demand_exchange::encode(own, clock_.now());
+    for (const auto& instance : membership_->serving())
     {
-        peer::Envelope message;
-        *message.mutable_demand_report() = demand_exchange::encode(own, now);
-        for (const auto& instance : membership_->serving())
-        {
-            if (instance != local_.instance)
-                send(instance, message);
-        }
+        if (instance != local_.instance)
+            send(instance, message);
     }
-    placement_->set_demand(demand_.total(own, now));
+}
+
+void control_core::tick_placement()
+{
+    placement_->set_demand(demand_.total(scheduler_.demand(), clock_.now()));
     placement_->tick();
 }
 
--- a/src/daemon/control_core.hpp
+++ b/src/daemon/control_core.hpp
@@ -130,6 +130,7 @@
 
     // Periodic work.
     void tick();
+    void report_demand();
     void tick_placement();
     void poll_instance_list();
     void on_instance_list(const std::vector<platform::listed_instance>& listed);
