Keep replicas when engines are briefly unknown and commands are lost

A new holder of the lease, or a suspicion of a second, made the planner take models for missing and unload the last replicas of others. A command that was lost held up all loads for 30 s. An instance that lost the lease between an intent and its sending left an engine without fencing blocked.

--- a/src/placement/controller.hpp
+++ b/src/placement/controller.hpp
@@ -87,6 +87,10 @@
     using commands = std::vector<intent>;
 
     static constexpr std::chrono::seconds command_patience{30};
+    // A command that the engine does not list was probably lost. Longer than
+    // the 2 s for its answer and two state polls of 1 s each. Only the planner
+    // stops waiting for it; its memory stays accounted.
+    static constexpr std::chrono::seconds unlisted_patience{5};
     static constexpr std::chrono::seconds resend_interval{2};
     // One transaction stays small, and a lost answer delays few commands.
     static constexpr std::size_t largest_batch = 16;
--- a/src/placement/controller.ipp
+++ b/src/placement/controller.ipp
@@ -31,8 +31,10 @@
             scanned_ = false;
             scanning_ = false;
             ++generation_;
-            // The next holder concludes what is open, and may repeat it.
-            unsent_.clear();
+            // The next holder concludes what is open. What this instance has
+            // never sent is kept: it is the only one that may send a command
+            // to an engine without fencing, which would otherwise stay
+            // blocked.
             to_erase_.clear();
             ledger_.replace_intents({});
         });
@@ -188,9 +190,14 @@
 {
     inputs_.now = clock_.now();
     inputs_.recent.clear();
-    for (const auto& [command_id, when] : sent_at_)
-        if (clock_.now() - when < command_patience)
-            inputs_.recent.insert(command_id);
+    for (const auto& each : ledger_.intents())
+    {
+        const auto sent = sent_at_.find(each.command_id);
+        const auto patience =
+            ledger_.listed(each) ? command_patience : unlisted_patience;
+        if (sent != sent_at_.end() && inputs_.now - sent->second < patience)
+            inputs_.recent.insert(each.command_id);
+    }
     auto view = build_view(ledger_, inputs_);
     view.loads_allowed = static_cast<std::int64_t>(loads_allowed_);
     auto moves = planner_.plan(view, settings_.limits);
--- a/src/placement/ledger.cpp
+++ b/src/placement/ledger.cpp
@@ -280,6 +280,13 @@
            !it->second.shown.contains(value.command_id);
 }
 
+bool ledger::listed(const intent& value) const
+{
+    const auto it = engines_.find(value.endpoint);
+    return it != engines_.end() && it->second.report &&
+           outcome_in(*it->second.report, value.command_id).has_value();
+}
+
 void ledger::replace_intents(const std::vector<intent>& values)
 {
     std::set<std::string> kept;
--- a/src/placement/ledger.hpp
+++ b/src/placement/ledger.hpp
@@ -72,6 +72,8 @@
     std::vector<intent> intents(const endpoint_id& id) const;
     /// Whether neither the effect nor the rejection of the command was seen.
     bool open(const intent& value) const;
+    /// Whether the engine's last report lists the command.
+    bool listed(const intent& value) const;
     const std::map<endpoint_id, engine_account>& engines() const
     {
         return engines_;
--- a/src/placement/plan_draft.cpp
+++ b/src/placement/plan_draft.cpp
@@ -22,6 +22,8 @@
     for (const auto& engine : view_.engines)
     {
         auto& models = models_at_.emplace_back();
+        engine_unknown_ =
+            engine_unknown_ || (engine.may_return && size_of(engine) == 0);
         for (const auto& replica : engine.replicas)
         {
             models.push_back(index_of(replica.model));
@@ -29,6 +31,7 @@
                 continue;
             auto& of = counts_[models.back()];
             const auto& version = view_.models[models.back()].version;
+            of.away += engine.may_return && replica.ready ? 1 : 0;
             // An unload that was lost at a blocked engine never ends.
             if (replica.going)
                 of.going += engine.blocked ? 0 : 1;
@@ -46,6 +49,13 @@
     }
 }
 
+bool plan_draft::may_swap(const model_view& model) const
+{
+    const bool may_return = engine_unknown_ || count(model.id).away > 0;
+    return model.waiting > 0 &&
+           (!may_return || model.waiting_s >= limits_.return_patience_s);
+}
+
 std::size_t plan_draft::index_of(const model_id& model) const
 {
     const auto it = index_.find(model);
@@ -209,7 +219,7 @@
         }
         if (view_.loads_open + view_.unloads_open >= limits_.concurrent_loads)
             continue;
-        if (const auto where = cheapest_room(*model, model->waiting > 0))
+        if (const auto where = cheapest_room(*model, may_swap(*model)))
             unload(*where);
     }
     loading_kept_ = false;
@@ -415,7 +425,10 @@
                    ? std::optional(
                          last_replica_penalty + owner.tokens_per_second)
                    : std::nullopt;
-    if (scarce_ && !rolling_out_)
+    // A rollout does not wait until a surplus replica is idle.
+    if (rolling_out_)
+        return served(owner, rest + 1) - served(owner, rest);
+    if (scarce_)
         return loss_when_scarce(owner, wanted, allow_swap);
     const auto capacity = rest * limits_.replica_tokens_per_second;
     if (rest > 0)
@@ -531,7 +544,7 @@
         if (!make_room || being_freed-- > 0 ||
             view_.loads_open + view_.unloads_open >= limits_.concurrent_loads)
             continue;
-        if (const auto where = cheapest_room(*model, model->waiting > 0))
+        if (const auto where = cheapest_room(*model, may_swap(*model)))
             unload(*where);
         // Smaller models behind it would take its room bit by bit.
         if (scarce_ && model->waiting > 0)
--- a/src/placement/plan_draft.hpp
+++ b/src/placement/plan_draft.hpp
@@ -46,6 +46,8 @@
         int ready = 0;
         int coming = 0;
         int going = 0;
+        // On engines that may return.
+        int away = 0;
         // Those of `ready` that are not of the configured version.
         int outdated = 0;
         // Ready or coming on the engines that do not rotate.
@@ -95,6 +97,8 @@
     bool has_slot(const engine_view& engine) const;
     void make_room_for_adapter(
         engine_view& engine, const adapter_demand& wanted);
+    // Whether the model may take the last replica of another one.
+    bool may_swap(const model_view& model) const;
     const model_view& find(const model_id& model) const;
     bool may_load() const;
     std::optional<std::size_t> engine_with_room(const model_view& model) const;
@@ -128,6 +132,8 @@
     bool scarce_ = false;
     bool loading_kept_ = false;
     bool rolling_out_ = false;
+    // Whether an engine that may return has not reported yet.
+    bool engine_unknown_ = false;
     std::set<std::size_t> rotating_;
     std::map<model_id, int> kept_;
     std::vector<move> moves_;
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -34,6 +34,8 @@
     std::int64_t free_bytes = 0;
     /// Neither leaving nor suspected, and its state is known.
     bool usable = false;
+    /// Not usable now, but not leaving either; its replicas may serve again.
+    bool may_return = false;
     bool accepts_command = false;
     /// Gets no further command before the open one has ended.
     bool one_command_at_a_time = false;
@@ -116,6 +118,10 @@
     /// Added to the residence for each gigabyte, since a larger model takes
     /// longer to load.
     double residence_s_per_gigabyte = 0.2;
+    /// A model that may have a replica on an engine that is suspected, or that
+    /// has not reported since the lease was taken, takes the place of another
+    /// model only after a wait of this length. Most suspicions end within 3 s.
+    double return_patience_s = 5;
     // The rest applies when not all models fit at once. The values were chosen
     // on 17 models and 6 accelerators; see docs/measurements.md.
     /// Part of the memory, in whole engines, in which models take turns.
--- a/src/placement/planner_test.cpp
+++ b/src/placement/planner_test.cpp
@@ -84,6 +84,8 @@
     CPPUNIT_TEST(one_of_two_old_replicas_makes_room_for_the_new_version);
     CPPUNIT_TEST(new_version_takes_the_room_of_a_model_nobody_waits_for);
     CPPUNIT_TEST(model_that_was_removed_gives_up_its_memory);
+    CPPUNIT_TEST(suspected_engine_has_time_to_return_before_a_swap);
+    CPPUNIT_TEST(unknown_engine_has_time_to_report_before_a_swap);
     CPPUNIT_TEST(models_take_turns_beside_a_blocked_engine);
     CPPUNIT_TEST_SUITE_END();
 
@@ -255,6 +257,34 @@
             planned({{engine("e1", 0, {ready("gone")})}, {model("a", 0)}}));
     }
 
+    // Guards against a short suspicion that costs another model its last
+    // replica.
+    void suspected_engine_has_time_to_return_before_a_swap()
+    {
+        auto away = engine("e1", 0, {ready("a")});
+        away.usable = false;
+        away.may_return = true;
+        const auto after = [&](double waiting_s)
+        {
+            return planned({{away, engine("e2", 0, {ready("b")})},
+                {model("a", 900, waiting_s), model("b", 1)}});
+        };
+        CPPUNIT_ASSERT_EQUAL(std::string(), after(2));
+        CPPUNIT_ASSERT_EQUAL(std::string("unload_model b e2 swap;"), after(6));
+    }
+
+    // Guards against a new holder of the lease that takes models for missing
+    // because their engines report later than others.
+    void unknown_engine_has_time_to_report_before_a_swap()
+    {
+        auto unknown = engine("e1", 0);
+        unknown.usable = false;
+        unknown.may_return = true;
+        CPPUNIT_ASSERT_EQUAL(
+            std::string(), planned({{unknown, engine("e2", 0, {ready("b")})},
+                               {model("a", 900, 2), model("b", 1)}}));
+    }
+
     // Guards against models that wait for the turn of an engine that accepts
     // no command before its restart.
     void models_take_turns_beside_a_blocked_engine()
--- a/src/placement/view_builder.cpp
+++ b/src/placement/view_builder.cpp
@@ -130,6 +130,8 @@
         engine.usable = inputs.listed.contains(id) &&
                         !inputs.unusable.contains(id) && accounts.fresh(id) &&
                         !account.report->leaving;
+        engine.may_return = inputs.listed.contains(id) && !engine.usable &&
+                            !(account.report && account.report->leaving);
         engine.accepts_command = accounts.accepts_command(id);
         engine.one_command_at_a_time = !account.honours_fencing;
         engine.free_bytes = accounts.free_bytes(id);
