--- a/experiment/main.cpp
+++ b/experiment/main.cpp
@@ -8,6 +8,7 @@
 #include "experiment/fairness_experiment.hpp"
 #include "experiment/limits_experiment.hpp"
 #include "experiment/placement_experiment.hpp"
+#include "experiment/plan_times.hpp"
 #include "experiment/routing_experiment.hpp"
 
 namespace
@@ -32,6 +33,7 @@
         {"routing", "Choices of an endpoint", all::run_routing},
         {"fairness", "Queue disciplines", all::run_fairness},
         {"placement", "Planners", all::run_placement},
+        {"plans", "Real time of one plan", all::run_plan_times},
     };
     return list;
 }
--- a/experiment/region_sim.cpp
+++ b/experiment/region_sim.cpp
@@ -42,6 +42,12 @@
         if (it != models_.end())
             it->second.adapters.insert(command.adapter);
     }
+    else if (command.kind == command_kind::unload_adapter)
+    {
+        const auto it = models_.find(command.model);
+        if (it != models_.end())
+            it->second.adapters.erase(command.adapter);
+    }
     return placement::command_answer::accepted;
 }
 
