--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -85,8 +85,9 @@
     platform_ = process::start_standin("platform", options_.platform_arguments);
     for (int i = 0; i < options_.engines; ++i)
     {
-        std::vector<std::string> arguments = {
-            "--capacity-bytes", std::to_string(options_.engine_capacity_bytes)};
+        std::vector<std::string> arguments = {"--capacity-bytes",
+            std::to_string(options_.engine_capacity_bytes), "--honours-fencing",
+            honours_fencing(i) ? "true" : "false"};
         arguments.insert(arguments.end(), options_.engine_arguments.begin(),
             options_.engine_arguments.end());
         engines_.push_back(process::start_standin("engine", arguments));
@@ -161,6 +162,11 @@
         file << fmt::format("view_lease_ms: {}\n", options_.view_lease_ms);
     if (options_.head_poll_ms != 0)
         file << fmt::format("head_poll_ms: {}\n", options_.head_poll_ms);
+    const auto with_placement =
+        daemons_.size() -
+        static_cast<std::size_t>(options_.daemons_without_placement);
+    if (i >= with_placement)
+        file << "placement: {enabled: false}\n";
 }
 
 void deployment::start_daemon(std::size_t i)
@@ -183,6 +189,7 @@
     const std::vector<std::size_t>& members, milliseconds time) const
 {
     std::vector<std::string> ids;
+    ids.reserve(members.size());
     for (const auto i : members)
         ids.push_back(daemons_.at(i).id);
     const auto ready = [&](std::size_t i)
@@ -256,6 +263,11 @@
     return fmt::format("z{}", i % zones + 1);
 }
 
+bool deployment::honours_fencing(int engine) const
+{
+    return engine < options_.engines - options_.engines_without_fencing;
+}
+
 std::string deployment::route_address(
     std::size_t route, const std::string& own) const
 {
@@ -363,10 +375,14 @@
 void deployment::put_endpoints(const std::string& service_name)
 {
     for (std::size_t i = 0; i < engines_.size(); ++i)
+    {
+        std::vector<std::string> more = {"--accelerators", "1",
+            "--capacity-bytes", std::to_string(options_.engine_capacity_bytes)};
+        if (honours_fencing(static_cast<int>(i)))
+            more.emplace_back("--honours-fencing");
         put_endpoint(fmt::format("e{}", i + 1), engine_route_address(i), i,
-            {"--accelerators", "1", "--capacity-bytes",
-                std::to_string(options_.engine_capacity_bytes),
-                "--honours-fencing"});
+            std::move(more));
+    }
     for (std::size_t i = 0; i < services_.size(); ++i)
         put_endpoint(fmt::format("s{}", i + 1), service_route_address(i), i,
             {"--service", service_name});
--- a/tests/support/deployment.hpp
+++ b/tests/support/deployment.hpp
@@ -24,6 +24,10 @@
     bool proxies = false;
     int traffic_threads = 2;
     std::int64_t engine_capacity_bytes = 80'000'000'000;
+    /// The last engines ignore fencing numbers.
+    int engines_without_fencing = 0;
+    /// The last daemons never hold the placement lease.
+    int daemons_without_placement = 0;
     /// 0 keeps the product's default.
     int view_lease_ms = 0;
     int head_poll_ms = 0;
@@ -135,6 +139,7 @@
     void put_endpoint(const std::string& id, const std::string& address,
         std::size_t i, std::vector<std::string> more);
     std::string zone(std::size_t i) const;
+    bool honours_fencing(int engine) const;
     /// Address by which the daemons reach a target; the proxy's, if any.
     std::string route_address(std::size_t route, const std::string& own) const;
     void fault(std::size_t route, nlohmann::json fault);
