--- a/src/placement/ledger.hpp
+++ b/src/placement/ledger.hpp
@@ -65,12 +65,15 @@
     bool accepts_command(const endpoint_id& id) const;
     /// Whether this replica may be counted when another one is unloaded: it
     /// is ready and no copy of an unload command is on its way.
-    bool counts_as_ready(const endpoint_id& id, const model_id& model) const;
+    bool counts_as_ready(const endpoint_id& id, const model_id& model,
+        const std::string& version) const;
 
     std::vector<intent> intents() const;
     std::vector<intent> intents(const endpoint_id& id) const;
     /// Whether neither the effect nor the rejection of the command was seen.
     bool open(const intent& value) const;
+    /// Whether the engine's last report lists the command.
+    bool listed(const intent& value) const;
     const std::map<endpoint_id, engine_account>& engines() const
     {
         return engines_;
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -11,10 +11,11 @@
 namespace tarragonquay::placement
 {
 
-/// A model on one engine, as the planner sees it.
+/// One version of a model on one engine, as the planner sees it.
 struct replica_view
 {
     model_id model;
+    std::string version;
     std::int64_t bytes = 0;
     /// Serves now and may be counted as the last replica.
     bool ready = false;
@@ -33,12 +34,19 @@
     std::int64_t free_bytes = 0;
     /// Neither leaving nor suspected, and its state is known.
     bool usable = false;
+    /// Not usable now, but not leaving either; its replicas may serve again.
+    bool may_return = false;
     bool accepts_command = false;
     /// Gets no further command before the open one has ended.
     bool one_command_at_a_time = false;
+    /// Accepts no command before its next restart, since a command to it was
+    /// lost.
+    bool blocked = false;
     std::vector<replica_view> replicas;
     /// Adapters whose load command is open.
     std::set<adapter_id> adapters_coming;
+    /// Adapters whose unload command is open.
+    std::set<adapter_id> adapters_going;
 
     auto operator<=>(const engine_view&) const = default;
 };
@@ -89,6 +97,12 @@
     double loads_per_second = 1.0;
     std::int64_t concurrent_loads = 2;
     std::int64_t adapters_in_flight = 15;
+    /// Adapters that an engine may hold; 0 when only its memory limits them.
+    std::int64_t adapters_per_engine = 0;
+    /// An adapter without waiting requests and with a lower demand may be
+    /// unloaded. The average over 15 s falls below it about 90 s after a
+    /// request of 500 tokens.
+    double adapter_idle_below = 0.1;
     /// Tokens that one replica serves in a second within the latency target.
     double replica_tokens_per_second = 2000;
     /// A replica is added above this utilisation of the model's replicas.
@@ -104,6 +118,10 @@
     /// Added to the residence for each gigabyte, since a larger model takes
     /// longer to load.
     double residence_s_per_gigabyte = 0.2;
+    /// A model that may have a replica on an engine that is suspected, or that
+    /// has not reported since the lease was taken, takes the place of another
+    /// model only after a wait of this length. Most suspicions end within 3 s.
+    double return_patience_s = 5;
     // The rest applies when not all models fit at once. The values were chosen
     // on 17 models and 6 accelerators; see docs/measurements.md.
     /// Part of the memory, in whole engines, in which models take turns.
@@ -131,7 +149,9 @@
 /// free. Takes the last replica of a model only for another model that waits,
 /// and only when all models do not fit at once (`move::swap`). In that case,
 /// the models with the highest demand per byte are kept on a part of the
-/// engines, and the others take turns on the rest.
+/// engines, and the others take turns on the rest. A new version of a model is
+/// loaded on another engine before the old one is unloaded. Adapters that
+/// nobody asks for are unloaded where their memory or slots are needed.
 std::vector<move> plan(const cluster_view& view, const planner_limits& limits);
 
 class demand_planner
