Let members give shares to instances that are not members

An instance that starts while the store is down could not join, so it had no shares and refused valid keys with 429. It may now ask members for level and gets donor-first transfers for the open epoch. A transfer names the one incarnation that may accept it. Members report the latest epoch with such a guest in each message that acknowledges a revision, and the next epoch then opens only after the fencing time.

--- a/src/daemon/control_messages.cpp
+++ b/src/daemon/control_messages.cpp
@@ -44,6 +44,7 @@
     parts.on_demands =
         [this](const instance_id& from, const peer::Heartbeat& heartbeat)
     { limiter_->on_demands(from, heartbeat, clock_.now()); };
+    parts.guest_epoch = [this] { return limiter_->guest_epoch(); };
     parts.on_serving_changed = [this](const std::vector<instance_id>& serving) {
         TQ_LOG(logger_, info)
             << "Instances that serve: " << serving.size() << ".";
@@ -80,7 +81,8 @@
     case peer::Envelope::kShareTransferAck:
         return limiter_->on_transfer_ack(envelope.share_transfer_ack());
     case peer::Envelope::kShareRequest:
-        limiter_->on_request(from, envelope.share_request(), now);
+        limiter_->on_request(
+            from, envelope.from_incarnation(), envelope.share_request(), now);
         return send_limiter_messages();
     case peer::Envelope::kDemandReport:
         return demand_.receive(from, envelope.demand_report(), now);
--- a/src/limits/limiter.cpp
+++ b/src/limits/limiter.cpp
@@ -177,10 +177,13 @@
     epoch_ = view.epoch;
     open_ = false;
     members_.clear();
+    incarnations_.clear();
+    guests_.clear();
     is_member_ = false;
     for (const auto& member : view.members)
     {
         members_.push_back(member.instance);
+        incarnations_[member.instance] = member.incarnation;
         is_member_ = is_member_ || (member.instance == local_ &&
                                        member.incarnation == incarnation_);
     }
@@ -366,15 +369,28 @@
 template <class Policy>
 bool basic_limiter<Policy>::may_move() const
 {
-    return Policy::moves_shares && open_ && is_member_;
+    return Policy::moves_shares && open_;
+}
+
+template <class Policy>
+typename basic_limiter<Policy>::receiver basic_limiter<Policy>::member_receiver(
+    const instance_id& member) const
+{
+    return {member, incarnations_.at(member)};
+}
+
+template <class Policy>
+bool basic_limiter<Policy>::is_member(const receiver& who) const
+{
+    const auto found = incarnations_.find(who.instance);
+    return found != incarnations_.end() && found->second == who.incarnation;
 }
 
 // The donor lowers its share and level before the transfer exists, so a
 // lost message loses capacity and never creates any.
 template <class Policy>
 void basic_limiter<Policy>::donate(const workspace_id& workspace, bucket& from,
-    const instance_id& to, std::int64_t shares, std::int64_t level,
-    time_point now)
+    const receiver& to, std::int64_t shares, std::int64_t level, time_point now)
 {
     auto& sequence = last_transfer_[to];
     const auto open = std::count_if(outgoing_.begin(), outgoing_.end(),
@@ -382,6 +398,13 @@
     if (shares <= 0 || shares > from.shares ||
         static_cast<std::uint64_t>(open) >= transfer_window)
         return;
+    // Set before the transfer exists, so that no acknowledgement of the next
+    // membership change can lack it.
+    if (!is_member(to))
+    {
+        guests_.insert(to.instance);
+        guest_epoch_ = epoch_;
+    }
     const auto given = std::clamp<std::int64_t>(
         level, 0, std::max<std::int64_t>(from.level, 0));
     from.shares -= shares;
@@ -391,8 +414,9 @@
     out.to = to;
     out.next_send = now;
     // Each receiver gets sequence numbers without gaps.
-    out.message.set_transfer_id(
-        fmt::format("{}/{}/{}/{}", incarnation_, epoch_, to.str(), ++sequence));
+    out.message.set_transfer_id(fmt::format(
+        "{}/{}/{}/{}", incarnation_, epoch_, to.incarnation, ++sequence));
+    out.message.set_to_incarnation(to.incarnation);
     out.message.set_workspace(workspace.str());
     out.message.set_epoch(epoch_);
     out.message.set_shares(shares);
@@ -403,7 +427,7 @@
 // Gives the level with as many shares as can hold it.
 template <class Policy>
 void basic_limiter<Policy>::donate_level(const workspace_id& workspace,
-    bucket& from, const instance_id& to, std::int64_t level, time_point now)
+    bucket& from, const receiver& to, std::int64_t level, time_point now)
 {
     const auto given = std::min(level, from.level);
     const wide per_share =
@@ -430,9 +454,10 @@
     const auto found = buckets_.find(workspace_id(transfer.workspace()));
     const auto& id = transfer.transfer_id();
     const auto sequence = sequence_of(id);
-    const bool plausible = sequence > 0 && transfer.shares() > 0 &&
-                           transfer.shares() <= total_shares &&
-                           transfer.level_millitokens() >= 0;
+    const bool plausible =
+        sequence > 0 && transfer.to_incarnation() == incarnation_ &&
+        transfer.shares() > 0 && transfer.shares() <= total_shares &&
+        transfer.level_millitokens() >= 0;
     // A bucket that does not exist yet takes the transfer when it is sent
     // again, after the workspace has been applied here.
     if (!may_move() || transfer.epoch() != epoch_ || !plausible ||
@@ -463,22 +488,22 @@
 }
 
 template <class Policy>
-void basic_limiter<Policy>::on_request(
-    const instance_id& from, const peer::Share_request& request, time_point now)
+void basic_limiter<Policy>::on_request(const instance_id& from,
+    const std::string& incarnation, const peer::Share_request& request,
+    time_point now)
 {
     const workspace_id workspace(request.workspace());
     const auto found = buckets_.find(workspace);
     if (!may_move() || request.epoch() != epoch_ || found == buckets_.end() ||
-        from == local_ ||
-        !std::binary_search(members_.begin(), members_.end(), from))
+        from == local_ || incarnation.empty())
         return;
     // Of two members that collect level for large requests, the one with the
     // lower id goes first; otherwise each could hold what the other needs.
     if (waiters_.contains(workspace) && local_ < from)
         return;
     refill(found->second, now);
-    donate_level(
-        workspace, found->second, from, request.level_millitokens(), now);
+    donate_level(workspace, found->second, {from, incarnation},
+        request.level_millitokens(), now);
 }
 
 template <class Policy>
@@ -507,7 +532,7 @@
     {
         auto& reports = demands_[workspace];
         peer_demand* neediest = nullptr;
-        instance_id receiver;
+        instance_id neediest_member;
         std::int64_t most_lacking = min_balance_tokens;
         for (auto& [member, report] : reports)
         {
@@ -516,7 +541,7 @@
                 continue;
             most_lacking = lacking;
             neediest = &report;
-            receiver = member;
+            neediest_member = member;
         }
         if (neediest == nullptr || waiters_.contains(workspace))
             continue;
@@ -525,7 +550,7 @@
         const auto spare = (item.level - own_need) / 2;
         neediest->answered = true;
         if (spare >= min_balance_tokens * millitokens_per_token)
-            donate_level(workspace, item, receiver,
+            donate_level(workspace, item, member_receiver(neediest_member),
                 std::min(spare, most_lacking * millitokens_per_token), now);
     }
 }
@@ -541,7 +566,8 @@
             now - item.last_admitted < Policy::grant_time)
             continue;
         refill(item, now);
-        donate(workspace, item, *owner, item.shares, item.level, now);
+        donate(workspace, item, member_receiver(*owner), item.shares,
+            item.level, now);
     }
 }
 
@@ -587,7 +613,8 @@
         // A debt is not handed over; it lowers what this instance gives.
         for (const auto& [member, weight] : receivers)
         {
-            donate(workspace, item, member, part(item.shares, weight),
+            donate(workspace, item, member_receiver(member),
+                part(item.shares, weight),
                 part(std::max<std::int64_t>(item.level, 0), weight), now);
             weights -= weight;
         }
@@ -616,7 +643,8 @@
                      found->second.level_tokens, 0, max_tokens);
 }
 
-// All other members; those that reported most level come first.
+// All other members, and the guests that got shares from here; those that
+// reported most level come first.
 template <class Policy>
 std::vector<instance_id> basic_limiter<Policy>::donors(
     const workspace_id& workspace) const
@@ -634,6 +662,11 @@
         if (member != local_)
             result.push_back(member);
     }
+    for (const auto& guest : guests_)
+    {
+        if (!incarnations_.contains(guest))
+            result.push_back(guest);
+    }
     std::stable_sort(result.begin(), result.end(),
         [&](const instance_id& a, const instance_id& b) {
             return reported_level(workspace, a) > reported_level(workspace, b);
@@ -645,7 +678,7 @@
 void basic_limiter<Policy>::request_level(
     time_point now, std::vector<outgoing_message>& messages)
 {
-    for (const auto& [workspace, queue] : waiters_)
+    for (auto& [workspace, queue] : waiters_)
     {
         const auto found = buckets_.find(workspace);
         auto& next = next_request_[workspace];
@@ -657,7 +690,11 @@
             queue.front().tokens * millitokens_per_token - found->second.level;
         if (lacking <= 0)
             continue;
-        ask_donors(workspace, lacking, messages);
+        // Members seldom tell a guest their level, and each would give all
+        // that it lacks. The first request asks each for a part.
+        const bool evenly = !is_member_ && !queue.front().requested;
+        queue.front().requested = true;
+        ask_donors(workspace, lacking, evenly, messages);
     }
 }
 
@@ -666,14 +703,20 @@
 // of every other member, since reports are old.
 template <class Policy>
 void basic_limiter<Policy>::ask_donors(const workspace_id& workspace,
-    std::int64_t lacking, std::vector<outgoing_message>& messages) const
-{
-    for (const auto& donor : donors(workspace))
+    std::int64_t lacking, bool evenly,
+    std::vector<outgoing_message>& messages) const
+{
+    const auto asked_members = donors(workspace);
+    const auto count = static_cast<std::int64_t>(asked_members.size());
+    if (evenly && count > 0)
+        lacking = (lacking + count - 1) / count;
+    for (const auto& donor : asked_members)
     {
         if (lacking <= 0)
             return;
         const auto reported =
-            reported_level(workspace, donor) * millitokens_per_token;
+            evenly ? 0
+                   : reported_level(workspace, donor) * millitokens_per_token;
         const auto asked = reported > 0 ? std::min(lacking, reported) : lacking;
         lacking -= reported > 0 ? asked : 0;
         peer::Envelope envelope;
@@ -716,7 +759,7 @@
         transfer.next_send = now + transfer_retry;
         peer::Envelope envelope;
         *envelope.mutable_share_transfer() = transfer.message;
-        messages.push_back({transfer.to, std::move(envelope)});
+        messages.push_back({transfer.to.instance, std::move(envelope)});
     }
     return messages;
 }
--- a/src/limits/limiter.hpp
+++ b/src/limits/limiter.hpp
@@ -76,8 +76,9 @@
         const workspace_id& workspace, const std::vector<instance_id>& members);
 };
 
-/// Token buckets of one member. The caller checks the view lease before it
-/// admits, and passes the time, which must never go back.
+/// Token buckets of one instance: a member, or a guest, which has only the
+/// shares that others gave to it in the open epoch. The caller checks the view
+/// lease before it admits, and passes the time, which must never go back.
 template <class Policy>
 class basic_limiter
 {
@@ -107,8 +108,9 @@
     /// Handles a transfer; true when it has to be acknowledged.
     bool on_transfer(const peer::Share_transfer& transfer, time_point now);
     void on_transfer_ack(const peer::Share_transfer_ack& ack);
-    void on_request(const instance_id& from, const peer::Share_request& request,
-        time_point now);
+    /// Gives level to another instance, which need not be a member.
+    void on_request(const instance_id& from, const std::string& incarnation,
+        const peer::Share_request& request, time_point now);
     /// Demand of another member, from its heartbeat.
     void on_demands(const instance_id& from, const peer::Heartbeat& heartbeat,
         time_point now);
@@ -131,6 +133,11 @@
     /// Whether nothing is held and all transfers are acknowledged.
     bool handed_over() const;
 
+    /// Latest epoch in which this instance gave shares to one that is not a
+    /// member; 0 when there is none. Final for an epoch once a later one is
+    /// applied.
+    std::int64_t guest_epoch() const { return guest_epoch_; }
+
     bucket_state state(const workspace_id& workspace, time_point now);
 
 private:
@@ -157,10 +164,20 @@
         std::int64_t tokens = 0;
         time_point deadline;
         admit_handler handler;
+        // Whether level was requested for it.
+        bool requested = false;
+    };
+    // One incarnation of an instance.
+    struct receiver
+    {
+        instance_id instance;
+        std::string incarnation;
+
+        auto operator<=>(const receiver&) const = default;
     };
     struct outgoing_transfer
     {
-        instance_id to;
+        receiver to;
         peer::Share_transfer message;
         time_point next_send;
     };
@@ -201,11 +218,12 @@
         const workspace_id& workspace, std::int64_t tokens) const;
     result<reservation> take(bucket& from, std::int64_t tokens, time_point now);
     void serve_waiters(time_point now);
-    void donate(const workspace_id& workspace, bucket& from,
-        const instance_id& to, std::int64_t shares, std::int64_t level,
-        time_point now);
+    void donate(const workspace_id& workspace, bucket& from, const receiver& to,
+        std::int64_t shares, std::int64_t level, time_point now);
     void donate_level(const workspace_id& workspace, bucket& from,
-        const instance_id& to, std::int64_t level, time_point now);
+        const receiver& to, std::int64_t level, time_point now);
+    receiver member_receiver(const instance_id& member) const;
+    bool is_member(const receiver& who) const;
     bool may_move() const;
     void balance(time_point now);
     void return_grants(time_point now);
@@ -214,7 +232,7 @@
     void donate_everything(time_point now);
     void request_level(time_point now, std::vector<outgoing_message>& messages);
     void ask_donors(const workspace_id& workspace, std::int64_t lacking,
-        std::vector<outgoing_message>& messages) const;
+        bool evenly, std::vector<outgoing_message>& messages) const;
     std::int64_t reported_level(
         const workspace_id& workspace, const instance_id& member) const;
     std::vector<instance_id> donors(const workspace_id& workspace) const;
@@ -222,6 +240,10 @@
     instance_id local_;
     std::string incarnation_;
     std::vector<instance_id> members_;
+    std::map<instance_id, std::string> incarnations_;
+    // Instances that are not members and got shares from here in this epoch.
+    std::set<instance_id> guests_;
+    std::int64_t guest_epoch_ = 0;
     // Whether this incarnation is a member; an earlier incarnation of the
     // same instance holds the share until the epoch ends.
     bool is_member_ = false;
@@ -233,8 +255,8 @@
     std::unordered_set<std::uint64_t> reservations_;
     std::uint64_t next_reservation_ = 1;
     std::map<std::string, outgoing_transfer> outgoing_;
-    // Sequence number of the last transfer to each member in this epoch.
-    std::map<instance_id, std::uint64_t> last_transfer_;
+    // Sequence number of the last transfer to each receiver in this epoch.
+    std::map<receiver, std::uint64_t> last_transfer_;
     // Transfers of the current epoch, by the part of their ids before the
     // sequence number.
     std::map<std::string, received_transfers> received_;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -123,6 +123,9 @@
             if (!earlier.settled_at)
                 earlier.settled_at = parts_.now();
         }
+        if (view_.membership_revision > 0 && !view_.epoch_open &&
+            !close_settled_at_)
+            close_settled_at_ = parts_.now();
         if (next.applied_revision != view_.applied_revision + 1)
             knows_removals_ = false;
         for (const auto& member : view_.members)
@@ -143,6 +146,8 @@
     {
         removals_.clear();
         knows_removals_ = true;
+        last_open_epoch_ = next.epoch;
+        close_settled_at_.reset();
     }
 }
 
@@ -236,6 +241,25 @@
     propose();
 }
 
+// Each message that acknowledges a membership change also tells of guests,
+// so that whoever counts the acknowledgement knows of them.
+void membership::send(const instance_id& to, peer::Envelope envelope)
+{
+    envelope.set_guest_epoch(known_guest_epoch());
+    parts_.send(to, std::move(envelope));
+}
+
+std::int64_t membership::known_guest_epoch() const
+{
+    return std::max(reported_guest_epoch_, parts_.guest_epoch());
+}
+
+void membership::note_guests(const peer::Envelope& envelope)
+{
+    reported_guest_epoch_ =
+        std::max(reported_guest_epoch_, envelope.guest_epoch());
+}
+
 void membership::send_heartbeats()
 {
     peer::Envelope envelope;
@@ -260,7 +284,7 @@
             parts_.send_to_address(address, envelope);
     }
     for (const auto& [instance, state] : peers_)
-        parts_.send(instance, envelope);
+        send(instance, envelope);
 }
 
 void membership::reopen_silent_connections()
@@ -282,6 +306,7 @@
     if (from == local_.instance)
         return true;
     note_replacement(envelope);
+    note_guests(envelope);
     if (auto* state = find_peer(from, envelope.from_incarnation()))
         state->last_heard = parts_.now();
     switch (envelope.body_case())
@@ -303,7 +328,7 @@
         peer::Envelope reply;
         *reply.mutable_catch_up_reply() =
             parts_.read_changes(envelope.catch_up_request().after_revision());
-        parts_.send(from, std::move(reply));
+        send(from, std::move(reply));
         break;
     }
     case peer::Envelope::kCatchUpReply:
@@ -352,7 +377,7 @@
     peer::Envelope request;
     request.mutable_catch_up_request()->set_after_revision(
         view_.applied_revision);
-    parts_.send(from, std::move(request));
+    send(from, std::move(request));
 }
 
 void membership::on_heartbeat(
@@ -363,7 +388,7 @@
     reply.mutable_heartbeat_reply()->set_sequence(heartbeat.sequence());
     reply.mutable_heartbeat_reply()->set_applied_revision(
         view_.applied_revision);
-    parts_.send(from, std::move(reply));
+    send(from, std::move(reply));
     if (auto* state = find_peer(from, envelope.from_incarnation()))
     {
         state->stopping = heartbeat.stopping();
@@ -399,7 +424,7 @@
     parts_.apply_push(push);
     peer::Envelope reply;
     reply.mutable_push_ack()->set_applied_revision(view_.applied_revision);
-    parts_.send(from, std::move(reply));
+    send(from, std::move(reply));
     if (!push.changes().empty())
         request_catch_up(from, push.changes().rbegin()->revision());
 }
@@ -410,7 +435,7 @@
     for (const auto& change : changes)
         *envelope.mutable_push()->add_changes() = change;
     for (const auto& [instance, state] : peers_)
-        parts_.send(instance, envelope);
+        send(instance, envelope);
 }
 
 bool membership::has_applied(
@@ -506,6 +531,8 @@
         if (!each.settled_at)
             each.settled_at = settled_at_;
     }
+    if (!view_.epoch_open && !close_settled_at_)
+        close_settled_at_ = settled_at_;
     sync_peers();
 }
 
@@ -613,6 +640,20 @@
         { return each.acknowledged || long_ago(each.settled_at); });
 }
 
+// An instance that got shares without being a member is in no list that could
+// be waited for, but can't hold a view lease without having seen the close of
+// the epoch once the fencing time has passed. Every member of the last open
+// epoch has reported whether it gave such shares, in its acknowledgement, or
+// is fenced itself, which takes as long.
+bool membership::guests_are_fenced() const
+{
+    const auto guests = known_guest_epoch();
+    if (guests == 0 || guests < last_open_epoch_)
+        return true;
+    return close_settled_at_ && parts_.now() - *close_settled_at_ >=
+                                    view_lease_validity + fencing_margin;
+}
+
 membership::action membership::next_action() const
 {
     const bool may_change = settled() || view_.members.empty();
@@ -622,7 +663,8 @@
         return action::leave;
     if (may_change && remaining_members().size() < view_.members.size())
         return action::remove;
-    const bool fenced = settled() && removed_are_fenced();
+    const bool fenced =
+        settled() && removed_are_fenced() && guests_are_fenced();
     const bool all_applied =
         std::all_of(view_.members.begin(), view_.members.end(),
             [&](const catalog::member& member)
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -86,6 +86,9 @@
     /// Demand of each workspace, for the next heartbeat.
     std::function<std::vector<peer::Workspace_demand>()> demands;
     std::function<void(const instance_id&, const peer::Heartbeat&)> on_demands;
+    /// Latest epoch in which this instance gave shares to one that is not a
+    /// member. It must be final for an epoch when `update` passes a later one.
+    std::function<std::int64_t()> guest_epoch;
     /// Called when the list of serving instances changes.
     std::function<void(const std::vector<instance_id>&)> on_serving_changed;
 };
@@ -181,6 +184,10 @@
     void note_removals(const membership_view& next);
     void acknowledge(const peer::Envelope& envelope, std::int64_t revision);
     bool removed_are_fenced() const;
+    bool guests_are_fenced() const;
+    void note_guests(const peer::Envelope& envelope);
+    std::int64_t known_guest_epoch() const;
+    void send(const instance_id& to, peer::Envelope envelope);
     void sync_peers();
     void send_heartbeats();
     void reopen_silent_connections();
@@ -229,6 +236,13 @@
     // False when membership changes since the last open epoch were skipped
     // by a snapshot, so that `removals_` may lack members.
     bool knows_removals_ = true;
+    // The last epoch that was seen open, and since when the first membership
+    // change after it is known to be settled.
+    std::int64_t last_open_epoch_ = 0;
+    std::optional<time_point> close_settled_at_;
+    // Latest epoch in which, by the messages of others, a member gave shares
+    // to an instance that is not a member.
+    std::int64_t reported_guest_epoch_ = 0;
     std::vector<in_force_waiter> waiters_;
     std::vector<instance_id> serving_;
     action pending_ = action::none;
