--- a/experiment/limits_run.ipp
+++ b/experiment/limits_run.ipp
@@ -165,7 +165,8 @@
     auto& self = *at(item.to).limiter;
     const auto& message = item.message;
     if (message.has_share_request())
-        self.on_request(name(item.from), message.share_request(), now_);
+        self.on_request(name(item.from), member(item.from).incarnation,
+            message.share_request(), now_);
     else if (message.has_share_transfer_ack())
         self.on_transfer_ack(message.share_transfer_ack());
     else if (message.has_heartbeat())
