--- a/src/ctl/operation_commands.cpp
+++ b/src/ctl/operation_commands.cpp
@@ -71,17 +71,22 @@
     auto request = std::make_shared<operators::Timeline_request>();
     request->set_limit(200);
     auto* command = app.add_subcommand("timeline", "Show recorded events");
-    command->add_flag_function(
+    auto* all = command->add_flag_function(
         "--all",
         [request](auto count) { request->set_all_instances(count > 0); },
         "Ask all members and merge their events");
     command->add_option_function<std::int32_t>(
         "--limit", [request](auto limit) { request->set_limit(limit); },
         "Most events shown (default 200)");
-    command->add_option_function<std::int64_t>(
-        "--after",
-        [request](auto cursor) { request->set_after_cursor(cursor); },
-        "Only events after this cursor");
+    // A cursor is a place in the events of one instance.
+    command
+        ->add_option_function<std::string>(
+            "--after",
+            [request](const auto& cursor)
+            { request->set_after_cursor(cursor); },
+            "First events after the cursor of an earlier answer of the "
+            "instance; not with --all")
+        ->excludes(all);
     command->final_callback(
         [&chosen, request]
         {
--- a/src/ctl/output.cpp
+++ b/src/ctl/output.cpp
@@ -206,6 +206,12 @@
     if (timeline.missing_instances_size() > 0)
         text += fmt::format(
             "without an answer: {}\n", joined(timeline.missing_instances()));
+    if (timeline.dropped_events() > 0)
+        text +=
+            fmt::format("no longer kept: {} events after the given cursor\n",
+                timeline.dropped_events());
+    if (!timeline.cursor().empty())
+        text += fmt::format("cursor: {}\n", timeline.cursor());
     return text;
 }
 
--- a/src/ctl/program_test.cpp
+++ b/src/ctl/program_test.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(a_version_change_keeps_the_other_fields);
     CPPUNIT_TEST(routes_are_parsed_and_checked);
     CPPUNIT_TEST(the_command_line_precedes_environment_and_file);
+    CPPUNIT_TEST(a_timeline_cursor_is_printed_and_passed_on);
     CPPUNIT_TEST(wrong_usage_exits_with_2);
     CPPUNIT_TEST_SUITE_END();
 
@@ -63,6 +64,16 @@
                 12;
             on_done(reply);
         };
+        port.timeline = [this](const operators::Timeline_request& request,
+                            const auto& on_done)
+        {
+            const std::scoped_lock lock(mutex_);
+            timeline_request_ = request;
+            operators::Timeline_reply reply;
+            reply.set_cursor("i1-a.7");
+            reply.set_dropped_events(2);
+            on_done(reply);
+        };
         auto made = operators::service::create({"127.0.0.1:0", "", ""}, port);
         CPPUNIT_ASSERT(made.has_value());
         service_ = std::move(*made);
@@ -168,8 +179,30 @@
         std::remove(path.c_str());
     }
 
+    // Guards against a continuation that an operator can't ask for, and
+    // against events that are missing without notice.
+    void a_timeline_cursor_is_printed_and_passed_on()
+    {
+        CPPUNIT_ASSERT_EQUAL(0, call({"timeline", "--after", "i1-a.5"}));
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("i1-a.5"), timeline_request_.after_cursor());
+        CPPUNIT_ASSERT(out_.str().find("cursor: i1-a.7") != std::string::npos);
+        CPPUNIT_ASSERT(
+            out_.str().find("no longer kept: 2 events") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(0, call({"timeline", "--output", "json"}));
+        CPPUNIT_ASSERT_EQUAL(std::string("i1-a.7"),
+            nlohmann::json::parse(out_.str()).at("cursor").get<std::string>());
+        CPPUNIT_ASSERT(timeline_request_.after_cursor().empty());
+    }
+
     void wrong_usage_exits_with_2()
     {
+        // One cursor can't cover all instances.
+        CPPUNIT_ASSERT_EQUAL(
+            2, call({"timeline", "--all", "--after", "i1-a.5"}));
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("tqctl: invalid_argument: --all excludes --after\n"),
+            problems_.str());
         CPPUNIT_ASSERT_EQUAL(2, call({"workspace", "put", "w"}));
         CPPUNIT_ASSERT_EQUAL(2, call({"frobnicate"}));
         CPPUNIT_ASSERT_EQUAL(2, call({"limit", "w"}));
@@ -196,6 +229,7 @@
     std::mutex mutex_;
     std::vector<operators::Apply_request> requests_;
     operators::Apply_reply reply_;
+    operators::Timeline_request timeline_request_;
     int unsettled_ = 0;
     std::string address_;
     std::ostringstream out_;
--- a/src/daemon/application_ports.cpp
+++ b/src/daemon/application_ports.cpp
@@ -134,6 +134,26 @@
         });
 }
 
+namespace
+{
+
+operators::Timeline_reply own_timeline(const result<timeline::own_page>& found)
+{
+    operators::Timeline_reply reply;
+    if (!found)
+    {
+        *reply.mutable_failure() = operators::to_failure(found.error());
+        return reply;
+    }
+    for (const auto& value : found->events)
+        *reply.add_events() = timeline::to_proto(value);
+    reply.set_cursor(found->cursor);
+    reply.set_dropped_events(found->dropped);
+    return reply;
+}
+
+} // namespace
+
 void application::show_timeline(const operators::Timeline_request& request,
     std::function<void(operators::Timeline_reply)> on_done)
 {
@@ -142,10 +162,12 @@
                            ? static_cast<std::size_t>(request.limit())
                            : default_limit;
     post(
-        [this, all = request.all_instances(), limit,
-            on_done = std::move(on_done)]
+        [this, request, limit, on_done = std::move(on_done)]
         {
-            core_->collect_events(all, limit,
+            if (!request.all_instances())
+                return on_done(own_timeline(
+                    core_->own_events(request.after_cursor(), limit)));
+            core_->collect_events(limit,
                 [on_done](const timeline::collected& found)
                 {
                     operators::Timeline_reply reply;
--- a/src/daemon/control_core.cpp
+++ b/src/daemon/control_core.cpp
@@ -66,6 +66,7 @@
     limiter_ =
         std::make_unique<limits::limiter>(local_.instance, local_.incarnation);
     timeline_ = std::make_unique<timeline>(control_, process_.events,
+        local_.incarnation,
         [this](const instance_id& to, peer::Envelope message)
         { send(to, std::move(message)); });
     scheduler_.on_health_change([this](const routing::health_change& change)
@@ -303,19 +304,15 @@
         });
 }
 
-void control_core::collect_events(
-    bool all_instances, std::size_t limit, timeline::handler on_done)
+void control_core::collect_events(std::size_t limit, timeline::handler on_done)
 {
     std::vector<instance_id> peers;
-    if (all_instances)
+    for (const auto& member : replica_->current().members())
     {
-        for (const auto& member : replica_->current().members())
-        {
-            if (member.instance != local_.instance)
-                peers.push_back(member.instance);
-        }
+        if (member.instance != local_.instance)
+            peers.push_back(member.instance);
     }
-    timeline_->collect(peers, 0, limit, std::move(on_done));
+    timeline_->collect(peers, limit, std::move(on_done));
 }
 
 } // namespace tarragonquay::daemon
--- a/src/daemon/control_core.hpp
+++ b/src/daemon/control_core.hpp
@@ -83,8 +83,14 @@
     {
         return replica_->current();
     }
-    void collect_events(
-        bool all_instances, std::size_t limit, timeline::handler on_done);
+    /// The latest events of all members.
+    void collect_events(std::size_t limit, timeline::handler on_done);
+    /// Events of this instance after a cursor; the latest ones without.
+    result<timeline::own_page> own_events(
+        const std::string& after, std::size_t limit) const
+    {
+        return timeline_->own(after, limit);
+    }
 
     /// Leaves the answers of GET /v1/entries.
     void begin_stopping();
--- a/src/daemon/timeline.cpp
+++ b/src/daemon/timeline.cpp
@@ -1,9 +1,10 @@
 #include "daemon/timeline.hpp"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
-#include "common/error.hpp"
+#include <fmt/format.h>
 
 namespace tarragonquay::daemon
 {
@@ -37,12 +38,55 @@
 
 } // namespace
 
-timeline::timeline(
-    boost::asio::io_context& control, events::recorder& own, sender send)
-    : control_(control), own_(own), send_(std::move(send))
+timeline::timeline(boost::asio::io_context& control, events::recorder& own,
+    std::string incarnation, sender send)
+    : control_(control),
+      own_(own),
+      incarnation_(std::move(incarnation)),
+      send_(std::move(send))
 {
 }
 
+// A cursor is the incarnation and the number of events before the place.
+result<std::int64_t> timeline::parse_cursor(const std::string& cursor) const
+{
+    const auto dot = cursor.rfind('.');
+    std::int64_t position = 0;
+    const auto* end = cursor.data() + cursor.size();
+    if (dot == std::string::npos)
+        return fail(error_code::invalid_argument,
+            "after_cursor must be a cursor from an earlier reply");
+    const auto parsed = std::from_chars(cursor.data() + dot + 1, end, position);
+    if (parsed.ec != std::errc() || parsed.ptr != end || position < 0)
+        return fail(error_code::invalid_argument,
+            "after_cursor must be a cursor from an earlier reply");
+    if (cursor.substr(0, dot) != incarnation_)
+        return fail(error_code::invalid_argument,
+            "after_cursor is from another instance or from before a restart; "
+            "begin again without a cursor");
+    return position;
+}
+
+result<timeline::own_page> timeline::own(
+    const std::string& after, std::size_t limit) const
+{
+    std::int64_t position = 0;
+    if (!after.empty())
+    {
+        const auto parsed = parse_cursor(after);
+        if (!parsed)
+            return tl::unexpected<error>(parsed.error());
+        position = *parsed;
+    }
+    auto page =
+        after.empty() ? own_.latest(limit) : own_.since(position, limit);
+    if (page.cursor < position)
+        return fail(error_code::invalid_argument,
+            "after_cursor is beyond the last event of the instance");
+    return own_page{std::move(page.events),
+        fmt::format("{}.{}", incarnation_, page.cursor), page.dropped};
+}
+
 peer::Event timeline::to_proto(const events::event& value)
 {
     peer::Event message;
@@ -55,13 +99,12 @@
     return message;
 }
 
-void timeline::collect(const std::vector<instance_id>& peers,
-    std::int64_t after, std::size_t limit, handler on_done)
+void timeline::collect(
+    const std::vector<instance_id>& peers, std::size_t limit, handler on_done)
 {
     const auto id = next_request_++;
     auto& started = running_[id];
-    started.parts.push_back(
-        latest(own_.since(after, max_events).events, limit));
+    started.parts.push_back(own_.latest(limit).events);
     started.missing = peers;
     started.limit = limit;
     started.on_done = std::move(on_done);
@@ -80,7 +123,6 @@
         peer::Envelope envelope;
         auto& request = *envelope.mutable_events_request();
         request.set_request_id(id);
-        request.set_after_cursor(after);
         request.set_limit(static_cast<std::int32_t>(limit));
         send_(peer, std::move(envelope));
     }
@@ -92,11 +134,9 @@
     peer::Envelope envelope;
     auto& reply = *envelope.mutable_events_reply();
     reply.set_request_id(request.request_id());
-    auto page = own_.since(request.after_cursor(), max_events);
-    reply.set_cursor(page.cursor);
     const auto limit = std::clamp<std::int64_t>(request.limit(), 0, max_events);
-    for (const auto& value :
-        latest(std::move(page.events), static_cast<std::size_t>(limit)))
+    const auto page = own_.latest(static_cast<std::size_t>(limit));
+    for (const auto& value : page.events)
         *reply.add_events() = to_proto(value);
     send_(from, std::move(envelope));
 }
--- a/src/daemon/timeline.hpp
+++ b/src/daemon/timeline.hpp
@@ -1,13 +1,16 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "common/error.hpp"
 #include "common/ids.hpp"
 #include "events/recorder.hpp"
 #include "peer.pb.h"
@@ -28,12 +31,28 @@
     };
     using handler = std::function<void(collected)>;
 
-    timeline(
-        boost::asio::io_context& control, events::recorder& own, sender send);
+    /// Events of this instance, and the cursor that continues after them.
+    struct own_page
+    {
+        std::vector<events::event> events;
+        std::string cursor;
+        /// Events after the given cursor that are no longer kept.
+        std::int64_t dropped = 0;
+    };
+
+    /// `incarnation` marks the cursors, since the events end with the process.
+    timeline(boost::asio::io_context& control, events::recorder& own,
+        std::string incarnation, sender send);
+
+    /// The first events of this instance after a cursor, or the latest ones
+    /// when the cursor is empty. Fails with `invalid_argument` when the cursor
+    /// was not made by this incarnation.
+    result<own_page> own(const std::string& after, std::size_t limit) const;
 
-    /// Asks the peers and calls the handler when all answered or after 1 s.
-    void collect(const std::vector<instance_id>& peers, std::int64_t after,
-        std::size_t limit, handler on_done);
+    /// Asks the peers for their latest events and calls the handler when all
+    /// answered or after 1 s.
+    void collect(const std::vector<instance_id>& peers, std::size_t limit,
+        handler on_done);
 
     void on_request(
         const instance_id& from, const peer::Events_request& request);
@@ -51,9 +70,11 @@
         std::unique_ptr<boost::asio::steady_timer> timer;
     };
     void finish(std::int64_t request_id);
+    result<std::int64_t> parse_cursor(const std::string& cursor) const;
 
     boost::asio::io_context& control_;
     events::recorder& own_;
+    std::string incarnation_;
     sender send_;
     std::map<std::int64_t, collection> running_;
     std::int64_t next_request_ = 1;
--- a/src/events/recorder.cpp
+++ b/src/events/recorder.cpp
@@ -108,8 +108,16 @@
         std::clamp<std::int64_t>(cursor - first_cursor_, 0, available);
     const auto end = std::min<std::int64_t>(
         available, begin + static_cast<std::int64_t>(limit));
-    return {
-        {events_.begin() + begin, events_.begin() + end}, first_cursor_ + end};
+    return {{events_.begin() + begin, events_.begin() + end},
+        first_cursor_ + end, std::max<std::int64_t>(first_cursor_ - cursor, 0)};
+}
+
+recorder::page recorder::latest(std::size_t limit) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto count = std::min(limit, events_.size());
+    return {{events_.end() - static_cast<std::ptrdiff_t>(count), events_.end()},
+        first_cursor_ + static_cast<std::int64_t>(events_.size()), 0};
 }
 
 // Wall time, but never at or before the last timestamp.
--- a/src/events/recorder.hpp
+++ b/src/events/recorder.hpp
@@ -90,9 +90,14 @@
         std::vector<event> events;
         /// Pass to the next call to continue after this page.
         std::int64_t cursor = 0;
+        /// Events after the given cursor that are no longer kept.
+        std::int64_t dropped = 0;
     };
     /// Events after the cursor (0 for the oldest kept), at most `limit`.
+    /// A cursor after the last event gives an empty page with a lower cursor.
     page since(std::int64_t cursor, std::size_t limit) const;
+    /// The latest events, at most `limit`.
+    page latest(std::size_t limit) const;
 
 private:
     timestamp tick();
--- a/src/events/recorder_test.cpp
+++ b/src/events/recorder_test.cpp
@@ -10,6 +10,8 @@
     CPPUNIT_TEST_SUITE(recorder_test);
     CPPUNIT_TEST(keeps_only_the_latest_events);
     CPPUNIT_TEST(cursor_continues_after_the_previous_page);
+    CPPUNIT_TEST(page_counts_events_that_are_no_longer_kept);
+    CPPUNIT_TEST(latest_returns_the_end_and_its_cursor);
     CPPUNIT_TEST(event_after_a_received_message_is_later_than_its_cause);
     CPPUNIT_TEST(merge_orders_events_of_several_instances);
     CPPUNIT_TEST_SUITE_END();
@@ -37,6 +39,31 @@
         CPPUNIT_ASSERT_EQUAL(std::string("b"), second.events.front().subject);
     }
 
+    // Guards against a gap that looks like a complete continuation.
+    void page_counts_events_that_are_no_longer_kept()
+    {
+        recorder events("i1", 2);
+        events.record(kind::member_silent, "a");
+        const auto first = events.since(0, 10);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), first.dropped);
+        for (const char* subject : {"b", "c", "d", "e"})
+            events.record(kind::member_silent, subject);
+        const auto next = events.since(first.cursor, 10);
+        CPPUNIT_ASSERT_EQUAL(std::string("d"), next.events.front().subject);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(2), next.dropped);
+    }
+
+    void latest_returns_the_end_and_its_cursor()
+    {
+        recorder events("i1", 10);
+        for (const char* subject : {"a", "b", "c"})
+            events.record(kind::member_silent, subject);
+        const auto page = events.latest(2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), page.events.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), page.events.front().subject);
+        CPPUNIT_ASSERT(events.since(page.cursor, 10).events.empty());
+    }
+
     // Guards against an effect sorted before its cause when the receiver's
     // wall clock is behind the sender's.
     void event_after_a_received_message_is_later_than_its_cause()
--- a/src/operators/service_test.cpp
+++ b/src/operators/service_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST_SUITE(service_test);
     CPPUNIT_TEST(a_valid_change_reaches_the_control_port);
     CPPUNIT_TEST(bad_requests_get_typed_failures);
+    CPPUNIT_TEST(a_timeline_cursor_for_all_instances_is_refused);
     CPPUNIT_TEST(a_dropped_call_still_gets_an_answer);
     CPPUNIT_TEST(shutdown_lets_a_call_in_progress_end);
     CPPUNIT_TEST(a_taken_address_and_bad_tls_files_are_refused);
@@ -92,6 +93,19 @@
         CPPUNIT_ASSERT_EQUAL(0, applied_.load());
     }
 
+    // One cursor would skip or repeat events of the other instances.
+    void a_timeline_cursor_for_all_instances_is_refused()
+    {
+        grpc::ClientContext context;
+        Timeline_request request;
+        request.set_all_instances(true);
+        request.set_after_cursor("i1-a.5");
+        Timeline_reply reply;
+        CPPUNIT_ASSERT(stub_->Timeline(&context, request, &reply).ok());
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("invalid_argument"), reply.failure().code());
+    }
+
     // Guards against callers that wait for ever when control stops.
     void a_dropped_call_still_gets_an_answer()
     {
--- a/src/operators/validation.cpp
+++ b/src/operators/validation.cpp
@@ -92,9 +92,10 @@
     if (request.limit() < 0 || request.limit() > timeline_limit)
         return fail(error_code::invalid_argument,
             fmt::format("limit must be 0 to {}", timeline_limit));
-    if (request.after_cursor() < 0)
-        return fail(
-            error_code::invalid_argument, "after_cursor must not be negative");
+    if (request.all_instances() && !request.after_cursor().empty())
+        return fail(error_code::invalid_argument,
+            "after_cursor can't be combined with all_instances: a cursor is a "
+            "place in the events of one instance");
     return {};
 }
 
--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(refusals_are_typed_and_reach_no_endpoint);
     CPPUNIT_TEST(requests_are_charged_to_the_workspace_of_their_key);
     CPPUNIT_TEST(a_service_without_state_stays_in_use);
+    CPPUNIT_TEST(a_timeline_continues_after_its_cursor);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -189,7 +190,46 @@
             200, fetch(fleet->entry(0), "/services/orders/open/x").status);
     }
 
+    // Guards against a cursor that the daemon ignores, and against pages that
+    // skip or repeat events.
+    void a_timeline_continues_after_its_cursor()
+    {
+        const auto fleet = start_configured(small_options());
+        auto page = timeline_of(fleet, {"--limit", "1000"});
+        auto events = page.at("events");
+        const auto before = events.size();
+        fleet->withdraw_key("k1");
+        for (int i = 0; i < 2; ++i)
+        {
+            page =
+                timeline_of(fleet, {"--limit", "1", "--after",
+                                       page.at("cursor").get<std::string>()});
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), page.at("events").size());
+            events.push_back(page.at("events").at(0));
+        }
+        auto all = timeline_of(fleet, {"--limit", "1000"}).at("events");
+        CPPUNIT_ASSERT(all.size() >= before + 2);
+        all.erase(
+            all.begin() + static_cast<std::ptrdiff_t>(before + 2), all.end());
+        CPPUNIT_ASSERT_EQUAL(all.dump(), events.dump());
+        const auto refused =
+            fleet->tqctl(0, {"timeline", "--after", "another-process.1"});
+        CPPUNIT_ASSERT_EQUAL(1, refused.exit_code);
+        CPPUNIT_ASSERT_MESSAGE(refused.errors,
+            refused.errors.find("invalid_argument: after_cursor is from") !=
+                std::string::npos);
+    }
+
 private:
+    static json timeline_of(
+        const configured_system& fleet, std::vector<std::string> arguments)
+    {
+        arguments.insert(arguments.begin(), "timeline");
+        const auto shown = fleet->tqctl(0, arguments);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(shown.errors, 0, shown.exit_code);
+        return json::parse(shown.output);
+    }
+
     /// "A withdrawn key stops working within seconds."
     static constexpr milliseconds withdrawal_bound{5'000};
 
