Add a choice of sanitizers and a script that runs tests under them

TQ_SANITIZE is now address or thread; scripts/sanitize.sh builds into a folder of its own, runs the named tests and fails on any report, also of a daemon whose exit code no test sees.

gRPC and absl are built without the thread sanitizer. Their locks are shown to it by definitions in the executable; what is left are accesses that these libraries make themselves after a hand-over through lock-free queues, and these are suppressed by called_from_lib.

--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -2,6 +2,13 @@
 
 set(TQ_LIBRARIES "" CACHE INTERNAL "slice libraries, dependants last")
 
+# Seconds; only ends a test that hangs. Sanitizers slow a program down up to
+# fifteen times.
+set(TQ_TEST_TIMEOUT 300)
+if(TQ_SANITIZE)
+  set(TQ_TEST_TIMEOUT 900)
+endif()
+
 add_library(tq_options INTERFACE)
 target_include_directories(tq_options INTERFACE
   ${PROJECT_SOURCE_DIR}/src ${PROJECT_SOURCE_DIR}/generated)
@@ -37,19 +44,29 @@
   set(${out_tests} ${tests} PARENT_SCOPE)
 endfunction()
 
+# A program; the thread sanitizer also needs to see the locks of gRPC.
+function(tq_executable name)
+  add_executable(${name} ${ARGN})
+  if(TQ_SANITIZE STREQUAL "thread")
+    target_sources(${name} PRIVATE
+      ${PROJECT_SOURCE_DIR}/cmake/thread_sanitizer_mutex.cpp)
+    target_link_libraries(${name} PRIVATE ${CMAKE_DL_LIBS})
+  endif()
+endfunction()
+
 # A unit-test program of the *_test.cpp files of one folder.
 function(tq_unit_tests name tests)
   if(NOT tests)
     return()
   endif()
-  add_executable(${name}_tests ${tests}
+  tq_executable(${name}_tests ${tests}
     ${PROJECT_SOURCE_DIR}/tests/support/unit_test_main.cpp)
   target_link_libraries(${name}_tests PRIVATE ${ARGN} rapidcheck
     PkgConfig::CPPUNIT)
   target_include_directories(${name}_tests PRIVATE ${PROJECT_SOURCE_DIR}/tests)
   add_test(NAME unit.${name} COMMAND ${name}_tests)
   # RapidCheck reads its seed from here, so every run makes the same cases.
-  set_tests_properties(unit.${name} PROPERTIES TIMEOUT 300
+  set_tests_properties(unit.${name} PROPERTIES TIMEOUT ${TQ_TEST_TIMEOUT}
     ENVIRONMENT "RC_PARAMS=seed=20261204")
 endfunction()
 
@@ -90,7 +107,7 @@
     target_include_directories(${id}_parts PUBLIC ${PROJECT_SOURCE_DIR})
     set(parts ${id}_parts)
   endif()
-  add_executable(${name} ${PROJECT_SOURCE_DIR}/${folder}/main.cpp)
+  tq_executable(${name} ${PROJECT_SOURCE_DIR}/${folder}/main.cpp)
   target_link_libraries(${name} PRIVATE ${parts} ${TQ_LIBRARIES} tq_generated
     tq_options)
   target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR})
@@ -118,7 +135,7 @@
   endif()
   foreach(test ${tests})
     get_filename_component(name ${test} NAME_WE)
-    add_executable(${name} ${test}
+    tq_executable(${name} ${test}
       ${PROJECT_SOURCE_DIR}/tests/support/unit_test_main.cpp)
     if(support)
       target_link_libraries(${name} PRIVATE tq_test_support)
@@ -130,8 +147,8 @@
     string(REGEX REPLACE "_test$" "" short ${name})
     add_test(NAME integration.${short} COMMAND ${name})
     # Two at a time: each starts up to twenty processes.
-    set_tests_properties(integration.${short} PROPERTIES TIMEOUT 300
-      PROCESSORS 4 ENVIRONMENT
+    set_tests_properties(integration.${short} PROPERTIES
+      TIMEOUT ${TQ_TEST_TIMEOUT} PROCESSORS 4 ENVIRONMENT
       "TQ_BIN_DIR=${CMAKE_BINARY_DIR}/bin;RC_PARAMS=seed=20261204")
   endforeach()
 endfunction()
