Guard the published state with a mutex

Both are std::atomic<shared_ptr>; its load in g++ 12 gives the lock bit back with relaxed order, so that the pointer it reads is not ordered before the next store. A pointer under a mutex takes its place.

--- a/src/catalog/snapshot.hpp
+++ b/src/catalog/snapshot.hpp
@@ -4,8 +4,10 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "catalog/types.hpp"
@@ -120,19 +122,46 @@
 /// empty for membership changes and epochs.
 std::string entity_of(const config::Change& change);
 
+/// An immutable value that one thread replaces while others read it. It stands
+/// in for std::atomic<std::shared_ptr>, whose load in g++ 12 gives its lock
+/// back without a release, so that the next store may race with the read.
+template <class T>
+class published_pointer
+{
+public:
+    using pointer = std::shared_ptr<const T>;
+
+    explicit published_pointer(T value)
+        : current_(std::make_shared<const T>(std::move(value)))
+    {
+    }
+
+    pointer load() const
+    {
+        const std::lock_guard lock(mutex_);
+        return current_;
+    }
+    void store(T value)
+    {
+        auto next = std::make_shared<const T>(std::move(value));
+        // The old value is destroyed after the lock is given back.
+        const std::lock_guard lock(mutex_);
+        current_.swap(next);
+    }
+
+private:
+    mutable std::mutex mutex_;
+    pointer current_;
+};
+
 /// State that the control thread publishes to the traffic threads.
 class published_state
 {
 public:
     using snapshot_ptr = std::shared_ptr<const snapshot>;
 
-    published_state() : current_(std::make_shared<const snapshot>()) {}
-
     snapshot_ptr current() const { return current_.load(); }
-    void publish(snapshot next)
-    {
-        current_.store(std::make_shared<const snapshot>(std::move(next)));
-    }
+    void publish(snapshot next) { current_.store(std::move(next)); }
 
     /// Whether keyed requests may be served at this time.
     bool view_lease_valid(std::int64_t steady_ns) const
@@ -149,18 +178,16 @@
     std::string waiting_for() const { return *waiting_for_.load(); }
     void publish_waiting_for(std::string text)
     {
-        waiting_for_.store(
-            std::make_shared<const std::string>(std::move(text)));
+        waiting_for_.store(std::move(text));
     }
 
     bool stopping() const { return stopping_.load(); }
     void publish_stopping() { stopping_.store(true); }
 
 private:
-    std::atomic<snapshot_ptr> current_;
+    published_pointer<snapshot> current_{snapshot()};
     std::atomic<std::int64_t> lease_deadline_ns_{0};
-    std::atomic<std::shared_ptr<const std::string>> waiting_for_{
-        std::make_shared<const std::string>("the start")};
+    published_pointer<std::string> waiting_for_{"the start"};
     std::atomic<bool> stopping_{false};
 };
 
