--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -48,7 +48,9 @@
 mkdir -p "$reports"
 # Files also catch the reports of processes whose exit code no test sees.
 common="log_path=$reports/$kind:log_exe_name=1"
-export TSAN_OPTIONS="$common:second_deadlock_stack=1"
+# Tests expect that a process which ends is gone at once; by default it sleeps
+# for a second first.
+export TSAN_OPTIONS="$common:second_deadlock_stack=1:atexit_sleep_ms=0"
 TSAN_OPTIONS+=":suppressions=$PWD/scripts/thread.supp"
 export ASAN_OPTIONS="$common:detect_stack_use_after_return=1"
 export UBSAN_OPTIONS="$common:print_stacktrace=1"
