Refuse damaged values in messages of peers and in rows

- limits: the difference of two demand values overflowed, and each made-up transfer id was remembered.
Demands are clamped, and a transfer counts only with the incarnation of a member, the epoch and this instance in its id.
- daemon: a waiting time or token count near 2^63 overflowed, and reports of instances that had gone were kept for ever.
Reports out of range, with entries named twice, or with too many entries are refused with a type, and old reports are dropped.
- events: a clock value far in the future held the clock there for good, its counter overflowed, and so did a cursor near -2^63.
- catalog: revisions and epochs near 2^63 were taken over, after which the next one overflows.
The highest is now 10^15.
- orders: a damaged row was replayed with any status and content type.
It now gives malformed_message with execution completed.

The tests' object store in memory answers not_found for an unknown object, as the real one does; it threw an exception before.

--- a/src/catalog/rows.hpp
+++ b/src/catalog/rows.hpp
@@ -18,6 +18,10 @@
 inline const std::string snapshot_pointer = "config/snapshot";
 inline const std::string log_prefix = "config/log/";
 
+/// Revisions and epochs beyond this are damaged. The next one must never
+/// overflow; 37,000 changes a day reach it in 74 million years.
+inline constexpr std::int64_t max_revision = 1'000'000'000'000'000;
+
 /// Twenty digits make the order of the keys that of the revisions.
 inline std::string log(std::int64_t revision)
 {
@@ -40,7 +44,8 @@
     std::int64_t revision = 0;
     const auto* end = text.data() + text.size();
     const auto parsed = std::from_chars(text.data(), end, revision);
-    if (parsed.ec != std::errc() || parsed.ptr != end || revision < 0)
+    if (parsed.ec != std::errc() || parsed.ptr != end || revision < 0 ||
+        revision > max_revision)
         return fail(error_code::malformed_message,
             fmt::format("row {} holds no revision", key));
     return revision;
--- a/src/catalog/snapshot.cpp
+++ b/src/catalog/snapshot.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include "catalog/conversion.hpp"
+#include "catalog/rows.hpp"
 
 namespace tarragonquay::catalog
 {
@@ -230,6 +231,9 @@
 result<void> snapshot::apply_membership(const config::Change& change)
 {
     const auto& membership = change.membership();
+    if (membership.epoch() > rows::max_revision)
+        return fail(error_code::invalid_argument,
+            fmt::format("epoch {} is impossible", membership.epoch()));
     if (membership.epoch() <= epoch_)
         return fail(error_code::conflict,
             fmt::format("membership has epoch {}, but the epoch is {}",
@@ -381,7 +385,13 @@
 {
     if (message.revision() < 0 || message.epoch() < 0 ||
         message.membership_revision() < 0 ||
-        message.membership_revision() > message.revision())
+        message.membership_revision() > message.revision() ||
+        message.revision() > rows::max_revision ||
+        message.epoch() > rows::max_revision ||
+        !std::all_of(message.entity_revisions().begin(),
+            message.entity_revisions().end(),
+            [&](const auto& entry)
+            { return entry.second > 0 && entry.second <= message.revision(); }))
         return fail(error_code::invalid_argument,
             "the snapshot has an impossible revision or epoch");
     snapshot made;
--- a/src/daemon/control_messages.cpp
+++ b/src/daemon/control_messages.cpp
@@ -83,7 +83,12 @@
         limiter_->on_request(from, envelope.share_request(), now);
         return send_limiter_messages();
     case peer::Envelope::kDemandReport:
-        return demand_.receive(from, envelope.demand_report(), now);
+        if (const auto taken =
+                demand_.receive(from, envelope.demand_report(), now);
+            !taken)
+            TQ_LOG(logger_, warning) << "Dropped a message from " << from
+                                     << ": " << taken.error().message() << ".";
+        return;
     case peer::Envelope::kEventsRequest:
         return timeline_->on_request(from, envelope.events_request());
     case peer::Envelope::kEventsReply:
--- a/src/daemon/demand_exchange.cpp
+++ b/src/daemon/demand_exchange.cpp
@@ -1,8 +1,11 @@
 #include "daemon/demand_exchange.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
+#include <fmt/format.h>
+
 namespace tarragonquay::daemon
 {
 
@@ -13,6 +16,37 @@
 // stopped or is cut off.
 constexpr std::chrono::seconds report_lifetime{5};
 
+// Bounds of one report and of the instances that are remembered: ten times
+// the models and twice the instances to design for.
+constexpr int max_entries = 10'000;
+constexpr std::size_t max_instances = 1500;
+// Larger values are damaged. Their sum over all instances stays within 64
+// bits, and a process that counts 20,000 tokens a second takes 1,500 years.
+constexpr std::int64_t max_value = 1'000'000'000'000'000;
+// Longer than any deadline of a request.
+constexpr std::int64_t max_waited_ms = 24LL * 3600 * 1000;
+
+bool in_range(const peer::Model_demand& item)
+{
+    const auto within = [](std::int64_t value, std::int64_t limit)
+    { return value >= 0 && value <= limit; };
+    // A rate that is no number compares false.
+    return !item.model().empty() && within(item.tokens(), max_value) &&
+           within(item.waiting(), max_value) &&
+           within(item.waited_ms(), max_waited_ms) &&
+           item.tokens_per_second() >= 0 &&
+           item.tokens_per_second() <= static_cast<double>(max_value);
+}
+
+// A report names each model and adapter once, so that sums stay in range.
+bool has_repeated_entries(const peer::Demand_report& report)
+{
+    std::set<std::pair<std::string, std::string>> seen;
+    return !std::all_of(report.entries().begin(), report.entries().end(),
+        [&](const peer::Model_demand& item)
+        { return seen.emplace(item.model(), item.adapter()).second; });
+}
+
 std::int64_t milliseconds(duration value)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
@@ -50,9 +84,24 @@
     return report;
 }
 
-void demand_exchange::receive(
+result<void> demand_exchange::receive(
     const instance_id& from, const peer::Demand_report& report, time_point now)
 {
+    if (report.entries_size() > max_entries)
+        return fail(error_code::payload_too_large,
+            fmt::format("a demand report has {} entries, more than {}",
+                report.entries_size(), max_entries));
+    if (!std::all_of(
+            report.entries().begin(), report.entries().end(), in_range) ||
+        has_repeated_entries(report))
+        return fail(error_code::malformed_message,
+            "a demand report has values out of range or an entry twice");
+    // Replaced instances never report again.
+    std::erase_if(remotes_, [now](const auto& entry)
+        { return now - entry.second.received_at >= report_lifetime; });
+    if (remotes_.size() >= max_instances && !remotes_.contains(from))
+        return fail(error_code::payload_too_large,
+            fmt::format("more than {} instances report demand", max_instances));
     remote fresh;
     fresh.received_at = now;
     for (const auto& item : report.entries())
@@ -69,6 +118,7 @@
         fresh.entries.push_back(std::move(entry));
     }
     remotes_[from] = std::move(fresh);
+    return {};
 }
 
 std::vector<routing::demand_entry> demand_exchange::total(
--- a/src/daemon/demand_exchange.hpp
+++ b/src/daemon/demand_exchange.hpp
@@ -5,6 +5,7 @@
 
 #include "catalog/types.hpp"
 #include "common/clock.hpp"
+#include "common/error.hpp"
 #include "peer.pb.h"
 #include "routing/demand.hpp"
 
@@ -20,8 +21,10 @@
     static peer::Demand_report encode(
         const std::vector<routing::demand_entry>& own, time_point now);
 
-    void receive(const instance_id& from, const peer::Demand_report& report,
-        time_point now);
+    /// Fails with `malformed_message` for values out of range and with
+    /// `payload_too_large` for too many entries; the earlier report stays.
+    result<void> receive(const instance_id& from,
+        const peer::Demand_report& report, time_point now);
 
     /// Own demand and the fresh reports of others, summed.
     std::vector<routing::demand_entry> total(
--- a/src/events/recorder.cpp
+++ b/src/events/recorder.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <string_view>
 #include <utility>
 
@@ -13,6 +14,10 @@
 namespace
 {
 
+// The clocks of instances differ by less. A damaged time further ahead would
+// hold this clock, and those of all instances that it is sent on to, for good.
+constexpr std::int64_t max_clock_lead_ms = 24LL * 3600 * 1000;
+
 using entry = std::pair<kind, std::string_view>;
 
 constexpr std::array kind_names{
@@ -90,6 +95,8 @@
 void recorder::observe(timestamp remote)
 {
     const std::lock_guard lock(mutex_);
+    if (remote.logical < 0 || remote.wall_ms > unix_ms() + max_clock_lead_ms)
+        return;
     last_ = std::max(last_, remote);
     tick();
 }
@@ -104,8 +111,10 @@
 {
     const std::lock_guard lock(mutex_);
     const auto available = static_cast<std::int64_t>(events_.size());
+    // The cursor can come from a damaged message.
     const auto begin =
-        std::clamp<std::int64_t>(cursor - first_cursor_, 0, available);
+        std::clamp(cursor, first_cursor_, first_cursor_ + available) -
+        first_cursor_;
     const auto end = std::min<std::int64_t>(
         available, begin + static_cast<std::int64_t>(limit));
     return {
@@ -118,6 +127,8 @@
     const auto wall = unix_ms();
     if (wall > last_.wall_ms)
         last_ = {wall, 0};
+    else if (last_.logical == std::numeric_limits<std::int32_t>::max())
+        last_ = {last_.wall_ms + 1, 0};
     else
         ++last_.logical;
     return last_;
--- a/src/events/recorder.hpp
+++ b/src/events/recorder.hpp
@@ -79,7 +79,8 @@
     void record(
         events::kind kind, std::string subject, std::string detail = {});
 
-    /// Moves the clock past a timestamp that another instance sent.
+    /// Moves the clock past a timestamp that another instance sent; ignores
+    /// one that is more than a day ahead.
     void observe(timestamp remote);
 
     /// The clock's current value, to send along with messages.
--- a/src/limits/limiter.cpp
+++ b/src/limits/limiter.cpp
@@ -177,12 +177,14 @@
     epoch_ = view.epoch;
     open_ = false;
     members_.clear();
+    incarnations_.clear();
     is_member_ = false;
     for (const auto& member : view.members)
     {
         members_.push_back(member.instance);
         is_member_ = is_member_ || (member.instance == local_ &&
                                        member.incarnation == incarnation_);
+        incarnations_.insert(member.incarnation);
     }
     std::sort(members_.begin(), members_.end());
     outgoing_.clear();
@@ -433,12 +435,19 @@
     const bool plausible = sequence > 0 && transfer.shares() > 0 &&
                            transfer.shares() <= total_shares &&
                            transfer.level_millitokens() >= 0;
+    // Only members send transfers. Others could make up ids without end, each
+    // of which would have to be remembered.
+    const auto sender = id.substr(0, id.rfind('/'));
+    const auto suffix = fmt::format("/{}/{}", epoch_, local_.str());
+    const bool from_member =
+        sender.ends_with(suffix) &&
+        incarnations_.contains(sender.substr(0, sender.size() - suffix.size()));
     // A bucket that does not exist yet takes the transfer when it is sent
     // again, after the workspace has been applied here.
     if (!may_move() || transfer.epoch() != epoch_ || !plausible ||
-        found == buckets_.end())
+        !from_member || found == buckets_.end())
         return false;
-    auto& received = received_[id.substr(0, id.rfind('/'))];
+    auto& received = received_[sender];
     if (received.seen(sequence))
         return true;
     // Sent again once the earlier ones have arrived.
@@ -492,8 +501,11 @@
     {
         const workspace_id workspace(demand.workspace());
         if (buckets_.contains(workspace))
+            // Within these bounds no difference or product overflows.
             demands_[workspace][from] = {
-                demand.requested_tokens(), demand.level_tokens()};
+                std::clamp<std::int64_t>(
+                    demand.requested_tokens(), 0, max_tokens),
+                std::clamp<std::int64_t>(demand.level_tokens(), 0, max_tokens)};
     }
 }
 
--- a/src/limits/limiter.hpp
+++ b/src/limits/limiter.hpp
@@ -222,6 +222,8 @@
     instance_id local_;
     std::string incarnation_;
     std::vector<instance_id> members_;
+    // Of the members; transfers of others are refused.
+    std::set<std::string> incarnations_;
     // Whether this incarnation is a member; an earlier incarnation of the
     // same instance holds the share until the epoch ends.
     bool is_member_ = false;
--- /dev/null
+++ b/src/membership/message_fuzz_test.cpp
@@ -0,0 +1,146 @@
+#include "membership/membership.hpp"
+
+#include <algorithm>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "support/message_mutation.hpp"
+
+namespace tarragonquay::membership
+{
+
+// Damaged messages of members and of strangers.
+class message_fuzz_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(message_fuzz_test);
+    CPPUNIT_TEST(damaged_messages_keep_the_state_in_range);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::uint64_t seed = 20261204;
+    static constexpr int cases = 20'000;
+
+public:
+    // Guards against a crash, against more than one answer to a message, and
+    // against replies that renew the view lease in the name of a stranger.
+    void damaged_messages_keep_the_state_in_range()
+    {
+        auto made = membership::create(member("a"), {"b:1"}, parts());
+        CPPUNIT_ASSERT(made.has_value());
+        auto& tested = **made;
+        membership_view view;
+        view.applied_revision = view.membership_revision = 3;
+        view.members = {member("a"), member("b"), member("c")};
+        view.epoch = 1;
+        tested.update(view);
+        test_support::message_mutator random(seed);
+        for (int i = 0; i < cases; ++i)
+        {
+            clock_.advance(std::chrono::milliseconds(random.below(50)));
+            const auto message = random.damage(whole_message(random));
+            sent_ = 0;
+            tested.on_message(message);
+            // A reply and a request for missing changes.
+            CPPUNIT_ASSERT_MESSAGE(message.ShortDebugString(), sent_ <= 2);
+            tested.tick();
+            CPPUNIT_ASSERT(tested.view() == view);
+            CPPUNIT_ASSERT(std::all_of(tested.serving().begin(),
+                tested.serving().end(),
+                [&](const instance_id& id)
+                {
+                    return std::any_of(view.members.begin(), view.members.end(),
+                        [&](const catalog::member& each)
+                        { return each.instance == id; });
+                }));
+        }
+        CPPUNIT_ASSERT(replies_ > 0);
+    }
+
+private:
+    static catalog::member member(const std::string& name)
+    {
+        return {instance_id(name), name + "-1", name + ":1", "", "", ""};
+    }
+
+    peer::Envelope whole_message(test_support::message_mutator& random) const
+    {
+        peer::Envelope envelope;
+        envelope.set_from_instance("b");
+        envelope.set_from_incarnation("b-1");
+        envelope.set_to_instance("a");
+        envelope.set_from_address("b:1");
+        switch (random.below(6))
+        {
+        case 0:
+            envelope.mutable_heartbeat()->set_sequence(1);
+            envelope.mutable_heartbeat()->set_applied_revision(3);
+            envelope.mutable_heartbeat()->add_silent_instances("c");
+            break;
+        case 1:
+            envelope.mutable_heartbeat_reply()->set_sequence(heartbeat_);
+            envelope.mutable_heartbeat_reply()->set_applied_revision(3);
+            break;
+        case 2:
+            envelope.mutable_push()->add_changes()->set_revision(4);
+            break;
+        case 3:
+            envelope.mutable_push_ack()->set_applied_revision(3);
+            break;
+        case 4:
+            envelope.mutable_catch_up_request()->set_after_revision(2);
+            break;
+        default:
+            envelope.mutable_catch_up_reply()->set_applied_revision(3);
+        }
+        return envelope;
+    }
+
+    void send(const peer::Envelope& message)
+    {
+        ++sent_;
+        if (message.has_heartbeat())
+            heartbeat_ = message.heartbeat().sequence();
+    }
+
+    collaborators parts()
+    {
+        collaborators made;
+        made.now = [this] { return clock_.now(); };
+        made.send = [this](const instance_id&, const peer::Envelope& message)
+        { send(message); };
+        made.send_to_address =
+            [this](const std::string&, const peer::Envelope& message)
+        { send(message); };
+        made.set_peer = [](const instance_id&, const std::string&) {};
+        made.remove_peer = [](const instance_id&) {};
+        made.reopen = [](const instance_id&) {};
+        made.commit = [](const config::Change&, const membership_view&,
+                          const collaborators::commit_handler& handler)
+        { handler(fail(error_code::store_unavailable, "no store")); };
+        made.apply_push = [](const peer::Push&) {};
+        made.apply_catch_up = [](const peer::Catch_up_reply&) {};
+        made.read_changes = [](std::int64_t) { return peer::Catch_up_reply(); };
+        made.record_reply = [this](const instance_id& peer,
+                                const std::string& incarnation,
+                                time_point sent_at, std::int64_t)
+        {
+            ++replies_;
+            CPPUNIT_ASSERT(
+                peer == instance_id("b") || peer == instance_id("c"));
+            CPPUNIT_ASSERT_EQUAL(peer.str() + "-1", incarnation);
+            CPPUNIT_ASSERT(sent_at <= clock_.now());
+        };
+        made.demands = [] { return std::vector<peer::Workspace_demand>(); };
+        made.on_demands = [](const instance_id&, const peer::Heartbeat&) {};
+        made.on_serving_changed = [](const std::vector<instance_id>&) {};
+        return made;
+    }
+
+    fake_clock clock_;
+    int sent_ = 0;
+    int replies_ = 0;
+    std::int64_t heartbeat_ = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(message_fuzz_test);
+
+} // namespace tarragonquay::membership
--- a/src/orders/order_book.hpp
+++ b/src/orders/order_book.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cctype>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -285,8 +286,26 @@
         }
     }
 
+    // A damaged row must not become an answer that no HTTP client can read.
+    static bool can_be_answered(const records::Order_record& found)
+    {
+        constexpr int lowest_status = 100;
+        constexpr int highest_status = 999;
+        const auto& type = found.content_type();
+        return found.status() >= lowest_status &&
+               found.status() <= highest_status &&
+               std::none_of(type.begin(), type.end(),
+                   [](unsigned char c)
+                   { return c != '\t' && std::iscntrl(c) != 0; });
+    }
+
     void replay(attempt_ptr attempt, const records::Order_record& found)
     {
+        if (!can_be_answered(found))
+            return attempt->handler(fail(error_code::malformed_message,
+                "the stored answer of the order " + found.order_id() +
+                    " can't be read",
+                execution_state::completed));
         order_answer answer{found.status(), found.content_type(), found.body()};
         if (found.body_object().empty())
             return attempt->handler(begin_outcome(std::move(answer)));
--- a/src/orders/order_test_support.hpp
+++ b/src/orders/order_test_support.hpp
@@ -105,7 +105,12 @@
         };
         out.fetch_object = [&all](std::string object,
                                std::function<void(result<std::string>)> done)
-        { done(all.objects.at(object)); };
+        {
+            const auto found = all.objects.find(object);
+            if (found == all.objects.end())
+                return done(fail(error_code::not_found, "no such object"));
+            done(found->second);
+        };
         return out;
     }
 
