--- a/src/limits/limiter.cpp
+++ b/src/limits/limiter.cpp
@@ -388,6 +388,15 @@
     return found != incarnations_.end() && found->second == who.incarnation;
 }
 
+template <class Policy>
+bool basic_limiter<Policy>::is_known(const std::string& incarnation) const
+{
+    const auto same = [&](const auto& entry)
+    { return entry.second == incarnation; };
+    return std::any_of(incarnations_.begin(), incarnations_.end(), same) ||
+           std::any_of(guests_.begin(), guests_.end(), same);
+}
+
 // The donor lowers its share and level before the transfer exists, so a
 // lost message loses capacity and never creates any.
 template <class Policy>
@@ -404,7 +413,7 @@
     // membership change can lack it.
     if (!is_member(to))
     {
-        guests_.insert(to.instance);
+        guests_[to.instance] = to.incarnation;
         guest_epoch_ = epoch_;
     }
     const auto given = std::clamp<std::int64_t>(
@@ -460,12 +469,19 @@
         sequence > 0 && transfer.to_incarnation() == incarnation_ &&
         transfer.shares() > 0 && transfer.shares() <= total_shares &&
         transfer.level_millitokens() >= 0;
+    // Only members and guests of this instance send transfers to it. Others
+    // could make up ids without end, each of which would have to be remembered.
+    const auto sender = id.substr(0, id.rfind('/'));
+    const auto suffix = fmt::format("/{}/{}", epoch_, local_.str());
+    const bool from_member =
+        sender.ends_with(suffix) &&
+        is_known(sender.substr(0, sender.size() - suffix.size()));
     // A bucket that does not exist yet takes the transfer when it is sent
     // again, after the workspace has been applied here.
     if (!may_move() || transfer.epoch() != epoch_ || !plausible ||
-        found == buckets_.end())
+        !from_member || found == buckets_.end())
         return false;
-    auto& received = received_[id.substr(0, id.rfind('/'))];
+    auto& received = received_[sender];
     if (received.seen(sequence))
         return true;
     // Sent again once the earlier ones have arrived.
@@ -519,8 +535,11 @@
     {
         const workspace_id workspace(demand.workspace());
         if (buckets_.contains(workspace))
+            // Within these bounds no difference or product overflows.
             demands_[workspace][from] = {
-                demand.requested_tokens(), demand.level_tokens()};
+                std::clamp<std::int64_t>(
+                    demand.requested_tokens(), 0, max_tokens),
+                std::clamp<std::int64_t>(demand.level_tokens(), 0, max_tokens)};
     }
 }
 
@@ -664,7 +683,7 @@
         if (member != local_)
             result.push_back(member);
     }
-    for (const auto& guest : guests_)
+    for (const auto& [guest, incarnation] : guests_)
     {
         if (!incarnations_.contains(guest))
             result.push_back(guest);
--- a/src/limits/limiter.hpp
+++ b/src/limits/limiter.hpp
@@ -227,6 +227,8 @@
         const receiver& to, std::int64_t level, time_point now);
     receiver member_receiver(const instance_id& member) const;
     bool is_member(const receiver& who) const;
+    /// Whether this is an incarnation of a member or of a guest.
+    bool is_known(const std::string& incarnation) const;
     bool may_move() const;
     void balance(time_point now);
     void return_grants(time_point now);
@@ -244,8 +246,9 @@
     std::string incarnation_;
     std::vector<instance_id> members_;
     std::map<instance_id, std::string> incarnations_;
-    // Instances that are not members and got shares from here in this epoch.
-    std::set<instance_id> guests_;
+    // Incarnations of instances that are not members and got shares from here
+    // in this epoch.
+    std::map<instance_id, std::string> guests_;
     std::int64_t guest_epoch_ = 0;
     // Whether this incarnation is a member; an earlier incarnation of the
     // same instance holds the share until the epoch ends.
