Close connections of silent operators after about 12 s

The operators' listener had no keepalive, so gRPC kept the connection of a peer that went silent for its default of two hours, with its descriptor. The listener pings idle connections too, and a handshake that does not end is given up after 10 s.

--- a/src/operators/service.cpp
+++ b/src/operators/service.cpp
@@ -24,6 +24,11 @@
 
 /// One call in progress. Finishes its reactor exactly once: with the reply,
 /// or in the destructor when the control port dropped the call.
+// Without pings, gRPC keeps the connection of a silent peer for two hours.
+constexpr int keepalive_interval_ms = 10'000;
+constexpr int keepalive_timeout_ms = 2'000;
+// gRPC's default of 120 s lets a silent peer hold its descriptor for longer.
+constexpr int handshake_timeout_ms = 10'000;
 template <class Reply>
 class pending_call
 {
@@ -231,6 +236,15 @@
     if (const auto listening = parts->listen(settings); !listening)
         return tl::unexpected(listening.error());
     return std::unique_ptr<service>(new service(std::move(parts)));
+        builder.AddChannelArgument(
+            GRPC_ARG_KEEPALIVE_TIME_MS, keepalive_interval_ms);
+        builder.AddChannelArgument(
+            GRPC_ARG_KEEPALIVE_TIMEOUT_MS, keepalive_timeout_ms);
+        builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
+        // gRPC sends at most two pings without data frames otherwise.
+        builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+        builder.AddChannelArgument(
+            GRPC_ARG_SERVER_HANDSHAKE_TIMEOUT_MS, handshake_timeout_ms);
 }
 
 int service::port() const
