Replace silent pooled connections and close idle ones in time

An idempotent call over a pooled connection that had gone silent waited for half of its deadline, 30 s by default, and then used another replica or failed.

Connections beyond their maximum idle age were closed only by the next request of the same thread, so without one they stayed open for ever. A timer closes them.

--- a/src/endpoints/http_connection.cpp
+++ b/src/endpoints/http_connection.cpp
@@ -218,6 +218,11 @@
            parts.parser->get().keep_alive() && parts.buffer.size() == 0;
 }
 
+asio::any_io_executor http_connection::executor() const
+{
+    return implementation_->stream.get_executor();
+}
+
 void http_connection::close()
 {
     implementation_->failed = true;
--- a/src/endpoints/http_connection.hpp
+++ b/src/endpoints/http_connection.hpp
@@ -35,7 +35,7 @@
     std::string request_id;
     time_point deadline;
     /// Idempotent requests may use a pooled connection and be sent again
-    /// when it turns out to be closed.
+    /// when it turns out to be closed or silent.
     bool idempotent = false;
     /// Called when a connection is open, immediately before the first byte
     /// is written; a failure ends the exchange as not_run.
@@ -79,6 +79,7 @@
     bool answer_started() const;
     /// Whether another request may be sent after the complete answer.
     bool reusable() const;
+    boost::asio::any_io_executor executor() const;
     void close();
 
 private:
--- a/src/endpoints/http_exchange.hpp
+++ b/src/endpoints/http_exchange.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
-#include <deque>
-#include <map>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -11,7 +10,8 @@
 {
 
 /// Idle connections of one thread. Not thread-safe; it must be destroyed
-/// before the io_context of its connections.
+/// before the io_context of its connections. A timer closes connections at
+/// their maximum idle age, also when no further request comes.
 class connection_pool
 {
 public:
@@ -19,22 +19,24 @@
     static constexpr std::chrono::seconds max_idle_age{5};
     static constexpr std::size_t max_idle_per_endpoint = 8;
 
+    connection_pool();
+    ~connection_pool();
+    connection_pool(const connection_pool&) = delete;
+    connection_pool& operator=(const connection_pool&) = delete;
+
     /// An idle connection to this address, if there is one.
     std::optional<http_connection> take(
         const std::string& address, time_point now);
     /// Keeps a connection whose answer was read completely.
     void put(
         const std::string& address, http_connection connection, time_point now);
+    /// Closes the idle connections to this address.
+    void discard(const std::string& address);
 
 private:
-    struct idle_connection
-    {
-        http_connection connection;
-        time_point since;
-    };
-    void discard_old(time_point now);
-
-    std::map<std::string, std::deque<idle_connection>> idle_;
+    struct implementation;
+
+    std::shared_ptr<implementation> implementation_;
 };
 
 struct exchange_answer
@@ -51,7 +53,8 @@
 };
 
 /// Sends a request and reads the head of the answer. Failures before a byte
-/// could have been written have execution not_run, all others unknown.
+/// could have been written have execution not_run, all others unknown. A
+/// pooled connection that stays silent is replaced by a new one.
 boost::asio::awaitable<result<open_answer>> start_exchange(
     connection_pool& pool, const exchange_request& request);
 
--- a/src/endpoints/http_exchange_test.cpp
+++ b/src/endpoints/http_exchange_test.cpp
@@ -58,8 +58,10 @@
     CPPUNIT_TEST(silent_endpoint_has_an_unknown_execution);
     CPPUNIT_TEST(failed_check_sends_nothing);
     CPPUNIT_TEST(idempotent_request_survives_a_closed_pooled_connection);
+    CPPUNIT_TEST(idempotent_request_survives_silent_pooled_connections);
     CPPUNIT_TEST(non_idempotent_request_takes_a_new_connection);
     CPPUNIT_TEST(pool_drops_old_connections);
+    CPPUNIT_TEST(pool_closes_old_connections_without_another_request);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -146,6 +148,23 @@
         CPPUNIT_ASSERT_EQUAL(2, server.connections);
     }
 
+    // Guards against waiting for the whole deadline on a connection that went
+    // silent while it was idle.
+    void idempotent_request_survives_silent_pooled_connections()
+    {
+        scripted_server server({{whole, then::keep_open}, {"", then::silent},
+            {whole, then::keep_open}});
+        connection_pool pool;
+        for (int i = 0; i < 2; ++i)
+        {
+            const auto answer =
+                server.run(exchange(pool, make_request(server, true)));
+            CPPUNIT_ASSERT(answer.has_value());
+        }
+        CPPUNIT_ASSERT_EQUAL(2, server.connections);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), server.requests.size());
+    }
+
     // Guards against sending an order over a connection that may be dead.
     void non_idempotent_request_takes_a_new_connection()
     {
@@ -170,6 +189,19 @@
                            std::chrono::seconds(1);
         CPPUNIT_ASSERT(!pool.take(server.address(), later).has_value());
     }
+
+    // Guards against idle connections that stay open until the next request.
+    void pool_closes_old_connections_without_another_request()
+    {
+        scripted_server server({{whole, then::keep_open}});
+        connection_pool pool;
+        CPPUNIT_ASSERT(
+            server.run(exchange(pool, make_request(server, true))).has_value());
+        server.context.run_for(
+            connection_pool::max_idle_age + std::chrono::seconds(1));
+        // An earlier time, at which the connection would not be too old.
+        CPPUNIT_ASSERT(!pool.take(server.address(), time_point()).has_value());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(http_exchange_test);
