Begin a change once more after a failed call of the store

When the connection to the platform went silent, the first call of a change failed after 2 s and the change was refused with store_unavailable, although the failed call had replaced the channel.

--- a/src/catalog/replica.hpp
+++ b/src/catalog/replica.hpp
@@ -169,7 +169,7 @@
                 "digits and -_.:"));
         change.set_operation_id(std::move(operation_id));
         step(std::make_shared<commit_task>(commit_task{std::move(change),
-            expected_revision, deadline, std::move(on_done), {}, {}, 0, 0}));
+            expected_revision, deadline, std::move(on_done), {}, {}}));
     }
 
 private:
@@ -187,6 +187,7 @@
         std::int64_t attempted = 0;
         /// Heads read in a row that were older than the applied revision.
         int stale_heads = 0;
+        bool failed_before = false;
     };
     using task_ptr = std::shared_ptr<commit_task>;
     using completion = std::function<void(result<void>)>;
@@ -476,11 +477,18 @@
     }
 
     /// The store did not answer. Nothing was written unless a transaction is
-    /// unanswered; such a task waits for the next poll.
+    /// unanswered; such a task waits for the next poll. Any other is begun
+    /// once more: a connection that went silent fails one call and is replaced
+    /// then, so that only a second failure shows an outage.
     void wait_or_fail(const task_ptr& task, const error& reason)
     {
         if (!task->unanswered_version)
-            return task->on_done(tl::unexpected(reason));
+        {
+            if (std::exchange(task->failed_before, true) ||
+                clock_.now() >= task->deadline)
+                return task->on_done(tl::unexpected(reason));
+            return step(task);
+        }
         if (clock_.now() >= task->deadline)
             return end_late(*task);
         waiting_.push_back(task);
--- a/src/catalog/replica_test.cpp
+++ b/src/catalog/replica_test.cpp
@@ -1,6 +1,7 @@
 #include "catalog/replica.hpp"
 
 #include <deque>
+#include <limits>
 #include <map>
 #include <string>
 
@@ -35,9 +36,10 @@
     {
     }
 
-    void run()
+    /// Runs the queued tasks, but not more than this number.
+    void run(int most = std::numeric_limits<int>::max())
     {
-        while (!queue_.empty())
+        for (; most > 0 && !queue_.empty(); --most)
         {
             const auto task = std::move(queue_.front());
             queue_.pop_front();
@@ -111,6 +113,7 @@
     CPPUNIT_TEST(a_lost_answer_is_settled_by_the_operation_row);
     CPPUNIT_TEST(an_unsettled_commit_ends_at_its_deadline);
     CPPUNIT_TEST(a_repeated_operation_returns_its_first_revision);
+    CPPUNIT_TEST(a_change_survives_one_call_without_an_answer);
     CPPUNIT_TEST(a_store_that_is_down_refuses_and_reports);
     CPPUNIT_TEST(contact_follows_the_last_applied_change);
     CPPUNIT_TEST(peers_never_lower_the_revision_and_gaps_are_refused);
@@ -201,6 +204,24 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(2), store_.revision());
     }
 
+    // Guards against changes that are refused because the connection to the
+    // store went silent; the first failed call replaces it.
+    void a_change_survives_one_call_without_an_answer()
+    {
+        for (const int calls_before : {0, 1, 2})
+        {
+            const auto name = "w" + std::to_string(calls_before);
+            std::optional<result<std::int64_t>> outcome;
+            store_.set_fault_after(calls_before, fake_store::fault::down);
+            start(a_, workspace_change(name, 1), "op-" + name, 0, outcome);
+            a_.run(calls_before);
+            store_.set_fault(fake_store::fault::none);
+            a_.run();
+            CPPUNIT_ASSERT_EQUAL(
+                std::to_string(calls_before + 1), text_of(outcome));
+        }
+    }
+
     void a_store_that_is_down_refuses_and_reports()
     {
         store_.set_fault(fake_store::fault::down);
