--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -228,6 +228,17 @@
     return 0;
 }
 
+std::size_t process::open_descriptors() const
+{
+    std::error_code failure;
+    std::size_t count = 0;
+    const std::string folder = "/proc/" + std::to_string(pid_) + "/fd";
+    for (std::filesystem::directory_iterator entry(folder, failure), end;
+         !failure && entry != end; entry.increment(failure))
+        ++count;
+    return count;
+}
+
 void process::send_signal(int signal_number) const
 {
     if (!ended_)
--- a/tests/support/process.hpp
+++ b/tests/support/process.hpp
@@ -72,6 +72,8 @@
     bool running();
     /// VmRSS of the process; 0 when it has ended.
     std::int64_t resident_bytes() const;
+    /// Open file descriptors of the process; 0 when it has ended.
+    std::size_t open_descriptors() const;
     /// Exit code after the end, or 128 + signal.
     int exit_code() const { return exit_code_; }
 
