--- a/src/ctl/connection.cpp
+++ b/src/ctl/connection.cpp
@@ -11,6 +11,7 @@
 #include <grpcpp/client_context.h>
 #include <grpcpp/create_channel.h>
 #include <grpcpp/security/credentials.h>
+#include <openssl/pem.h>
 
 #include "operator.grpc.pb.h"
 
@@ -27,6 +28,17 @@
 constexpr std::chrono::milliseconds retry_pause{200};
 constexpr int reply_limit_bytes = 64 * 1024 * 1024;
 
+/// gRPC fails each call without a clear cause when there is none.
+bool holds_certificate(const std::string& pem)
+{
+    const std::unique_ptr<BIO, decltype(&BIO_free_all)> text(
+        BIO_new_mem_buf(pem.data(), static_cast<int>(pem.size())),
+        BIO_free_all);
+    const std::unique_ptr<X509, decltype(&X509_free)> certificate(
+        PEM_read_bio_X509(text.get(), nullptr, nullptr, nullptr), X509_free);
+    return certificate != nullptr;
+}
+
 result<std::shared_ptr<grpc::ChannelCredentials>> make_credentials(
     const std::string& ca_file)
 {
@@ -38,9 +50,17 @@
             fmt::format("file '{}' can't be read", ca_file));
     grpc::SslCredentialsOptions options;
     options.pem_root_certs.assign(std::istreambuf_iterator<char>(file), {});
+    if (!holds_certificate(options.pem_root_certs))
+        return fail(error_code::invalid_settings,
+            fmt::format("file '{}' holds no PEM certificate", ca_file));
     return grpc::SslCredentials(options);
 }
 
+bool contains(const grpc::Status& status, const char* text)
+{
+    return status.error_message().find(text) != std::string::npos;
+}
+
 bool has_no_answer(const grpc::Status& status)
 {
     return status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED ||
@@ -48,6 +68,15 @@
            status.error_code() == grpc::StatusCode::CANCELLED;
 }
 
+/// Whether the TLS handshake failed, so that no call was sent. A repeat would
+/// fail in the same way. Only gRPC's text tells this from a lost connection.
+bool is_untrusted(const grpc::Status& status)
+{
+    return status.error_code() == grpc::StatusCode::UNAVAILABLE &&
+           (contains(status, "Ssl handshake failed") ||
+               contains(status, "is not in peer certificate"));
+}
+
 /// Whether the instance itself could not settle the outcome.
 bool is_unsettled(const operators::Failure& failure)
 {
@@ -62,6 +91,7 @@
     implementation(const global_options& options,
         std::shared_ptr<grpc::ChannelCredentials> credentials)
         : address_(options.address),
+          uses_tls_(!options.ca_file.empty()),
           credentials_(std::move(credentials)),
           deadline_(std::chrono::steady_clock::now() +
                     std::chrono::milliseconds(options.timeout_ms))
@@ -72,6 +102,7 @@
     template <class Reply, class Method, class Request>
     result<Reply> call(Method method, const Request& request, bool may_repeat)
     {
+        bool is_first = true;
         while (true)
         {
             Reply reply;
@@ -91,8 +122,11 @@
                 std::chrono::steady_clock::now() + retry_pause >= deadline_;
             if (status.ok() && is_last)
                 return checked(std::move(reply));
+            if (!status.ok() && is_untrusted(status))
+                return untrusted(status, is_first);
             if (!status.ok() && (is_last || !has_no_answer(status)))
                 return to_error(status);
+            is_first = false;
             std::this_thread::sleep_for(retry_pause);
             reconnect();
         }
@@ -119,12 +153,30 @@
                 error_code::internal, fmt::format("gRPC status {}: {}",
                                           static_cast<int>(status.error_code()),
                                           status.error_message()));
+        // A listener with TLS closes a connection without it.
+        const bool may_need_tls = !uses_tls_ &&
+                                  contains(status, "failed to connect") &&
+                                  !contains(status, "refused");
         return fail(error_code::peer_unreachable,
-            fmt::format(
-                "{} did not answer: {}", address_, status.error_message()),
+            fmt::format("{} did not answer: {}{}", address_,
+                status.error_message(),
+                may_need_tls ? "; a listener with TLS needs --ca-file" : ""),
             execution_state::unknown);
     }
 
+    /// An earlier attempt may have reached the instance.
+    tl::unexpected<error> untrusted(
+        const grpc::Status& status, bool is_first) const
+    {
+        const auto text = fmt::format("TLS with {} failed{}: {}", address_,
+            is_first ? "" : " after an attempt without an answer",
+            status.error_message());
+        if (is_first)
+            return fail(error_code::connect_failed, text);
+        return fail(
+            error_code::peer_unreachable, text, execution_state::unknown);
+    }
+
     void reconnect()
     {
         grpc::ChannelArguments arguments;
@@ -137,6 +189,7 @@
     }
 
     const std::string address_;
+    const bool uses_tls_;
     const std::shared_ptr<grpc::ChannelCredentials> credentials_;
     const time_point deadline_;
     std::unique_ptr<Operator::Stub> stub_;
--- a/src/operators/service.cpp
+++ b/src/operators/service.cpp
@@ -10,6 +10,9 @@
 #include <grpcpp/security/server_credentials.h>
 #include <grpcpp/server.h>
 #include <grpcpp/server_builder.h>
+#include <openssl/evp.h>
+#include <openssl/pem.h>
+#include <openssl/x509.h>
 
 #include "operator.grpc.pb.h"
 
@@ -21,14 +24,14 @@
 
 // Larger than the limit that gives a typed failure.
 constexpr int message_limit_bytes = 1024 * 1024;
-
-/// One call in progress. Finishes its reactor exactly once: with the reply,
-/// or in the destructor when the control port dropped the call.
 // Without pings, gRPC keeps the connection of a silent peer for two hours.
 constexpr int keepalive_interval_ms = 10'000;
 constexpr int keepalive_timeout_ms = 2'000;
 // gRPC's default of 120 s lets a silent peer hold its descriptor for longer.
 constexpr int handshake_timeout_ms = 10'000;
+
+/// One call in progress. Finishes its reactor exactly once: with the reply,
+/// or in the destructor when the control port dropped the call.
 template <class Reply>
 class pending_call
 {
@@ -155,6 +158,48 @@
     return std::string(std::istreambuf_iterator<char>(file), {});
 }
 
+std::unique_ptr<BIO, decltype(&BIO_free_all)> memory_text(
+    const std::string& text)
+{
+    return {BIO_new_mem_buf(text.data(), static_cast<int>(text.size())),
+        BIO_free_all};
+}
+
+/// Without it, OpenSSL asks for a passphrase on the terminal.
+int refuse_passphrase(char*, int, int, void*)
+{
+    return -1;
+}
+
+/// gRPC reports such files as an address that can't be bound.
+result<void> check_pair(const listen_settings& settings,
+    const std::string& certificate_pem, const std::string& key_pem)
+{
+    const auto certificate_text = memory_text(certificate_pem);
+    const std::unique_ptr<X509, decltype(&X509_free)> certificate(
+        PEM_read_bio_X509(certificate_text.get(), nullptr, nullptr, nullptr),
+        X509_free);
+    if (!certificate)
+        return fail(error_code::invalid_settings,
+            fmt::format("file '{}' holds no PEM certificate",
+                settings.certificate_file));
+    const auto key_text = memory_text(key_pem);
+    const std::unique_ptr<EVP_PKEY, decltype(&EVP_PKEY_free)> key(
+        PEM_read_bio_PrivateKey(
+            key_text.get(), nullptr, refuse_passphrase, nullptr),
+        EVP_PKEY_free);
+    if (!key)
+        return fail(error_code::invalid_settings,
+            fmt::format("file '{}' holds no PEM key without a passphrase",
+                settings.key_file));
+    if (X509_check_private_key(certificate.get(), key.get()) != 1)
+        return fail(error_code::invalid_settings,
+            fmt::format("the key in '{}' does not belong to the certificate "
+                        "in '{}'",
+                settings.key_file, settings.certificate_file));
+    return {};
+}
+
 result<std::shared_ptr<grpc::ServerCredentials>> make_credentials(
     const listen_settings& settings)
 {
@@ -169,6 +214,8 @@
     const auto key = read_file(settings.key_file);
     if (!key)
         return tl::unexpected(key.error());
+    if (auto checked = check_pair(settings, *certificate, *key); !checked)
+        return tl::unexpected(checked.error());
     grpc::SslServerCredentialsOptions options;
     options.pem_key_cert_pairs.push_back({*key, *certificate});
     return grpc::SslServerCredentials(options);
@@ -189,6 +236,15 @@
         grpc::ServerBuilder builder;
         // A second process on the same port must fail, not share it.
         builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+        builder.AddChannelArgument(
+            GRPC_ARG_KEEPALIVE_TIME_MS, keepalive_interval_ms);
+        builder.AddChannelArgument(
+            GRPC_ARG_KEEPALIVE_TIMEOUT_MS, keepalive_timeout_ms);
+        builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
+        // gRPC sends at most two pings without data frames otherwise.
+        builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+        builder.AddChannelArgument(
+            GRPC_ARG_SERVER_HANDSHAKE_TIMEOUT_MS, handshake_timeout_ms);
         builder.SetMaxReceiveMessageSize(message_limit_bytes);
         builder.AddListeningPort(settings.address, *credentials, &bound_port_);
         builder.RegisterService(&handlers_);
@@ -236,15 +292,6 @@
     if (const auto listening = parts->listen(settings); !listening)
         return tl::unexpected(listening.error());
     return std::unique_ptr<service>(new service(std::move(parts)));
-        builder.AddChannelArgument(
-            GRPC_ARG_KEEPALIVE_TIME_MS, keepalive_interval_ms);
-        builder.AddChannelArgument(
-            GRPC_ARG_KEEPALIVE_TIMEOUT_MS, keepalive_timeout_ms);
-        builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
-        // gRPC sends at most two pings without data frames otherwise.
-        builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
-        builder.AddChannelArgument(
-            GRPC_ARG_SERVER_HANDSHAKE_TIMEOUT_MS, handshake_timeout_ms);
 }
 
 int service::port() const
--- a/src/operators/service.hpp
+++ b/src/operators/service.hpp
@@ -52,8 +52,9 @@
 class service
 {
 public:
-    /// Starts to listen. Fails with `invalid_settings` when a TLS file can't
-    /// be read and with `connect_failed` when the address can't be bound.
+    /// Starts to listen. Fails with `invalid_settings` when the TLS files
+    /// can't be read or hold no certificate with its key, and with
+    /// `connect_failed` when the address can't be bound.
     static result<std::unique_ptr<service>> create(
         const listen_settings& settings, control_port port);
 
