--- a/src/events/recorder_test.cpp
+++ b/src/events/recorder_test.cpp
@@ -1,5 +1,7 @@
 #include "events/recorder.hpp"
 
+#include <limits>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace tarragonquay::events
@@ -11,6 +13,8 @@
     CPPUNIT_TEST(keeps_only_the_latest_events);
     CPPUNIT_TEST(cursor_continues_after_the_previous_page);
     CPPUNIT_TEST(event_after_a_received_message_is_later_than_its_cause);
+    CPPUNIT_TEST(damaged_times_do_not_hold_the_clock);
+    CPPUNIT_TEST(a_full_counter_moves_the_clock_on);
     CPPUNIT_TEST(merge_orders_events_of_several_instances);
     CPPUNIT_TEST_SUITE_END();
 
@@ -49,6 +53,29 @@
         CPPUNIT_ASSERT(events.since(0, 1).events.front().time > cause);
     }
 
+    // Guards against a damaged message that moves the clocks of all instances
+    // to a time that never comes.
+    void damaged_times_do_not_hold_the_clock()
+    {
+        recorder events("i1", 10);
+        events.observe({std::numeric_limits<std::int64_t>::max(), 0});
+        events.observe({events.now().wall_ms, -1});
+        const auto now = events.now();
+        CPPUNIT_ASSERT(now.wall_ms < std::numeric_limits<std::int64_t>::max());
+        CPPUNIT_ASSERT(now.logical >= 0);
+    }
+
+    // Guards against an overflow that would turn the order of events round.
+    void a_full_counter_moves_the_clock_on()
+    {
+        recorder events("i1", 10);
+        auto ahead = events.now();
+        ahead.wall_ms += 3'600'000;
+        ahead.logical = std::numeric_limits<std::int32_t>::max();
+        events.observe(ahead);
+        CPPUNIT_ASSERT(events.now() > ahead);
+    }
+
     void merge_orders_events_of_several_instances()
     {
         const event early{{1, 0}, "i2", kind::process_started, "", ""};
