--- a/src/limits/limiter.cpp
+++ b/src/limits/limiter.cpp
@@ -472,7 +472,7 @@
     // Only members and guests of this instance send transfers to it. Others
     // could make up ids without end, each of which would have to be remembered.
     const auto sender = id.substr(0, id.rfind('/'));
-    const auto suffix = fmt::format("/{}/{}", epoch_, local_.str());
+    const auto suffix = fmt::format("/{}/{}", epoch_, incarnation_);
     const bool from_member =
         sender.ends_with(suffix) &&
         is_known(sender.substr(0, sender.size() - suffix.size()));
--- a/src/limits/limiter_test.cpp
+++ b/src/limits/limiter_test.cpp
@@ -555,7 +555,7 @@
         transfer.set_to_incarnation("i0-1");
         const auto receive = [&](int sequence)
         {
-            transfer.set_transfer_id("i1-1/1/i0/" + std::to_string(sequence));
+            transfer.set_transfer_id("i1-1/1/i0-1/" + std::to_string(sequence));
             return nodes_[0].on_transfer(transfer, now_);
         };
         CPPUNIT_ASSERT(receive(2));
--- a/src/limits/message_fuzz_test.cpp
+++ b/src/limits/message_fuzz_test.cpp
@@ -64,8 +64,8 @@
     {
         auto transfer = whole_transfer();
         const auto before = tested_.state(acme_, now_);
-        for (const char* id :
-            {"other-1/1/i0/1", "/1", "i1-1/1/i2/1", "i1-1/2/i0/1", "i1-1/1"})
+        for (const char* id : {"other-1/1/i0-1/1", "/1", "i1-1/1/i2-1/1",
+                 "i1-1/2/i0-1/1", "i1-1/1"})
         {
             transfer.set_transfer_id(id);
             CPPUNIT_ASSERT_MESSAGE(id, !tested_.on_transfer(transfer, now_));
@@ -78,7 +78,7 @@
     peer::Share_transfer whole_transfer() const
     {
         peer::Share_transfer transfer;
-        transfer.set_transfer_id("i1-1/1/i0/1");
+        transfer.set_transfer_id("i1-1/1/i0-1/1");
         transfer.set_to_incarnation("i0-1");
         transfer.set_workspace(acme_.str());
         transfer.set_epoch(1);
@@ -107,7 +107,7 @@
         case 2:
         {
             peer::Share_transfer_ack ack;
-            ack.set_transfer_id("i0-1/1/i1/1");
+            ack.set_transfer_id("i0-1/1/i1-1/1");
             return tested_.on_transfer_ack(random.damage(ack));
         }
         default:
--- a/src/membership/message_fuzz_test.cpp
+++ b/src/membership/message_fuzz_test.cpp
@@ -131,6 +131,8 @@
         };
         made.demands = [] { return std::vector<peer::Workspace_demand>(); };
         made.on_demands = [](const instance_id&, const peer::Heartbeat&) {};
+        made.admits_for = [] { return duration::zero(); };
+        made.guest_epoch = [] { return std::int64_t(0); };
         made.on_serving_changed = [](const std::vector<instance_id>&) {};
         return made;
     }
