--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -20,6 +20,9 @@
     exit
 fi
 program=${TQ_BUILD_DIR:-build}/bin/tq-experiment
-options=(--seeds 1 2 3 --seconds 120)
+seconds=120
+# The demand of this experiment moves every 120 s.
+if [ "$name" = placement ]; then seconds=600; fi
+options=(--seeds 1 2 3 --seconds "$seconds")
 "$program" "$name" "${options[@]}" | tee "$folder/$name.txt"
 "$program" "$name" "${options[@]}" --json > "$folder/$name.json"
