Give each test process its own ports below the ephemeral range

Cause: integration.configuration failed in a full run because i3 could not listen again after its restart: another process had got the port meanwhile, as the source of a connection or as its own free port. Tests now claim blocks of ports below those that the system gives to connections.

--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -63,20 +63,60 @@
     return true;
 }
 
-int free_port()
+namespace
 {
-    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+
+/// Binds a loopback port; the descriptor, or -1 when the port is in use.
+int bind_port(int port)
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t length = sizeof(address);
-    auto* generic = reinterpret_cast<sockaddr*>(&address);
-    const bool bound = bind(descriptor, generic, length) == 0 &&
-                       getsockname(descriptor, generic, &length) == 0;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    if (bind(descriptor, reinterpret_cast<sockaddr*>(&address),
+            sizeof(address)) == 0)
+        return descriptor;
     close(descriptor);
-    if (!bound)
-        throw std::runtime_error("no free loopback port");
-    return ntohs(address.sin_port);
+    return -1;
+}
+
+constexpr int ports_per_block = 64;
+
+/// First port of a block that belongs to this process until it ends: its
+/// first port stays bound. The ports lie below those that the system gives to
+/// outgoing connections, so that nothing takes the port of a daemon that is
+/// down before its restart.
+int claim_block()
+{
+    constexpr int first_port = 20'000;
+    constexpr int end_port = 32'768;
+    for (int port = first_port; port + ports_per_block <= end_port;
+         port += ports_per_block)
+        if (bind_port(port) >= 0)
+            return port;
+    throw std::runtime_error("no free loopback port");
+}
+
+} // namespace
+
+int free_port()
+{
+    static int block = claim_block();
+    static int used = 0;
+    for (;;)
+    {
+        if (++used == ports_per_block)
+        {
+            block = claim_block();
+            used = 1;
+        }
+        const int descriptor = bind_port(block + used);
+        if (descriptor < 0)
+            continue;
+        close(descriptor);
+        return block + used;
+    }
 }
 
 std::string loopback(int port)
--- a/tests/support/process.hpp
+++ b/tests/support/process.hpp
@@ -18,7 +18,7 @@
 bool eventually(const std::function<bool()>& condition,
     milliseconds time = milliseconds(10'000));
 
-/// A loopback port that was free a moment ago.
+/// A loopback port that no other test and no outgoing connection uses.
 int free_port();
 
 /// "127.0.0.1:<port>".
