Give a joining instance its share at once, and don't refuse meanwhile

Change: acknowledgements name the guests. A named guest that has become a member acknowledges the change before the epoch opens anyway, so only other guests are fenced. Requests at an instance without a first share wait up to 8 s, within their deadline, and the refusal is no_share.

The platform's list: an incarnation counted as absent also by lists that were older than it, and an observer that had never seen a dead member listed could not remove a majority. Lists without the observer are now ignored, and only lists that were true after an incarnation was known count. The property no_old_share_serves_in_an_open_epoch now models the list as the platform describes it: what ran up to 64 s ago. It also lets guests pass shares on, which it did not.

Ruled out: longer waits alone; the epoch would still stay closed for 6 s.

--- a/experiment/limits_run.ipp
+++ b/experiment/limits_run.ipp
@@ -234,7 +234,7 @@
     outcome_.answers[index] = limits_answer::lost;
     at(to).limiter->admit_before(
         traced_workspaces()[request.workspace].limit.id, request.reserved,
-        now_ + wait, now_,
+        {now_ + wait, now_ + wait}, now_,
         [this, index, to, incarnation = at(to).incarnation](
             const result<limits::reservation>& made)
         {
--- a/src/common/error.cpp
+++ b/src/common/error.cpp
@@ -23,6 +23,7 @@
     entry{error_code::withdrawn_key, "withdrawn_key"},
     entry{error_code::no_view_lease, "no_view_lease"},
     entry{error_code::rate_limited, "rate_limited"},
+    entry{error_code::no_share, "no_share"},
     entry{error_code::request_exceeds_burst, "request_exceeds_burst"},
     entry{error_code::unknown_model, "unknown_model"},
     entry{error_code::model_not_ready, "model_not_ready"},
--- a/src/common/error.hpp
+++ b/src/common/error.hpp
@@ -23,6 +23,7 @@
     withdrawn_key,
     no_view_lease,
     rate_limited,
+    no_share,
     request_exceeds_burst,
     unknown_model,
     model_not_ready,
--- a/src/daemon/application_ports.cpp
+++ b/src/daemon/application_ports.cpp
@@ -9,11 +9,11 @@
 ingress::control_port application::control_port()
 {
     ingress::control_port port;
-    port.admit =
-        [this](const workspace_id& workspace, std::int64_t tokens, auto on_done)
+    port.admit = [this](const workspace_id& workspace, std::int64_t tokens,
+                     time_point deadline, auto on_done)
     {
-        post([this, workspace, tokens, on_done = std::move(on_done)]
-            { core_->admit(workspace, tokens, on_done); });
+        post([this, workspace, tokens, deadline, on_done = std::move(on_done)]
+            { core_->admit(workspace, tokens, deadline, on_done); });
     };
     port.settle = [this](const limits::reservation& reserved, std::int64_t used)
     { post([this, reserved, used] { core_->settle(reserved, used); }); };
--- a/src/daemon/control_core.cpp
+++ b/src/daemon/control_core.cpp
@@ -23,6 +23,9 @@
 // Within the target of 1 s for the first token, so that a wait for a
 // transfer of shares can still end in time.
 constexpr std::chrono::milliseconds admission_wait{500};
+// An instance that joins gets its share within about one second, or, when an
+// instance has to be fenced first, after 6 s.
+constexpr std::chrono::seconds join_wait{8};
 
 } // namespace
 
@@ -206,13 +209,17 @@
 }
 
 void control_core::admit(const workspace_id& workspace, std::int64_t tokens,
+    time_point deadline,
     std::function<void(result<limits::reservation>)> on_done)
 {
     const auto now = clock_.now();
     if (!lease_->valid(now))
         return on_done(fail(error_code::no_view_lease,
             "this instance can't confirm its configuration"));
-    limiter_->admit_before(workspace, tokens, now + admission_wait, now,
+    const limits::admission_deadlines deadlines{
+        std::min(now + admission_wait, deadline),
+        std::min(now + join_wait, deadline)};
+    limiter_->admit_before(workspace, tokens, deadlines, now,
         [this, workspace, tokens, on_done = std::move(on_done)](
             result<limits::reservation> reserved)
         {
--- a/src/daemon/control_core.hpp
+++ b/src/daemon/control_core.hpp
@@ -65,6 +65,7 @@
     const catalog::member& local() const { return local_; }
 
     void admit(const workspace_id& workspace, std::int64_t tokens,
+        time_point deadline,
         std::function<void(result<limits::reservation>)> on_done);
     void settle(const limits::reservation& reserved, std::int64_t used);
     void acquire(routing::request_spec spec,
@@ -141,7 +142,7 @@
     void report_demand();
     void tick_placement();
     void poll_instance_list();
-    void on_instance_list(const std::vector<platform::listed_instance>& listed);
+    void on_instance_list(const platform::instance_list& list);
     /// How long this instance can certainly admit requests.
     duration admits_for() const;
     void publish_lease();
@@ -178,7 +179,6 @@
     bool listing_ = false;
     // Instances that the platform listed at least once; only these can be
     // missing from the list.
-    std::set<std::string> seen_listed_;
     std::set<endpoint_id> suspected_;
     std::set<endpoint_id> listed_leaving_;
     std::set<endpoint_id> reported_leaving_;
--- a/src/daemon/control_endpoints.cpp
+++ b/src/daemon/control_endpoints.cpp
@@ -62,7 +62,7 @@
     if (std::exchange(listing_, true))
         return;
     process_.store.list_instances(clock_.now() + list_call_limit,
-        [this](result<std::vector<platform::listed_instance>> listed)
+        [this](result<platform::instance_list> listed)
         {
             boost::asio::post(control_,
                 [this, listed = std::move(listed)]
@@ -74,29 +74,21 @@
         });
 }
 
-void control_core::on_instance_list(
-    const std::vector<platform::listed_instance>& listed)
+void control_core::on_instance_list(const platform::instance_list& list)
 {
     const auto& configuration = replica_->current();
     std::vector<instance_id> present;
     std::set<endpoint_id> leaving;
-    std::set<std::string> now_listed;
-    for (const auto& item : listed)
+    for (const auto& item : list.instances)
     {
-        now_listed.insert(item.id);
         present.emplace_back(item.id);
         const endpoint_id endpoint(item.id);
         if (item.leaving && configuration.find_endpoint(endpoint) != nullptr)
             leaving.insert(endpoint);
     }
-    seen_listed_.insert(now_listed.begin(), now_listed.end());
-    // The list lags, so an instance that it never showed is not missing.
-    for (const auto& member : configuration.members())
-    {
-        if (!seen_listed_.contains(member.instance.str()))
-            present.push_back(member.instance);
-    }
-    membership_->update_platform_list(present);
+    const std::chrono::milliseconds age(
+        std::max<std::int64_t>(unix_ms() - list.as_of_unix_ms, 0));
+    membership_->update_platform_list(present, clock_.now() - age);
     for (const auto& endpoint : leaving)
     {
         if (!listed_leaving_.contains(endpoint))
--- a/src/daemon/control_messages.cpp
+++ b/src/daemon/control_messages.cpp
@@ -45,7 +45,7 @@
         [this](const instance_id& from, const peer::Heartbeat& heartbeat)
     { limiter_->on_demands(from, heartbeat, clock_.now()); };
     parts.admits_for = [this] { return admits_for(); };
-    parts.guest_epoch = [this] { return limiter_->guest_epoch(); };
+    parts.given_guests = [this] { return limiter_->given_guests(); };
     parts.on_serving_changed = [this](const std::vector<instance_id>& serving) {
         TQ_LOG(logger_, info)
             << "Instances that serve: " << serving.size() << ".";
--- a/src/ingress/completion_route.cpp
+++ b/src/ingress/completion_route.cpp
@@ -326,7 +326,8 @@
         co_return;
     }
     const auto tokens = body->prompt_tokens + body->max_tokens;
-    auto reserved = co_await admit(on, who->workspace, tokens);
+    auto reserved =
+        co_await admit(on, who->workspace, tokens, request.deadline);
     if (!reserved)
     {
         co_await answer_error(on, request, out, reserved.error());
--- a/src/ingress/control_port.hpp
+++ b/src/ingress/control_port.hpp
@@ -26,8 +26,9 @@
 /// are called exactly once.
 struct control_port
 {
-    /// Takes tokens from the workspace's bucket.
-    std::function<void(workspace_id, std::int64_t tokens,
+    /// Takes tokens from the workspace's bucket. May wait for them, at most
+    /// until the request's deadline.
+    std::function<void(workspace_id, std::int64_t tokens, time_point deadline,
         std::function<void(result<limits::reservation>)>)>
         admit;
     /// Ends a reservation with the tokens that were really used.
--- a/src/ingress/http_status.cpp
+++ b/src/ingress/http_status.cpp
@@ -44,6 +44,7 @@
     case error_code::endpoint_rejected:
         return 502;
     case error_code::no_view_lease:
+    case error_code::no_share:
     case error_code::model_not_ready:
     case error_code::no_endpoint:
     case error_code::overloaded:
--- a/src/ingress/routes.cpp
+++ b/src/ingress/routes.cpp
@@ -132,13 +132,13 @@
     co_await out.respond(std::move(answer));
 }
 
-asio::awaitable<result<limits::reservation>> admit(
-    worker& on, workspace_id workspace, std::int64_t tokens)
+asio::awaitable<result<limits::reservation>> admit(worker& on,
+    workspace_id workspace, std::int64_t tokens, time_point deadline)
 {
     const auto& control = on.services().control;
     co_return co_await await_callback<result<limits::reservation>>(
         [&](auto handler)
-        { control.admit(workspace, tokens, std::move(handler)); });
+        { control.admit(workspace, tokens, deadline, std::move(handler)); });
 }
 
 asio::awaitable<result<routing::assignment>> acquire(
--- a/src/ingress/routes.hpp
+++ b/src/ingress/routes.hpp
@@ -32,8 +32,8 @@
 inline constexpr int max_attempts = 3;
 
 /// Asks the control thread for tokens.
-boost::asio::awaitable<result<limits::reservation>> admit(
-    worker& on, workspace_id workspace, std::int64_t tokens);
+boost::asio::awaitable<result<limits::reservation>> admit(worker& on,
+    workspace_id workspace, std::int64_t tokens, time_point deadline);
 
 /// Asks the control thread for an endpoint.
 boost::asio::awaitable<result<routing::assignment>> acquire(
--- a/src/ingress/server_test_support.hpp
+++ b/src/ingress/server_test_support.hpp
@@ -215,8 +215,8 @@
     control_port make_control()
     {
         control_port out;
-        out.admit =
-            [this](workspace_id workspace, std::int64_t tokens, auto handler)
+        out.admit = [this](workspace_id workspace, std::int64_t tokens,
+                        time_point, auto handler)
         {
             ++admitted;
             handler(limits::reservation{admitted, workspace, tokens, 1});
--- a/src/ingress/service_route.cpp
+++ b/src/ingress/service_route.cpp
@@ -333,8 +333,8 @@
     std::optional<reservation_guard> reservation;
     if (call->who)
     {
-        auto reserved =
-            co_await admit(on, call->who->workspace, tokens_per_call);
+        auto reserved = co_await admit(
+            on, call->who->workspace, tokens_per_call, request.deadline);
         if (!reserved)
         {
             co_await answer_error(on, request, out, reserved.error());
--- a/src/limits/limiter.cpp
+++ b/src/limits/limiter.cpp
@@ -253,6 +253,11 @@
 {
     refill(from, now);
     const auto wanted = tokens * millitokens_per_token;
+    if (from.level < wanted && awaits_share())
+        return fail(error_code::no_share,
+            fmt::format("this instance has no share of the rate of workspace "
+                        "{} yet",
+                from.limit.id.str()));
     if (from.level < wanted)
         return fail(error_code::rate_limited,
             fmt::format("workspace {} has used its rate", from.limit.id.str()));
@@ -297,17 +302,29 @@
 
 template <class Policy>
 void basic_limiter<Policy>::admit_before(const workspace_id& workspace,
-    std::int64_t tokens, time_point deadline, time_point now,
+    std::int64_t tokens, const admission_deadlines& deadlines, time_point now,
     admit_handler handler)
 {
     auto admitted = admit(workspace, tokens, now);
-    if (admitted || admitted.error().code() != error_code::rate_limited ||
-        now >= deadline)
+    waiter each{tokens, deadlines, {}};
+    const bool lacks_tokens =
+        !admitted && (admitted.error().code() == error_code::rate_limited ||
+                         admitted.error().code() == error_code::no_share);
+    if (!lacks_tokens || !may_wait(each, now))
     {
         handler(std::move(admitted));
         return;
     }
-    waiters_[workspace].push_back({tokens, deadline, std::move(handler)});
+    each.handler = std::move(handler);
+    waiters_[workspace].push_back(std::move(each));
+}
+
+template <class Policy>
+bool basic_limiter<Policy>::may_wait(waiter& each, time_point now) const
+{
+    each.had_no_share = each.had_no_share || awaits_share();
+    return now < (each.had_no_share ? each.deadlines.without_share
+                                    : each.deadlines.usual);
 }
 
 // Waiting requests of a workspace are tried in order of arrival. One that
@@ -330,7 +347,7 @@
                     exists && each.tokens <= found->second.limit.burst_tokens;
                 auto taken = possible ? take(found->second, each.tokens, now)
                                       : refusal(workspace, each.tokens);
-                if (!taken && possible && now < each.deadline)
+                if (!taken && possible && may_wait(each, now))
                     return false;
                 done.emplace_back(std::move(each.handler), std::move(taken));
                 return true;
@@ -414,7 +431,9 @@
     if (!is_member(to))
     {
         guests_[to.instance] = to.incarnation;
-        guest_epoch_ = epoch_;
+        if (given_guests_.epoch != epoch_)
+            given_guests_ = {epoch_, {}};
+        given_guests_.incarnations.insert(to.incarnation);
     }
     const auto given = std::clamp<std::int64_t>(
         level, 0, std::max<std::int64_t>(from.level, 0));
--- a/src/limits/limiter.hpp
+++ b/src/limits/limiter.hpp
@@ -31,6 +31,18 @@
     bool epoch_open = false;
 };
 
+/// Until when a request may wait for tokens.
+struct admission_deadlines
+{
+    time_point usual;
+    /// For a request that meets a closed epoch at an instance that has never
+    /// had a share: until the epoch opens, it can't know whether the workspace
+    /// is within its rate.
+    time_point without_share;
+
+    auto operator<=>(const admission_deadlines&) const = default;
+};
+
 struct outgoing_message
 {
     instance_id to;
@@ -96,10 +108,11 @@
         const workspace_id& workspace, std::int64_t tokens, time_point now);
 
     using admit_handler = std::function<void(result<reservation>)>;
-    /// Like `admit`, but waits up to the deadline for refill and for level
-    /// that other members transfer. The handler may be called at once.
+    /// Like `admit`, but waits for refill and for level that other members
+    /// transfer. The handler may be called at once.
     void admit_before(const workspace_id& workspace, std::int64_t tokens,
-        time_point deadline, time_point now, admit_handler handler);
+        const admission_deadlines& deadlines, time_point now,
+        admit_handler handler);
 
     /// Ends a reservation: refunds unused tokens, or charges tokens above
     /// the reservation as debt. Does nothing for one that has ended.
@@ -136,10 +149,9 @@
     /// Whether this member has got shares in an open epoch since it joined.
     /// It keeps a part of them while the next epoch is closed.
     bool has_shares() const { return has_shares_; }
-    /// Latest epoch in which this instance gave shares to one that is not a
-    /// member; 0 when there is none. Final for an epoch once a later one is
-    /// applied.
-    std::int64_t guest_epoch() const { return guest_epoch_; }
+    /// Guests that got shares from here, for the latest epoch that has any.
+    /// Final for an epoch once a later one is applied.
+    const limits::guest_list& given_guests() const { return given_guests_; }
 
     bucket_state state(const workspace_id& workspace, time_point now);
 
@@ -165,8 +177,10 @@
     struct waiter
     {
         std::int64_t tokens = 0;
-        time_point deadline;
+        admission_deadlines deadlines;
         admit_handler handler;
+        // Whether it has waited while this instance had no share.
+        bool had_no_share = false;
         // Whether level was requested for it.
         bool requested = false;
     };
@@ -230,6 +244,9 @@
     /// Whether this is an incarnation of a member or of a guest.
     bool is_known(const std::string& incarnation) const;
     bool may_move() const;
+    /// Whether this instance has not had its first share yet.
+    bool awaits_share() const { return !open_ && !has_shares_; }
+    bool may_wait(waiter& each, time_point now) const;
     void balance(time_point now);
     void return_grants(time_point now);
     std::map<instance_id, std::int64_t> successors(
@@ -249,7 +266,7 @@
     // Incarnations of instances that are not members and got shares from here
     // in this epoch.
     std::map<instance_id, std::string> guests_;
-    std::int64_t guest_epoch_ = 0;
+    limits::guest_list given_guests_;
     // Whether this incarnation is a member; an earlier incarnation of the
     // same instance holds the share until the epoch ends.
     bool is_member_ = false;
--- a/src/limits/limiter_test.cpp
+++ b/src/limits/limiter_test.cpp
@@ -113,7 +113,8 @@
             else if (b % 16 == 1)
                 toggle_workspace();
             else
-                self.admit_before(acme, b * 12, now_ + seconds(b), now_,
+                self.admit_before(acme, b * 12,
+                    {now_ + seconds(b), now_ + seconds(2 * b)}, now_,
                     [this, a](const result<reservation>& made)
                     { record(a, made); });
         }
@@ -376,6 +377,7 @@
     CPPUNIT_TEST(shares_are_had_from_the_first_open_epoch_on);
     CPPUNIT_TEST(guest_gets_shares_until_the_epoch_ends);
     CPPUNIT_TEST(guest_gets_no_transfer_of_its_predecessor);
+    CPPUNIT_TEST(request_waits_for_the_first_share);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -398,7 +400,7 @@
     {
         start(7);
         bool admitted = false;
-        nodes_[6].admit_before(acme, 1000, now_ + seconds(2), now_,
+        nodes_[6].admit_before(acme, 1000, within(seconds(2)), now_,
             [&](const result<reservation>& made)
             { admitted = made.has_value(); });
         for (int round = 0; round < 10 && !admitted; ++round)
@@ -412,7 +414,7 @@
         std::optional<error_code> refused;
         CPPUNIT_ASSERT(nodes_[0].admit(acme, 500, now_).has_value());
         CPPUNIT_ASSERT(nodes_[1].admit(acme, 500, now_).has_value());
-        nodes_[0].admit_before(acme, 1000, now_ + seconds(1), now_,
+        nodes_[0].admit_before(acme, 1000, within(seconds(1)), now_,
             [&](const result<reservation>& made)
             { refused = made.error().code(); });
         CPPUNIT_ASSERT(!refused);
@@ -575,16 +577,17 @@
         start(3);
         start_guest(1);
         bool admitted = false;
-        guest().admit_before(acme, 300, now_ + seconds(1), now_,
+        guest().admit_before(acme, 300, within(seconds(1)), now_,
             [&](const result<reservation>& made)
             { admitted = made.has_value(); });
         for (int round = 0; round < 4 && !admitted; ++round)
             exchange();
         CPPUNIT_ASSERT(admitted);
         CPPUNIT_ASSERT(guest().state(acme, now_).shares > 0);
-        CPPUNIT_ASSERT(nodes_[0].guest_epoch() + nodes_[1].guest_epoch() +
-                           nodes_[2].guest_epoch() >
-                       0);
+        limits::guest_list named;
+        for (int i = 0; i < 3; ++i)
+            named = std::max(named, nodes_[i].given_guests());
+        CPPUNIT_ASSERT((named == guest_list{1, {"i3-1"}}));
         guest().apply(view_of(3, 2, false), now_);
         CPPUNIT_ASSERT(guest().state(acme, now_) == bucket_state{});
         guest().apply(view_of(3, 2, true), now_);
@@ -612,7 +615,51 @@
         CPPUNIT_ASSERT(guest().state(acme, now_) == bucket_state{});
     }
 
+    // Guards against refusals within the rate at an instance that has joined
+    // while the epoch that gives it a share is still closed.
+    void request_waits_for_the_first_share()
+    {
+        limiter joined(member_of(1).instance, member_of(1).incarnation);
+        joined.apply(view_of(2, 2, false), now_);
+        std::vector<error_code> refused;
+        int admitted = 0;
+        const auto ask = [&](seconds longest)
+        {
+            joined.admit_before(acme, 10, {now_ + seconds(1), now_ + longest},
+                now_,
+                [&](const result<reservation>& made)
+                {
+                    if (made)
+                        ++admitted;
+                    else
+                        refused.push_back(made.error().code());
+                });
+        };
+        ask(seconds(3));
+        ask(seconds(9));
+        now_ += seconds(3);
+        joined.tick(now_);
+        CPPUNIT_ASSERT(refused == std::vector{error_code::no_share});
+        // The new share starts empty; the request still waits for refill.
+        joined.apply(view_of(2, 2, true), now_);
+        CPPUNIT_ASSERT_EQUAL(0, admitted);
+        now_ += seconds(2);
+        joined.tick(now_);
+        CPPUNIT_ASSERT_EQUAL(1, admitted);
+        // A member with shares knows that the rate is used.
+        CPPUNIT_ASSERT(joined.admit(acme, 400, now_).error().code() ==
+                       error_code::rate_limited);
+        joined.apply(view_of(2, 3, false), now_);
+        CPPUNIT_ASSERT(joined.admit(acme, 400, now_).error().code() ==
+                       error_code::rate_limited);
+    }
+
 private:
+    admission_deadlines within(duration wait) const
+    {
+        return {now_ + wait, now_ + wait};
+    }
+
     limiter& guest() { return nodes_.back(); }
 
     // Adds an instance that is not a member, after all others.
--- a/src/limits/types.hpp
+++ b/src/limits/types.hpp
@@ -2,6 +2,8 @@
 
 #include <compare>
 #include <cstdint>
+#include <set>
+#include <string>
 
 #include "common/ids.hpp"
 
@@ -23,4 +25,15 @@
     auto operator<=>(const reservation&) const = default;
 };
 
+/// Instances that got shares of an epoch without being members of it.
+struct guest_list
+{
+    /// 0 when there are none.
+    std::int64_t epoch = 0;
+    /// All of them; empty when they are not known.
+    std::set<std::string> incarnations;
+
+    auto operator<=>(const guest_list&) const = default;
+};
+
 } // namespace tarragonquay::limits
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -20,6 +20,11 @@
 constexpr duration retry_delay = std::chrono::milliseconds(500);
 // A commit that has not answered by then is tried again.
 constexpr duration proposal_time_limit = std::chrono::seconds(5);
+// Bounds the messages. With more guests, the next epoch waits until all of
+// them are fenced.
+constexpr int max_named_guests = 64;
+// Covers the difference between the clocks of the platform and an instance.
+constexpr duration list_clock_margin = std::chrono::seconds(2);
 
 bool contains(
     const std::vector<catalog::member>& members, const catalog::member& wanted)
@@ -42,6 +47,19 @@
     to.set_region(from.region);
 }
 
+// A list that lacks names stays so, whatever other lists say.
+limits::guest_list merged(limits::guest_list one, const limits::guest_list& two)
+{
+    if (one.epoch != two.epoch)
+        return one.epoch > two.epoch ? one : two;
+    if (one.incarnations.empty() || two.incarnations.empty())
+        one.incarnations.clear();
+    else
+        one.incarnations.insert(
+            two.incarnations.begin(), two.incarnations.end());
+    return one;
+}
+
 } // namespace
 
 result<std::unique_ptr<membership>> membership::create(
@@ -157,6 +175,7 @@
     if (view.membership_revision != view_.membership_revision)
         settled_at_.reset();
     view_ = std::move(view);
+    note_incarnations();
     std::erase_if(replaced_since_,
         [&](const auto& entry)
         {
@@ -206,18 +225,48 @@
     peers_ = std::move(next);
 }
 
-void membership::update_platform_list(const std::vector<instance_id>& instances)
+void membership::note_incarnations()
+{
+    std::map<std::string, time_point> known;
+    const auto note = [&](const std::vector<catalog::member>& members)
+    {
+        for (const auto& member : members)
+        {
+            const auto before = known_since_.find(member.incarnation);
+            known[member.incarnation] =
+                before == known_since_.end() ? parts_.now() : before->second;
+        }
+    };
+    note(view_.members);
+    note(view_.previous_members);
+    known_since_ = std::move(known);
+}
+
+void membership::update_platform_list(
+    const std::vector<instance_id>& instances, time_point as_of)
 {
     const std::set<instance_id> listed(instances.begin(), instances.end());
-    std::map<instance_id, time_point> absent;
+    // The list may be about other instances only, or older than this one.
+    if (!listed.contains(local_.instance))
+    {
+        absent_since_.clear();
+        return;
+    }
+    std::map<std::string, time_point> absent;
     const auto note = [&](const std::vector<catalog::member>& members)
     {
         for (const auto& member : members)
         {
             if (listed.contains(member.instance) || !is_peer(member))
                 continue;
-            const auto before = absent_since_.find(member.instance);
-            absent[member.instance] =
+            // A list of an earlier time can lack an instance that has been
+            // started again since.
+            const auto known = known_since_.find(member.incarnation);
+            if (known == known_since_.end() ||
+                as_of < known->second + list_clock_margin)
+                continue;
+            const auto before = absent_since_.find(member.incarnation);
+            absent[member.incarnation] =
                 before == absent_since_.end() ? parts_.now() : before->second;
         }
     };
@@ -245,19 +294,30 @@
 // so that whoever counts the acknowledgement knows of them.
 void membership::send(const instance_id& to, peer::Envelope envelope)
 {
-    envelope.set_guest_epoch(known_guest_epoch());
+    const auto guests = known_guests();
+    envelope.set_guest_epoch(guests.epoch);
+    // Of a superseded epoch, nobody needs to know the guests.
+    if (guests.epoch >= last_open_epoch_ &&
+        guests.incarnations.size() <= max_named_guests)
+        envelope.mutable_guest_incarnations()->Add(
+            guests.incarnations.begin(), guests.incarnations.end());
     parts_.send(to, std::move(envelope));
 }
 
-std::int64_t membership::known_guest_epoch() const
+limits::guest_list membership::known_guests() const
 {
-    return std::max(reported_guest_epoch_, parts_.guest_epoch());
+    return merged(reported_guests_, parts_.given_guests());
 }
 
 void membership::note_guests(const peer::Envelope& envelope)
 {
-    reported_guest_epoch_ =
-        std::max(reported_guest_epoch_, envelope.guest_epoch());
+    limits::guest_list reported{envelope.guest_epoch(), {}};
+    if (envelope.guest_incarnations_size() <= max_named_guests)
+        reported.incarnations.insert(envelope.guest_incarnations().begin(),
+            envelope.guest_incarnations().end());
+    reported_guests_ = merged(reported_guests_, reported);
+    if (reported_guests_.incarnations.size() > max_named_guests)
+        reported_guests_.incarnations.clear();
 }
 
 void membership::send_heartbeats()
@@ -513,7 +573,7 @@
     const auto* state = find_peer(member);
     if (state != nullptr && !long_ago(state->last_heard))
         return false;
-    const auto found = absent_since_.find(member.instance);
+    const auto found = absent_since_.find(member.incarnation);
     return found != absent_since_.end() && long_ago(found->second);
 }
 
@@ -710,15 +770,30 @@
         { return each.acknowledged || long_ago(each.settled_at); });
 }
 
-// An instance that got shares without being a member is in no list that could
-// be waited for, but can't hold a view lease without having seen the close of
-// the epoch once the fencing time has passed. Every member of the last open
-// epoch has reported whether it gave such shares, in its acknowledgement, or
-// is fenced itself, which takes as long.
+// A guest that has become a member acknowledges the change before the epoch
+// opens, and one that was removed again is fenced like any member.
+bool membership::is_joined_or_removed(const std::string& incarnation) const
+{
+    return std::any_of(view_.members.begin(), view_.members.end(),
+               [&](const catalog::member& member)
+               { return member.incarnation == incarnation; }) ||
+           std::any_of(removals_.begin(), removals_.end(),
+               [&](const removal& each)
+               { return each.member.incarnation == incarnation; });
+}
+
+// Another guest can't be waited for, but can't hold a view lease without
+// having seen the close of the epoch once the fencing time has passed. Every
+// member of the last open epoch, and every guest that joined, has named its
+// guests in its acknowledgement, or is fenced itself, which takes as long.
 bool membership::guests_are_fenced() const
 {
-    const auto guests = known_guest_epoch();
-    if (guests == 0 || guests < last_open_epoch_)
+    const auto guests = known_guests();
+    if (guests.epoch == 0 || guests.epoch < last_open_epoch_)
+        return true;
+    if (!guests.incarnations.empty() &&
+        std::all_of(guests.incarnations.begin(), guests.incarnations.end(),
+            [&](const auto& each) { return is_joined_or_removed(each); }))
         return true;
     return close_settled_at_ && parts_.now() - *close_settled_at_ >=
                                     view_lease_validity + fencing_margin;
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -17,6 +17,7 @@
 #include "common/ids.hpp"
 #include "common/log.hpp"
 #include "config.pb.h"
+#include "limits/types.hpp"
 #include "membership/view_lease.hpp"
 #include "peer.pb.h"
 
@@ -89,9 +90,9 @@
     /// How long this instance can certainly admit requests; zero when it
     /// can't.
     std::function<duration()> admits_for;
-    /// Latest epoch in which this instance gave shares to one that is not a
-    /// member. It must be final for an epoch when `update` passes a later one.
-    std::function<std::int64_t()> guest_epoch;
+    /// Guests that got shares from this instance. The list must be final for
+    /// an epoch when `update` passes a later one.
+    std::function<limits::guest_list()> given_guests;
     /// Called when the list of serving instances changes.
     std::function<void(const std::vector<instance_id>&)> on_serving_changed;
 };
@@ -110,8 +111,11 @@
 
     /// Sets the applied configuration; call it after every applied change.
     void update(membership_view view);
-    /// Sets the instances that the platform lists, live or leaving.
-    void update_platform_list(const std::vector<instance_id>& instances);
+    /// Sets the instances that the platform lists, live or leaving. A list
+    /// that shows this instance must not lack another one that ran at `as_of`;
+    /// a list that does not show it is ignored.
+    void update_platform_list(
+        const std::vector<instance_id>& instances, time_point as_of);
 
     void tick();
     /// Handles a message of a peer; false when it belongs to another part.
@@ -200,8 +204,10 @@
     bool removed_are_fenced() const;
     bool guests_are_fenced() const;
     void note_guests(const peer::Envelope& envelope);
-    std::int64_t known_guest_epoch() const;
+    limits::guest_list known_guests() const;
+    bool is_joined_or_removed(const std::string& incarnation) const;
     void send(const instance_id& to, peer::Envelope envelope);
+    void note_incarnations();
     void sync_peers();
     void send_heartbeats();
     void reopen_silent_connections();
@@ -241,7 +247,10 @@
     collaborators parts_;
     membership_view view_;
     std::map<instance_id, peer_state> peers_;
-    std::map<instance_id, time_point> absent_since_;
+    // Since when each incarnation is known to run, and since when the list
+    // lacks it.
+    std::map<std::string, time_point> known_since_;
+    std::map<std::string, time_point> absent_since_;
     // Members whose address belongs to another incarnation, by incarnation.
     std::map<std::string, time_point> replaced_since_;
     std::deque<std::pair<std::int64_t, time_point>> sent_heartbeats_;
@@ -257,9 +266,8 @@
     // change after it is known to be settled.
     std::int64_t last_open_epoch_ = 0;
     std::optional<time_point> close_settled_at_;
-    // Latest epoch in which, by the messages of others, a member gave shares
-    // to an instance that is not a member.
-    std::int64_t reported_guest_epoch_ = 0;
+    // Guests of the latest epoch that has any, by the messages of others.
+    limits::guest_list reported_guests_;
     std::vector<in_force_waiter> waiters_;
     std::vector<instance_id> serving_;
     action pending_ = action::none;
--- a/src/membership/membership_test.cpp
+++ b/src/membership/membership_test.cpp
@@ -73,8 +73,8 @@
         std::optional<in_force_report> report;
         // Epoch of the shares that a member gave while this node was none.
         std::int64_t guest_of = 0;
-        // Last epoch in which this node gave shares to a non-member.
-        std::int64_t gave_in = 0;
+        // Non-members that this node gave shares to.
+        limits::guest_list given;
     };
 
     node& add(const std::string& name, int incarnation = 1)
@@ -95,6 +95,7 @@
         for (const auto end = clock.now() + time; clock.now() < end;)
         {
             clock.advance(step);
+            note_running();
             for (std::size_t i = 0; i < nodes.size(); ++i)
             {
                 if (!nodes[i]->running)
@@ -105,7 +106,8 @@
                     nodes[i]->lease->renew_from_store(
                         clock.now(), nodes[i]->view.applied_revision);
                 }
-                nodes[i]->members->update_platform_list(listed());
+                nodes[i]->members->update_platform_list(
+                    listed(), clock.now() - list_lag);
                 nodes[i]->members->tick();
                 deliver();
             }
@@ -131,16 +133,34 @@
     std::vector<std::unique_ptr<node>> nodes;
     std::vector<config::Change> log;
     bool store_available = true;
+    // The platform's list shows what ran this long ago, without these.
+    duration list_lag = duration::zero();
+    bool lists_ended = true;
     std::set<std::string> hidden_from_list;
 
 private:
+    void note_running()
+    {
+        std::set<std::string> running;
+        for (const auto& each : nodes)
+        {
+            if (each->running || lists_ended)
+                running.insert(each->self.instance.str());
+        }
+        if (history_.empty() || history_.rbegin()->second != running)
+            history_[clock.now()] = std::move(running);
+    }
+
     std::vector<instance_id> listed() const
     {
         std::vector<instance_id> result;
-        for (const auto& each : nodes)
+        const auto later = history_.upper_bound(clock.now() - list_lag);
+        if (later == history_.begin())
+            return result;
+        for (const auto& name : std::prev(later)->second)
         {
-            if (!hidden_from_list.contains(each->self.instance.str()))
-                result.push_back(each->self.instance);
+            if (!hidden_from_list.contains(name))
+                result.emplace_back(name);
         }
         return result;
     }
@@ -241,12 +261,14 @@
         made.on_demands = [](const instance_id&, const peer::Heartbeat&) {};
         made.admits_for = [&self]
         { return self.admits ? view_lease_validity : duration::zero(); };
-        made.guest_epoch = [&self] { return self.gave_in; };
+        made.given_guests = [&self] { return self.given; };
         made.on_serving_changed = [](const std::vector<instance_id>&) {};
         return made;
     }
 
     std::deque<std::pair<std::string, peer::Envelope>> network_;
+    // Names of the running instances since each time at which they changed.
+    std::map<time_point, std::set<std::string>> history_;
 };
 
 } // namespace
@@ -266,6 +288,7 @@
     CPPUNIT_TEST(instances_are_named_when_none_is_known_to_admit);
     CPPUNIT_TEST(next_membership_change_waits_for_the_previous_one);
     CPPUNIT_TEST(joins_and_planned_leaves_open_the_epoch_without_fencing);
+    CPPUNIT_TEST(guest_that_joins_is_not_fenced);
     CPPUNIT_TEST(join_after_a_removal_waits_for_the_fencing);
     CPPUNIT_TEST(guest_is_fenced_before_a_join_opens_the_epoch);
     CPPUNIT_TEST(guest_is_fenced_when_its_donor_dies);
@@ -304,6 +327,11 @@
         // The list lags: members that still send stay.
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), fleet_.head().members.size());
         node(0).running = node(1).running = false;
+        // A list without the instance that reads it is not about the fleet.
+        fleet_.hidden_from_list.insert("c");
+        fleet_.run(seconds(30));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), fleet_.head().members.size());
+        fleet_.hidden_from_list.erase("c");
         fleet_.run(view_lease_validity + fencing_margin + seconds(3));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet_.head().members.size());
     }
@@ -477,6 +505,28 @@
         CPPUNIT_ASSERT(fleet_.head().epoch_open);
     }
 
+    // Guards against a joining instance without a share for as long as a
+    // fencing takes, because it was a guest before. Each guest that may still
+    // hold shares is waited for, also one that got them from another guest.
+    void guest_that_joins_is_not_fenced()
+    {
+        start(3);
+        auto& guest = add_guest("g");
+        give(node(0), guest);
+        guest.reads_store = true;
+        fleet_.run(seconds(4));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), fleet_.head().members.size());
+        CPPUNIT_ASSERT(fleet_.head().epoch_open);
+
+        auto& giver = add_guest("h");
+        auto& receiver = add_guest("i");
+        give(node(0), giver);
+        give(giver, receiver);
+        giver.reads_store = true;
+        receiver.isolated = true;
+        run_until_open(receiver);
+    }
+
     // The join has nobody to fence, but the removal before it has.
     void join_after_a_removal_waits_for_the_fencing()
     {
@@ -531,7 +581,8 @@
     }
 
     // Members that pause, are cut off, leave, restart and join at random, and
-    // give shares to instances that are no members. In an open epoch, whoever
+    // give shares to instances that are no members, while the platform's list
+    // lags by up to a minute. In an open epoch, whoever
     // holds a view lease and has shares, as a member or as a guest, must have
     // applied the membership change that began the epoch; otherwise it serves
     // with a share that others were given.
@@ -545,6 +596,7 @@
                         80, rc::gen::resize(rc::kNominalSize,
                                 rc::gen::arbitrary<std::uint32_t>()));
                 fleet run;
+                run.lists_ended = false;
                 for (const auto* name : {"a", "b", "c"})
                     run.add(name);
                 run.run(seconds(5));
@@ -557,9 +609,9 @@
                         check_shares(run);
                     }
                 }
-                // Without further faults the epoch opens again; the platform
-                // lists no process that has ended.
+                // Without further faults the epoch opens again.
                 run.store_available = true;
+                run.list_lag = duration::zero();
                 run.add("f");
                 for (auto& node : run.nodes)
                 {
@@ -568,7 +620,6 @@
                 }
                 for (int i = 0; i < 600; ++i)
                 {
-                    hide_ended(run);
                     run.run(step);
                     check_shares(run);
                 }
@@ -593,22 +644,9 @@
         }
     }
 
-    static void hide_ended(fleet& run)
-    {
-        run.hidden_from_list.clear();
-        for (const auto& node : run.nodes)
-            run.hidden_from_list.insert(node->self.instance.str());
-        for (const auto& node : run.nodes)
-        {
-            if (node->running)
-                run.hidden_from_list.erase(node->self.instance.str());
-        }
-    }
-
     static void disturb(fleet& run, std::uint32_t kind, std::uint32_t which)
     {
         auto& node = *run.nodes[which % run.nodes.size()];
-        const auto name = node.self.instance.str();
         switch (kind)
         {
         case 0:
@@ -644,8 +682,7 @@
             break;
         }
         case 8:
-            if (!run.hidden_from_list.erase(name))
-                run.hidden_from_list.insert(name);
+            run.list_lag = seconds(which % 64);
             break;
         case 9:
         case 10:
@@ -673,11 +710,16 @@
             return std::find(members.begin(), members.end(), each.self) !=
                    members.end();
         };
-        if (!from.running || !to.running || !is_member(from) || is_member(to) ||
-            !from.view.epoch_open || !to.view.epoch_open ||
-            from.view.epoch != to.view.epoch)
+        const auto epoch = from.view.epoch;
+        const bool has_shares = is_member(from) || from.guest_of == epoch;
+        if (!from.running || !to.running || !has_shares || is_member(to) ||
+            &from == &to || !from.view.epoch_open || !to.view.epoch_open ||
+            epoch != to.view.epoch)
             return;
-        from.gave_in = to.guest_of = from.view.epoch;
+        if (from.given.epoch != epoch)
+            from.given = {epoch, {}};
+        from.given.incarnations.insert(to.self.incarnation);
+        to.guest_of = epoch;
     }
 
     fleet::node& add_guest(const std::string& name)
--- a/src/membership/message_fuzz_test.cpp
+++ b/src/membership/message_fuzz_test.cpp
@@ -132,7 +132,7 @@
         made.demands = [] { return std::vector<peer::Workspace_demand>(); };
         made.on_demands = [](const instance_id&, const peer::Heartbeat&) {};
         made.admits_for = [] { return duration::zero(); };
-        made.guest_epoch = [] { return std::int64_t(0); };
+        made.given_guests = [] { return limits::guest_list(); };
         made.on_serving_changed = [](const std::vector<instance_id>&) {};
         return made;
     }
--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -368,8 +368,7 @@
         std::move(on_done));
 }
 
-void client::list_instances(
-    time_point deadline, handler<std::vector<listed_instance>> on_done)
+void client::list_instances(time_point deadline, handler<instance_list> on_done)
 {
     implementation_->start<List_instances_reply>(
         "list_instances", false, List_instances_request(), deadline,
@@ -377,13 +376,14 @@
             stub->ListInstances(
                 std::forward<decltype(arguments)>(arguments)...);
         },
-        [](List_instances_reply& reply) -> result<std::vector<listed_instance>>
+        [](List_instances_reply& reply) -> result<instance_list>
         {
-            std::vector<listed_instance> instances;
+            instance_list list;
+            list.as_of_unix_ms = reply.as_of_unix_ms();
             for (const auto& message : reply.instances())
-                instances.push_back(
+                list.instances.push_back(
                     {message.id(), message.address(), message.leaving()});
-            return instances;
+            return list;
         },
         std::move(on_done));
 }
--- a/src/platform/client.hpp
+++ b/src/platform/client.hpp
@@ -67,6 +67,15 @@
     auto operator<=>(const listed_instance&) const = default;
 };
 
+struct instance_list
+{
+    std::vector<listed_instance> instances;
+    /// When the list was true, by the platform's clock.
+    std::int64_t as_of_unix_ms = 0;
+
+    auto operator<=>(const instance_list&) const = default;
+};
+
 template <class T>
 using handler = std::function<void(result<T>)>;
 
@@ -110,8 +119,7 @@
     /// No value when there is no object of this name.
     void fetch_object(std::string name, time_point deadline,
         handler<std::optional<std::string>> on_done);
-    void list_instances(
-        time_point deadline, handler<std::vector<listed_instance>> on_done);
+    void list_instances(time_point deadline, handler<instance_list> on_done);
 
 private:
     class implementation;
