--- a/src/limits/limiter.hpp
+++ b/src/limits/limiter.hpp
@@ -15,6 +15,10 @@
 #include "common/clock.hpp"
 #include "common/error.hpp"
 #include "common/ids.hpp"
+#include "limits/demand_reports.hpp"
+#include "limits/share_policy.hpp"
+#include "limits/share_transfers.hpp"
+#include "limits/token_bucket.hpp"
 #include "limits/types.hpp"
 #include "peer.pb.h"
 
@@ -43,12 +47,6 @@
     auto operator<=>(const admission_deadlines&) const = default;
 };
 
-struct outgoing_message
-{
-    instance_id to;
-    peer::Envelope message;
-};
-
 /// Shares and level of one workspace at this instance.
 struct bucket_state
 {
@@ -58,40 +56,10 @@
     auto operator<=>(const bucket_state&) const = default;
 };
 
-/// Equal parts, and shares move to where the demand is.
-struct transfer_policy
-{
-    static constexpr bool moves_shares = true;
-    /// Time after which unused shares go back to the owner; none here.
-    static constexpr duration grant_time = duration::zero();
-    static std::int64_t allotment(const workspace_id& workspace,
-        const std::vector<instance_id>& members, const instance_id& instance);
-};
-
-/// Equal parts that never move.
-struct static_split_policy
-{
-    static constexpr bool moves_shares = false;
-    static constexpr duration grant_time = duration::zero();
-    static std::int64_t allotment(const workspace_id& workspace,
-        const std::vector<instance_id>& members, const instance_id& instance);
-};
-
-/// One member owns all shares of a workspace and grants them for a while.
-struct owner_grant_policy
-{
-    static constexpr bool moves_shares = true;
-    static constexpr duration grant_time = std::chrono::seconds(1);
-    static std::int64_t allotment(const workspace_id& workspace,
-        const std::vector<instance_id>& members, const instance_id& instance);
-    static std::optional<instance_id> owner(
-        const workspace_id& workspace, const std::vector<instance_id>& members);
-};
-
 /// Token buckets of one instance: a member, or a guest, which has only the
 /// shares that others gave to it in the open epoch. The caller checks the view
 /// lease before it admits, and passes the time, which must never go back.
-template <class Policy>
+template <share_policy Policy>
 class basic_limiter
 {
 public:
@@ -156,18 +124,9 @@
     bucket_state state(const workspace_id& workspace, time_point now);
 
 private:
-    struct bucket
+    struct workspace_state
     {
-        catalog::workspace limit;
-        std::int64_t shares = 0;
-        std::int64_t level = 0;
-        // What each open reservation may still get back, oldest first, and
-        // its sum.
-        std::map<std::uint64_t, std::int64_t> refunds;
-        std::int64_t refundable = 0;
-        // Refill below one millitoken, in units of 10^-12 millitoken.
-        std::int64_t fraction = 0;
-        time_point refilled_at;
+        token_bucket bucket;
         // A removed workspace keeps its bucket until the epoch ends, so that
         // creating it again does not create shares.
         bool removed = false;
@@ -184,63 +143,22 @@
         // Whether level was requested for it.
         bool requested = false;
     };
-    // One incarnation of an instance.
-    struct receiver
-    {
-        instance_id instance;
-        std::string incarnation;
-
-        auto operator<=>(const receiver&) const = default;
-    };
-    struct outgoing_transfer
-    {
-        receiver to;
-        peer::Share_transfer message;
-        time_point next_send;
-    };
-    struct peer_demand
-    {
-        std::int64_t requested_tokens = 0;
-        std::int64_t level_tokens = 0;
-        // Whether level was given because of this report.
-        bool answered = false;
-    };
-    struct peer_status
-    {
-        time_point heard_at;
-        bool stopping = false;
-    };
-    // Transfers of one sender that were received: all up to a sequence number
-    // and some of the next `transfer_window` ones.
-    struct received_transfers
-    {
-        std::uint64_t complete = 0;
-        std::set<std::uint64_t> beyond;
-
-        bool seen(std::uint64_t sequence) const
-        {
-            return sequence <= complete || beyond.contains(sequence);
-        }
-        void insert(std::uint64_t sequence);
-    };
-
     std::int64_t allotment(const workspace_id& workspace) const;
-    static std::int64_t capacity(const bucket& of);
-    static void clamp(bucket& of);
-    static void refill(bucket& of, time_point now);
     void close_epoch(const limits_view& view, time_point now);
     void open_epoch(time_point now);
     void apply_workspaces(const limits_view& view, time_point now);
     result<reservation> refusal(
         const workspace_id& workspace, std::int64_t tokens) const;
-    result<reservation> take(bucket& from, std::int64_t tokens, time_point now);
+    result<reservation> take(
+        workspace_state& from, std::int64_t tokens, time_point now);
     void serve_waiters(time_point now);
-    void donate(const workspace_id& workspace, bucket& from, const receiver& to,
-        std::int64_t shares, std::int64_t level, time_point now);
-    void donate_level(const workspace_id& workspace, bucket& from,
-        const receiver& to, std::int64_t level, time_point now);
-    receiver member_receiver(const instance_id& member) const;
-    bool is_member(const receiver& who) const;
+    void donate(const workspace_id& workspace, token_bucket& from,
+        const share_receiver& to, std::int64_t shares, std::int64_t level,
+        time_point now);
+    void donate_level(const workspace_id& workspace, token_bucket& from,
+        const share_receiver& to, std::int64_t level, time_point now);
+    share_receiver member_receiver(const instance_id& member) const;
+    bool is_member(const share_receiver& who) const;
     /// Whether this is an incarnation of a member or of a guest.
     bool is_known(const std::string& incarnation) const;
     bool may_move() const;
@@ -249,14 +167,11 @@
     bool may_wait(waiter& each, time_point now) const;
     void balance(time_point now);
     void return_grants(time_point now);
-    std::map<instance_id, std::int64_t> successors(
-        const workspace_id& workspace, time_point now) const;
     void donate_everything(time_point now);
     void request_level(time_point now, std::vector<outgoing_message>& messages);
     void ask_donors(const workspace_id& workspace, std::int64_t lacking,
         bool evenly, std::vector<outgoing_message>& messages) const;
-    std::int64_t reported_level(
-        const workspace_id& workspace, const instance_id& member) const;
+    std::vector<instance_id> other_members() const;
     std::vector<instance_id> donors(const workspace_id& workspace) const;
 
     instance_id local_;
@@ -273,19 +188,13 @@
     std::int64_t epoch_ = 0;
     bool open_ = false;
     bool has_shares_ = false;
-    std::map<workspace_id, bucket> buckets_;
+    std::map<workspace_id, workspace_state> buckets_;
     std::map<workspace_id, std::deque<waiter>> waiters_;
     // Reservations of the current epoch that have not been settled.
     std::unordered_set<std::uint64_t> reservations_;
     std::uint64_t next_reservation_ = 1;
-    std::map<std::string, outgoing_transfer> outgoing_;
-    // Sequence number of the last transfer to each receiver in this epoch.
-    std::map<receiver, std::uint64_t> last_transfer_;
-    // Transfers of the current epoch, by the part of their ids before the
-    // sequence number.
-    std::map<std::string, received_transfers> received_;
-    std::map<instance_id, peer_status> peers_;
-    std::map<workspace_id, std::map<instance_id, peer_demand>> demands_;
+    share_transfers transfers_;
+    demand_reports reports_;
     std::map<workspace_id, time_point> next_request_;
     bool handing_over_ = false;
 };
