Start a workspace that was used before with an empty bucket

A created workspace started with its whole burst, so one that is removed and created again had it twice. All policies are affected.

Change: a workspace with a withdrawn key was used before its removal, since it can only be removed once its keys are withdrawn and withdrawn keys are kept; its bucket starts empty on every member.

Ruled out: keeping the bucket of a removed workspace; members that join later don't have it. Starting every workspace empty; first requests would be refused within the burst.

--- a/src/daemon/control_configuration.cpp
+++ b/src/daemon/control_configuration.cpp
@@ -1,5 +1,3 @@
-#include <utility>
-
 #include "daemon/control_core.hpp"
 
 #include <algorithm>
@@ -80,6 +78,17 @@
     const auto& configuration = replica_->current();
     limits::limits_view view;
     view.workspaces = values(configuration.workspaces());
+    const bool any_new =
+        std::any_of(view.workspaces.begin(), view.workspaces.end(),
+            [&](const catalog::workspace& each)
+            { return !limiter_->knows(each.id); });
+    // A workspace is removed only after its keys are withdrawn, and withdrawn
+    // keys are kept, so one that was used before has such a key.
+    for (const auto& [id, key] : configuration.keys())
+    {
+        if (any_new && key.withdrawn)
+            view.used_before.insert(key.workspace);
+    }
     view.members = configuration.members();
     view.epoch = configuration.epoch();
     view.epoch_open = configuration.epoch_open();
--- a/src/limits/limiter.cpp
+++ b/src/limits/limiter.cpp
@@ -87,6 +87,19 @@
         item.bucket.set_shares(allotment(id));
 }
 
+// A new workspace starts with its whole burst. One that was used before its
+// removal starts empty; otherwise its tokens in a window could be its burst
+// twice.
+template <share_policy Policy>
+void basic_limiter<Policy>::create_bucket(
+    const catalog::workspace& limit, bool used_before, time_point now)
+{
+    token_bucket bucket(limit, open_ ? allotment(limit.id) : 0, now);
+    if (used_before)
+        bucket.empty();
+    buckets_.emplace(limit.id, workspace_state{bucket, false, 0, now});
+}
+
 template <share_policy Policy>
 void basic_limiter<Policy>::apply_workspaces(
     const limits_view& view, time_point now)
@@ -99,10 +112,7 @@
         if (found != buckets_.end())
             found->second.bucket.set_limit(limit);
         else
-            buckets_.emplace(limit.id,
-                workspace_state{
-                    token_bucket(limit, open_ ? allotment(limit.id) : 0, now),
-                    false, 0, now});
+            create_bucket(limit, view.used_before.contains(limit.id), now);
     }
     for (auto& [id, item] : buckets_)
         item.removed = !present.contains(id);
--- a/src/limits/limiter.hpp
+++ b/src/limits/limiter.hpp
@@ -29,6 +29,9 @@
 struct limits_view
 {
     std::vector<catalog::workspace> workspaces;
+    /// Those that may have been used before they were removed and created
+    /// again; only needed for workspaces that the limiter does not know.
+    std::set<workspace_id> used_before;
     /// Members that the epoch divides the shares among.
     std::vector<catalog::member> members;
     std::int64_t epoch = 0;
@@ -121,6 +124,12 @@
     /// Final for an epoch once a later one is applied.
     const limits::guest_list& given_guests() const { return given_guests_; }
 
+    /// Whether a bucket exists; that of a removed workspace ends with the
+    /// epoch.
+    bool knows(const workspace_id& workspace) const
+    {
+        return buckets_.contains(workspace);
+    }
     bucket_state state(const workspace_id& workspace, time_point now);
 
 private:
@@ -147,6 +156,8 @@
     void close_epoch(const limits_view& view, time_point now);
     void open_epoch(time_point now);
     void apply_workspaces(const limits_view& view, time_point now);
+    void create_bucket(
+        const catalog::workspace& limit, bool used_before, time_point now);
     result<reservation> refusal(
         const workspace_id& workspace, std::int64_t tokens) const;
     result<reservation> take(
--- a/src/limits/limiter_test.cpp
+++ b/src/limits/limiter_test.cpp
@@ -290,7 +290,10 @@
         if (next.workspaces.empty())
             next.workspaces = {{acme, rate, burst}};
         else
+        {
             next.workspaces.clear();
+            next.used_before = {acme};
+        }
         log_.push_back(next);
     }
 
@@ -370,6 +373,7 @@
     CPPUNIT_TEST(use_above_the_reservation_becomes_debt);
     CPPUNIT_TEST(restarted_instance_has_no_share_of_its_predecessor);
     CPPUNIT_TEST(workspace_created_again_gets_no_further_shares);
+    CPPUNIT_TEST(workspace_created_again_starts_empty);
     CPPUNIT_TEST(errors_are_typed);
     CPPUNIT_TEST(hand_over_leaves_nothing_behind);
     CPPUNIT_TEST(hand_over_follows_demand_and_passes_over_stopping_members);
@@ -496,6 +500,28 @@
                               nodes_[1].state(acme, now_).shares);
     }
 
+    // Guards against a burst for each time that a workspace is removed and
+    // created again.
+    void workspace_created_again_starts_empty()
+    {
+        start(1);
+        CPPUNIT_ASSERT(nodes_[0].admit(acme, 1000, now_).has_value());
+        auto view = view_of(1, 1, true);
+        view.workspaces.clear();
+        nodes_[0].apply(view, now_);
+        for (const bool open : {false, true})
+        {
+            view.epoch = 2;
+            view.epoch_open = open;
+            nodes_[0].apply(view, now_);
+        }
+        view = view_of(1, 2, true);
+        view.used_before = {acme};
+        nodes_[0].apply(view, now_);
+        CPPUNIT_ASSERT(
+            (nodes_[0].state(acme, now_) == bucket_state{total_shares, 0}));
+    }
+
     void errors_are_typed()
     {
         start(2);
--- a/src/limits/token_bucket.hpp
+++ b/src/limits/token_bucket.hpp
@@ -33,6 +33,7 @@
     void set_limit(const catalog::workspace& limit);
     void set_shares(std::int64_t shares);
 
+    void empty() { level_ = 0; }
     /// Takes the tokens of a reservation; false when the level is too low.
     bool take(std::uint64_t reservation, std::int64_t tokens);
     /// Ends a reservation: refunds unused tokens, or charges more.
--- a/src/membership/membership_test.cpp
+++ b/src/membership/membership_test.cpp
@@ -279,6 +279,7 @@
     CPPUNIT_TEST(instances_join_and_open_an_epoch);
     CPPUNIT_TEST(silent_member_is_removed_and_fenced_before_the_epoch);
     CPPUNIT_TEST(member_missing_from_the_platform_list_is_removed);
+    CPPUNIT_TEST(list_from_before_a_start_does_not_count);
     CPPUNIT_TEST(fleet_that_restarts_at_once_recovers);
     CPPUNIT_TEST(change_is_in_force_only_after_a_majority);
     CPPUNIT_TEST(instance_catches_up_from_peers_without_the_store);
@@ -336,6 +337,26 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet_.head().members.size());
     }
 
+    // Guards against a running member that counts as absent because a list of
+    // an earlier time shows the pause between its two incarnations.
+    void list_from_before_a_start_does_not_count()
+    {
+        start(3);
+        fleet_.lists_ended = false;
+        fleet_.list_lag = seconds(20);
+        node(1).running = false;
+        fleet_.run(suspicion_time + seconds(4));
+        auto& restarted = fleet_.add("b", 2);
+        fleet_.run(seconds(6));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), fleet_.head().members.size());
+        restarted.isolated = true;
+        // Absent for longer than the fencing time, but not yet silent.
+        fleet_.run(view_lease_validity + fencing_margin + seconds(2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), fleet_.head().members.size());
+        fleet_.run(seconds(4));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), fleet_.head().members.size());
+    }
+
     // Nobody is left who could acknowledge the last membership change.
     void fleet_that_restarts_at_once_recovers()
     {
