--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -18,33 +18,16 @@
 #include "common/log.hpp"
 #include "config.pb.h"
 #include "limits/types.hpp"
+#include "membership/epoch_fence.hpp"
+#include "membership/member_presence.hpp"
+#include "membership/membership_view.hpp"
+#include "membership/timing.hpp"
 #include "membership/view_lease.hpp"
 #include "peer.pb.h"
 
 namespace tarragonquay::membership
 {
 
-inline constexpr duration heartbeat_interval = std::chrono::milliseconds(500);
-/// A peer that sent nothing for this long gets a new connection.
-inline constexpr duration reopen_after = std::chrono::seconds(2);
-/// A member that sent nothing for this long is reported as silent.
-inline constexpr duration suspicion_time = std::chrono::seconds(10);
-/// Added to F, for clocks that run at different rates.
-inline constexpr duration fencing_margin = std::chrono::seconds(1);
-
-/// The applied configuration, as far as the membership needs it.
-struct membership_view
-{
-    std::int64_t applied_revision = 0;
-    std::vector<catalog::member> members;
-    std::vector<catalog::member> previous_members;
-    std::int64_t membership_revision = 0;
-    std::int64_t epoch = 0;
-    bool epoch_open = false;
-
-    bool operator==(const membership_view&) const = default;
-};
-
 /// Whether a revision is in force, and the members that don't have it yet.
 struct in_force_report
 {
@@ -111,9 +94,8 @@
 
     /// Sets the applied configuration; call it after every applied change.
     void update(membership_view view);
-    /// Sets the instances that the platform lists, live or leaving. A list
-    /// that shows this instance must not lack another one that ran at `as_of`;
-    /// a list that does not show it is ignored.
+    /// Sets the instances that the platform lists, live or leaving, and when
+    /// the list was true.
     void update_platform_list(
         const std::vector<instance_id>& instances, time_point as_of);
 
@@ -170,16 +152,6 @@
         time_point deadline;
         in_force_handler handler;
     };
-    /// A member that was removed since an epoch was last open.
-    struct removal
-    {
-        catalog::member member;
-        std::int64_t revision = 0;
-        /// Since when a majority is known to have acknowledged the removal.
-        std::optional<time_point> settled_at;
-        /// The member applied its own removal, so its share is 0.
-        bool acknowledged = false;
-    };
     enum class action
     {
         none,
@@ -199,15 +171,8 @@
         const instance_id& instance, const std::string& incarnation);
     const peer_state* find_peer(const catalog::member& member) const;
 
-    void note_removals(const membership_view& next);
     void acknowledge(const peer::Envelope& envelope, std::int64_t revision);
-    bool removed_are_fenced() const;
-    bool guests_are_fenced() const;
-    void note_guests(const peer::Envelope& envelope);
-    limits::guest_list known_guests() const;
-    bool is_joined_or_removed(const std::string& incarnation) const;
     void send(const instance_id& to, peer::Envelope envelope);
-    void note_incarnations();
     void sync_peers();
     void send_heartbeats();
     void reopen_silent_connections();
@@ -228,7 +193,6 @@
         std::int64_t revision, bool count_absent) const;
     bool is_silent(const catalog::member& member) const;
     bool is_absent(const catalog::member& member) const;
-    void note_replacement(const peer::Envelope& envelope);
     bool majority_reports_silent(const catalog::member& member) const;
     bool in_force(std::int64_t revision) const;
     std::vector<instance_id> missing(std::int64_t revision) const;
@@ -247,27 +211,13 @@
     collaborators parts_;
     membership_view view_;
     std::map<instance_id, peer_state> peers_;
-    // Since when each incarnation is known to run, and since when the list
-    // lacks it.
-    std::map<std::string, time_point> known_since_;
-    std::map<std::string, time_point> absent_since_;
-    // Members whose address belongs to another incarnation, by incarnation.
-    std::map<std::string, time_point> replaced_since_;
+    member_presence presence_;
+    epoch_fence fence_;
     std::deque<std::pair<std::int64_t, time_point>> sent_heartbeats_;
     std::int64_t next_sequence_ = 1;
     std::optional<time_point> next_heartbeat_;
     std::optional<time_point> next_catch_up_;
     std::optional<time_point> settled_at_;
-    std::vector<removal> removals_;
-    // False when membership changes since the last open epoch were skipped
-    // by a snapshot, so that `removals_` may lack members.
-    bool knows_removals_ = true;
-    // The last epoch that was seen open, and since when the first membership
-    // change after it is known to be settled.
-    std::int64_t last_open_epoch_ = 0;
-    std::optional<time_point> close_settled_at_;
-    // Guests of the latest epoch that has any, by the messages of others.
-    limits::guest_list reported_guests_;
     std::vector<in_force_waiter> waiters_;
     std::vector<instance_id> serving_;
     action pending_ = action::none;
