Carry the echo of a heartbeat in the next heartbeat

Cause: each heartbeat was answered by a message of its own, half of the messages between members.

Change: a heartbeat carries the sequence of the last one received from that peer; replies go only to instances that get no heartbeats. A lease is renewed up to 0.5 s later, of 5 s.

Ruled out: counting sequences from 1, where an echo for an earlier incarnation would renew a lease that nobody granted.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 
+#include "common/digest.hpp"
 #include "common/random.hpp"
 
 namespace tarragonquay::membership
@@ -17,6 +18,12 @@
 // A commit that has not answered by then is tried again.
 constexpr duration proposal_time_limit = std::chrono::seconds(5);
 
+// 46 bits of a hash; several weeks of heartbeats fit above them.
+std::int64_t first_sequence(const std::string& incarnation)
+{
+    return 1 + static_cast<std::int64_t>(fast_hash(incarnation) >> 18);
+}
+
 void to_proto(const catalog::member& from, config::Member& to)
 {
     to.set_instance(from.instance.str());
@@ -45,7 +52,8 @@
       seeds_(std::move(seeds)),
       parts_(std::move(parts)),
       presence_(local_),
-      fence_(local_)
+      fence_(local_),
+      next_sequence_(first_sequence(local_.incarnation))
 {
 }
 
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -136,6 +136,8 @@
     {
         std::string incarnation;
         std::int64_t applied_revision = 0;
+        /// Sequence of its last heartbeat that was received here.
+        std::int64_t heard_sequence = 0;
         time_point last_heard;
         time_point last_reopened;
         bool stopping = false;
@@ -181,6 +183,9 @@
         const peer::Envelope& envelope, const peer::Heartbeat& heartbeat);
     void note_report(
         peer_state& state, bool stopping, std::int64_t admits_for_ms);
+    void reply_to(const peer::Envelope& envelope, std::int64_t sequence);
+    void on_echo(const peer::Envelope& envelope, std::int64_t sequence,
+        std::int64_t applied_revision);
     std::int64_t admits_for_ms() const;
     void on_heartbeat_reply(
         const peer::Envelope& envelope, const peer::Heartbeat_reply& reply);
@@ -214,7 +219,9 @@
     member_presence presence_;
     epoch_fence fence_;
     std::deque<std::pair<std::int64_t, time_point>> sent_heartbeats_;
-    std::int64_t next_sequence_ = 1;
+    // Starts at random, so that an echo meant for an earlier incarnation is
+    // never taken for one of this incarnation's heartbeats.
+    std::int64_t next_sequence_;
     std::optional<time_point> next_heartbeat_;
     std::optional<time_point> next_catch_up_;
     std::optional<time_point> settled_at_;
--- a/src/membership/membership_messages.cpp
+++ b/src/membership/membership_messages.cpp
@@ -49,7 +49,10 @@
             parts_.send_to_address(address, envelope);
     }
     for (const auto& [instance, state] : peers_)
+    {
+        heartbeat.set_echoed_sequence(state.heard_sequence);
         send(instance, envelope);
+    }
 }
 
 void membership::reopen_silent_connections()
@@ -143,24 +146,53 @@
     const peer::Envelope& envelope, const peer::Heartbeat& heartbeat)
 {
     const instance_id from(envelope.from_instance());
-    peer::Envelope reply;
-    reply.mutable_heartbeat_reply()->set_sequence(heartbeat.sequence());
-    reply.mutable_heartbeat_reply()->set_applied_revision(
-        view_.applied_revision);
-    reply.mutable_heartbeat_reply()->set_stopping(stopping_);
-    reply.mutable_heartbeat_reply()->set_admits_for_ms(admits_for_ms());
-    send(from, std::move(reply));
     if (auto* state = find_peer(from, envelope.from_incarnation()))
     {
+        state->heard_sequence =
+            std::max(state->heard_sequence, heartbeat.sequence());
         note_report(*state, heartbeat.stopping(), heartbeat.admits_for_ms());
         state->silent.clear();
         for (const auto& silent : heartbeat.silent_instances())
             state->silent.insert(instance_id(silent));
         parts_.on_demands(from, heartbeat);
+        on_echo(envelope, heartbeat.echoed_sequence(),
+            heartbeat.applied_revision());
     }
+    else
+        reply_to(envelope, heartbeat.sequence());
     observe(envelope, heartbeat.applied_revision());
 }
 
+// Peers get the echo with the next heartbeat, which halves the messages.
+void membership::reply_to(const peer::Envelope& envelope, std::int64_t sequence)
+{
+    peer::Envelope reply;
+    reply.mutable_heartbeat_reply()->set_sequence(sequence);
+    reply.mutable_heartbeat_reply()->set_applied_revision(
+        view_.applied_revision);
+    reply.mutable_heartbeat_reply()->set_stopping(stopping_);
+    reply.mutable_heartbeat_reply()->set_admits_for_ms(admits_for_ms());
+    send(instance_id(envelope.from_instance()), std::move(reply));
+}
+
+// A peer had received the heartbeat with this sequence when it sent the
+// message; it renews the view lease from the time of the heartbeat.
+void membership::on_echo(const peer::Envelope& envelope, std::int64_t sequence,
+    std::int64_t applied_revision)
+{
+    const instance_id from(envelope.from_instance());
+    const auto sent =
+        std::find_if(sent_heartbeats_.begin(), sent_heartbeats_.end(),
+            [&](const auto& entry) { return entry.first == sequence; });
+    auto* state = find_peer(from, envelope.from_incarnation());
+    if (state == nullptr || sent == sent_heartbeats_.end())
+        return;
+    if (stopping_ && sequence >= stopping_sequence_)
+        state->knows_stopping = true;
+    parts_.record_reply(
+        from, envelope.from_incarnation(), sent->second, applied_revision);
+}
+
 std::int64_t membership::admits_for_ms() const
 {
     if (stopping_)
@@ -190,18 +222,9 @@
     const peer::Envelope& envelope, const peer::Heartbeat_reply& reply)
 {
     const instance_id from(envelope.from_instance());
-    const auto sent =
-        std::find_if(sent_heartbeats_.begin(), sent_heartbeats_.end(),
-            [&](const auto& entry) { return entry.first == reply.sequence(); });
-    auto* state = find_peer(from, envelope.from_incarnation());
-    if (state != nullptr && sent != sent_heartbeats_.end())
-    {
+    if (auto* state = find_peer(from, envelope.from_incarnation()))
         note_report(*state, reply.stopping(), reply.admits_for_ms());
-        if (stopping_ && reply.sequence() >= stopping_sequence_)
-            state->knows_stopping = true;
-        parts_.record_reply(from, envelope.from_incarnation(), sent->second,
-            reply.applied_revision());
-    }
+    on_echo(envelope, reply.sequence(), reply.applied_revision());
     observe(envelope, reply.applied_revision());
 }
 
