Let a waiting retry return to an endpoint that recovers

A completion that failed on an engine is enqueued again with that engine excluded. When no endpoint can serve it at that moment (the only engine with its model has just become suspected, or the model is not resident), it waits. The exclusion held for the whole wait, so neither the recovery of the engine nor a new replica on it ended the wait: the request ended with deadline_exceeded at its deadline although its model was ready. The same held for repeatable calls of a service with one endpoint.

An exclusion now ends when no other endpoint can serve the request. The refusal of a retry that is enqueued when only tried endpoints can serve it is unchanged, and so is the limit of three attempts.

Ruled out by reading: the scheduler drains its queues on each report, so a recovery or a loaded model does wake the requests that wait; an exchange that is cut ends at once; one that is silent ends after 10 s, or 2 s between events, and at most 4 resumptions.

Run: unit.routing with three new tests. Before the change, the two tests waiting_retry_goes_to_a_tried_endpoint_* failed (the request still waited); after it, all 26 tests of the program pass.

--- a/src/routing/scheduler.hpp
+++ b/src/routing/scheduler.hpp
@@ -128,6 +128,7 @@
     bool able(const endpoint_state& state, const request_spec& spec) const;
     bool any_able(const request_spec& spec, bool despite_exclusion) const;
     service_time fastest(const target& of, time_point now) const;
+    bool avoided(const endpoint_state& state, const request_spec& spec) const;
     bool has_room(const endpoint_state& state, const request_spec& spec) const;
     bool any_room(const request_spec& spec) const;
     std::optional<assignment> assign(const request_spec& spec);
--- a/src/routing/scheduler_choice.ipp
+++ b/src/routing/scheduler_choice.ipp
@@ -65,15 +65,26 @@
     return best->service.at(spec.model);
 }
 
+// A request may wait because no endpoint can serve it, and a tried one may be
+// the first that can again. The exclusion therefore ends with the last other
+// endpoint; otherwise the request would wait in vain up to its deadline.
 template <clock_source Clock, choice_policy Choice, queue_discipline Queue>
-bool scheduler<Clock, Choice, Queue>::has_room(
+bool scheduler<Clock, Choice, Queue>::avoided(
     const endpoint_state& state, const request_spec& spec) const
 {
     const auto& out = spec.excluded;
+    return std::find(out.begin(), out.end(), state.settings.id) != out.end() &&
+           any_able(spec, false);
+}
+
+template <clock_source Clock, choice_policy Choice, queue_discipline Queue>
+bool scheduler<Clock, Choice, Queue>::has_room(
+    const endpoint_state& state, const request_spec& spec) const
+{
     const auto now = clock_.now();
     return able(state, spec) && state.own_in_flight < state.limit.value() &&
            now + state.expected_service(spec, now) <= spec.deadline &&
-           std::find(out.begin(), out.end(), state.settings.id) == out.end();
+           !avoided(state, spec);
 }
 
 template <clock_source Clock, choice_policy Choice, queue_discipline Queue>
--- a/src/routing/scheduler_test.cpp
+++ b/src/routing/scheduler_test.cpp
@@ -42,6 +42,9 @@
     CPPUNIT_TEST(silent_endpoint_is_suspected_and_recovers_after_hold_down);
     CPPUNIT_TEST(alternating_endpoint_is_held_down_longer);
     CPPUNIT_TEST(retry_excludes_tried_endpoints);
+    CPPUNIT_TEST(waiting_retry_goes_to_a_tried_endpoint_that_recovers);
+    CPPUNIT_TEST(waiting_retry_goes_to_a_tried_endpoint_with_a_new_replica);
+    CPPUNIT_TEST(waiting_retry_prefers_an_endpoint_that_is_full);
     CPPUNIT_TEST(nearer_zone_wins_ties);
     CPPUNIT_TEST(prefix_returns_to_its_endpoint_until_that_is_loaded);
     CPPUNIT_TEST(late_request_is_refused_early_as_not_run);
@@ -200,6 +203,62 @@
             error_code::no_endpoint == outcomes_.at(1).error().code());
     }
 
+    // Guards against a retry that waits up to its deadline although the only
+    // endpoint with its model has recovered.
+    void waiting_retry_goes_to_a_tried_endpoint_that_recovers()
+    {
+        use({engine("e1")});
+        fail_next();
+        fail_next();
+        CPPUNIT_ASSERT(routes_.suspected(endpoint_id("e1")));
+        auto spec = spec_with_prefix(0);
+        spec.excluded = {endpoint_id("e1")};
+        ask(spec);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), routes_.waiting());
+        clock_.advance(1s);
+        routes_.report(ready_report("e1", clock_.now()));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), routes_.waiting());
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("e1"), outcomes_.back().value().endpoint.str());
+    }
+
+    // Guards against a retry that waits up to its deadline because its model
+    // was loaded again on the endpoint that had failed it.
+    void waiting_retry_goes_to_a_tried_endpoint_with_a_new_replica()
+    {
+        use({engine("e1"), engine("e2")});
+        for (const std::string id : {"e1", "e2"})
+        {
+            auto without_model = ready_report(id, clock_.now());
+            without_model.models.clear();
+            routes_.report(without_model);
+        }
+        auto spec = spec_with_prefix(0);
+        spec.excluded = {endpoint_id("e1")};
+        ask(spec);
+        CPPUNIT_ASSERT(outcomes_.empty());
+        routes_.report(ready_report("e1", clock_.now()));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), outcomes_.size());
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("e1"), outcomes_.at(0).value().endpoint.str());
+    }
+
+    // Guards against a retry at the endpoint that failed while another one
+    // only has no room at the moment.
+    void waiting_retry_prefers_an_endpoint_that_is_full()
+    {
+        use({engine("e1"), engine("e2")});
+        auto spec = spec_with_prefix(0);
+        spec.excluded = {endpoint_id("e1")};
+        for (int i = 0; i < 3; ++i)
+            ask(spec);
+        routes_.report(ready_report("e1", clock_.now()));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), outcomes_.size());
+        routes_.release(outcomes_.at(0).value().id, outcome::completed);
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("e2"), outcomes_.at(2).value().endpoint.str());
+    }
+
     void nearer_zone_wins_ties()
     {
         use({engine("e1", "b"), engine("e2", "a"), engine("e3", "c")});
--- a/src/routing/types.hpp
+++ b/src/routing/types.hpp
@@ -36,7 +36,9 @@
     std::uint64_t prefix_hash = 0;
     routing::priority priority = priority::normal;
     time_point deadline;
-    /// Endpoints that were tried already.
+    /// Endpoints that were tried already. They are avoided while another one
+    /// can serve the request. If only they can when the request is enqueued,
+    /// it is refused.
     std::vector<endpoint_id> excluded;
 };
 
