Test that a completion outlasts a cut of its only engine

This test runs the daemon, one engine and the fault proxy, in place of the 180 s of integration.memory.

--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -1,3 +1,5 @@
+#include <future>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "common/clock.hpp"
@@ -29,6 +31,7 @@
     CPPUNIT_TEST(requests_are_charged_to_the_workspace_of_their_key);
     CPPUNIT_TEST(a_service_without_state_stays_in_use);
     CPPUNIT_TEST(a_timeline_continues_after_its_cursor);
+    CPPUNIT_TEST(a_completion_outlasts_a_cut_of_its_only_engine);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -220,6 +223,42 @@
                 std::string::npos);
     }
 
+    // Guards against a completion that waits up to its deadline because the
+    // only engine with its model failed it once and has recovered since.
+    void a_completion_outlasts_a_cut_of_its_only_engine()
+    {
+        auto options = small_options();
+        options.proxies = true;
+        const auto fleet = start_configured(options);
+        completion_call whole;
+        whole.stream = false;
+        fleet->fault_engine(0, {{"drop_new", true}, {"cut_all", true}});
+        // The engine is suspected after the second failure.
+        const auto first = complete(fleet->entry(0), fleet.key1, whole);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+            describe(first), std::string("no_endpoint"), error_code_of(first));
+        auto waiting = std::async(std::launch::async,
+            [&]
+            {
+                auto call = whole.request(fleet.key1);
+                call.headers["X-Deadline-Ms"] = "20000";
+                call.time = milliseconds(30'000);
+                return send_once(fleet->entry(0), call);
+            });
+        const bool suspected = eventually(
+            [&]
+            {
+                const auto events = timeline_of(fleet, {"--limit", "1000"});
+                return events.dump().find("endpoint_suspected") !=
+                       std::string::npos;
+            });
+        fleet->fault_engine(0, {{"heal", true}});
+        const auto reply = waiting.get();
+        CPPUNIT_ASSERT(suspected);
+        CPPUNIT_ASSERT_MESSAGE(describe(reply), claims_whole(reply));
+        CPPUNIT_ASSERT_EQUAL(whole.expected_text(), text_of(reply));
+    }
+
 private:
     static json timeline_of(
         const configured_system& fleet, std::vector<std::string> arguments)
