Repeat a whole completion whose engine fails after its first event

A completion that is not streamed to the caller is still read from the engine as a stream. Once an event of it had arrived, a failure of the engine that no resumption healed ended the call with an error, although the caller had received nothing and gets the answer only at its end. Such a call is now repeated within the usual three attempts, and the text of the broken attempt is dropped. A failure while the answer is sent to the caller has the code `cancelled`, so it is still never repeated. Each attempt is charged, as before.

Not the cause of the failures of integration.memory, but found while looking for it.

--- a/src/ingress/completion_route.cpp
+++ b/src/ingress/completion_route.cpp
@@ -206,6 +206,8 @@
 asio::awaitable<result<void>> run_at(
     completion& call, assignment_guard& assignment, std::int64_t& charged)
 {
+    // An earlier attempt may have left a part of its answer.
+    call.content.clear();
     endpoints::stream_request request;
     request.address = assignment.held().address;
     request.body = engine_body(call.body, call.request.priority);
@@ -254,11 +256,13 @@
 }
 
 // A completion has no effect but its answer, so another engine may run it
-// as long as the caller has received nothing.
+// as long as the caller has received nothing. A whole answer is sent at its
+// end, and a failure to send it counts as `cancelled`.
 bool may_retry(const completion& call, const error& cause)
 {
-    return !call.out.stream_started() && call.content.empty() &&
-           !call.first_seen && cause.code() != error_code::cancelled &&
+    return !call.out.stream_started() &&
+           (!call.body.stream || !call.first_seen) &&
+           cause.code() != error_code::cancelled &&
            cause.code() != error_code::withdrawn_key &&
            cause.code() != error_code::no_view_lease &&
            cause.code() != error_code::stopping &&
--- a/src/ingress/server_test.cpp
+++ b/src/ingress/server_test.cpp
@@ -45,6 +45,7 @@
 {
     CPPUNIT_TEST_SUITE(server_test);
     CPPUNIT_TEST(completion_is_delivered_and_settled_once);
+    CPPUNIT_TEST(whole_completion_that_breaks_is_repeated);
     CPPUNIT_TEST(stream_is_delivered_with_its_end);
     CPPUNIT_TEST(refusals_reach_no_endpoint);
     CPPUNIT_TEST(lease_is_checked_again_before_the_dispatch);
@@ -76,6 +77,24 @@
         CPPUNIT_ASSERT(!all.endpoint_saw("s3cret"));
     }
 
+    // Guards against an error although the caller has received nothing, and
+    // against text of the broken attempt in the answer.
+    void whole_completion_that_breaks_is_repeated()
+    {
+        const std::string failure = "event: error\ndata: {}\n\n";
+        // The second attempt and the cancellation of the first one arrive in
+        // either order.
+        server_fixture all({{stream_head + chunk(first_event + failure)},
+            {whole_stream}, {whole_stream}});
+        const auto answer = all.call(server_fixture::completion_text(false));
+        assert_contains("HTTP/1.1 200", answer);
+        assert_contains(R"("content":"hello")", answer);
+        CPPUNIT_ASSERT(all.released == (std::vector<routing::outcome>{
+                                           routing::outcome::rejected,
+                                           routing::outcome::completed}));
+        CPPUNIT_ASSERT(all.balanced());
+    }
+
     void stream_is_delivered_with_its_end()
     {
         server_fixture all({{whole_stream}});
