Let a restarted engine begin its commands late in integration.memory

An engine reports the memory of a load as soon as it begins it, so loads that are open were visible in the next report and their accounting in the ledger was seldom needed. After one of the restarts, when several models are loaded at once, the engine now begins each command 2.5 s after it has accepted it, until it is full again.

--- a/tests/memory_test.cpp
+++ b/tests/memory_test.cpp
@@ -219,6 +219,20 @@
     {
         post(system_->engine_address(engine), "/admin/restart", {});
     }
+    /// The engine accepts commands and begins them later, so that a load is
+    /// in no report of its memory at first. The restart leaves several models
+    /// to load at once; returns when the engine is full again.
+    void restart_with_late_execution(std::size_t engine, std::size_t slots)
+    {
+        const auto address = system_->engine_address(engine);
+        // Longer than the time between two polls and the plan after them.
+        post(address, "/admin/faults", {{"execution_delay_ms", 2500}});
+        restart_engine(engine);
+        eventually([&]
+            { return state(engine).at("residents").size() >= slots; },
+            settling_time);
+        post(address, "/admin/faults", {{"execution_delay_ms", 0}});
+    }
     void lose_store_answers(int count)
     {
         system_->platform_mode({{"mode", "answer_lost"}, {"count", count}});
@@ -372,7 +386,7 @@
                 CPPUNIT_ASSERT(eventually([&]
                     { return answered >= models && rare_answered > 0; },
                     settling_time));
-                fail_all(all);
+                fail_all(all, slots);
                 callers.stop();
                 std::cout << "\n"
                           << answered << " answers, " << rare_answered
@@ -453,7 +467,7 @@
     // Engines 0 and 1 honour fencing numbers, 2 and 3 ignore them. Only the
     // first kind restarts: a late copy can use memory of the second kind
     // after a restart, see docs/design.md, section 7.
-    static void fail_all(region& all)
+    static void fail_all(region& all, std::size_t slots)
     {
         all.delay_commands(0);
         all.lose_answers(1);
@@ -461,7 +475,7 @@
         all.lose_store_answers(3);
         all.lose_commands(2);
         all.pause_holder();
-        all.restart_engine(1);
+        all.restart_with_late_execution(1, slots);
         all.freeze_connections(0);
         all.delay_commands(3);
         all.lose_commands(1);
