Send a lookup again when a new connection goes silent

A lookup on a pooled connection is repeated over a new one after 2 s. When the next freeze hits that new connection, the lookup waited for half of its remaining deadline, 30 s of the default 60 s, and the caller gave up. Since all lookups that meet one freeze are repeated at the same time, a loaded machine makes this likely.

Change: an idempotent call of a service that gets no byte of an answer on a new connection within 4 s is sent again to the same endpoint, at most twice, as long as the next connection gets the same time. The last one gets the rest, so slow answers still arrive, but a call that takes longer than 4 s may run up to four times at an endpoint, and an endpoint that always takes longer than 20 s to answer (22 s without a pooled connection) now misses the 30 s of the first attempt at the default deadline. The waits for endpoints end 100 ms (or a tenth) before the caller's deadline, so that the typed error does not leave only when the caller gives up.

A refusal before a second send, such as withdrawn_key, claimed not_run although the first send may have run; it now has execution unknown. With the change of the state taken out, the new test of it fails.

Ruled out: an exclusion of the endpoint after 4 s, since a service with one endpoint would then refuse each slow lookup; completions, since their connections were not frozen.

Run: unit.endpoints and unit.ingress, before: of the new tests of the server, idempotent_call_passes_silent_new_connections, idempotent_call_is_answered_after_three_silent_connections (504) and attempts_leave_time_for_the_answer fail; after: both programs pass.

--- a/src/endpoints/http_connection.hpp
+++ b/src/endpoints/http_connection.hpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,10 @@
     /// Idempotent requests may use a pooled connection and be sent again
     /// when it turns out to be closed or silent.
     bool idempotent = false;
+    /// Longest wait for the first byte of an idempotent request's answer on a
+    /// new connection before the request is sent again over another one.
+    /// Nothing for a request that waits until its deadline.
+    std::optional<duration> resend_after = std::nullopt;
     /// Called when a connection is open, immediately before the first byte
     /// is written; a failure ends the exchange as not_run.
     std::function<result<void>()> before_send;
--- a/src/endpoints/http_exchange.cpp
+++ b/src/endpoints/http_exchange.cpp
@@ -118,9 +118,10 @@
 }
 
 // Sends the request over an idle connection. Nothing when there is none or
-// when it turned out to be closed or silent, so that a new one is needed.
+// when it turned out to be closed or silent, so that a new one is needed;
+// `may_have_run` tells whether a part of the request may have arrived.
 asio::awaitable<std::optional<result<open_answer>>> try_pooled(
-    connection_pool& pool, exchange_request request)
+    connection_pool& pool, exchange_request request, bool& may_have_run)
 {
     using outcome = std::optional<result<open_answer>>;
     const auto now = std::chrono::steady_clock::now();
@@ -131,6 +132,7 @@
         co_return outcome(tl::unexpected<error>(checked.error()));
     const auto deadline = request.deadline;
     request.deadline = std::min(deadline, now + pooled_answer_limit);
+    may_have_run = true;
     auto head = co_await pooled->send(request);
     if (head)
         co_return outcome(open_answer{std::move(*pooled), std::move(*head)});
@@ -147,28 +149,82 @@
     co_return std::nullopt;
 }
 
+// A new connection that stays silent is replaced this often. The next one
+// gets all the time that is left, so that slow answers still arrive.
+constexpr int max_resends = 2;
+
+struct send_outcome
+{
+    result<open_answer> answer;
+    /// The deadline expired before the first byte of an answer.
+    bool silent = false;
+};
+
+asio::awaitable<send_outcome> send_over_new(const exchange_request& request)
+{
+    auto opened = co_await http_connection::open(
+        request.address, std::min(request.deadline,
+                             std::chrono::steady_clock::now() + connect_limit));
+    if (!opened)
+        co_return send_outcome{tl::unexpected<error>(opened.error())};
+    if (auto checked = check_before_send(request); !checked)
+        co_return send_outcome{tl::unexpected<error>(checked.error())};
+    auto head = co_await opened->send(request);
+    if (head)
+        co_return send_outcome{
+            open_answer{std::move(*opened), std::move(*head)}};
+    const bool silent = head.error().code() == error_code::deadline_exceeded &&
+                        !opened->answer_started();
+    co_return send_outcome{tl::unexpected<error>(head.error()), silent};
+}
+
+// A failure after an earlier send must not claim that nothing has run.
+result<open_answer> after_sends(result<open_answer> answer, bool may_have_run)
+{
+    if (answer || !may_have_run)
+        return answer;
+    return tl::unexpected<error>(
+        answer.error().with_execution(execution_state::unknown));
+}
+
+// When to send the request again unless an answer has begun. Nothing when the
+// next connection would get less time than this one.
+std::optional<time_point> resend_time(const exchange_request& request)
+{
+    if (!request.idempotent || !request.resend_after)
+        return std::nullopt;
+    const auto at = std::chrono::steady_clock::now() + *request.resend_after;
+    if (at + *request.resend_after > request.deadline)
+        return std::nullopt;
+    return at;
+}
+
 } // namespace
 
 asio::awaitable<result<open_answer>> start_exchange(
     connection_pool& pool, const exchange_request& request)
 {
+    bool may_have_run = false;
     if (request.idempotent)
     {
-        auto answered = co_await try_pooled(pool, request);
+        auto answered = co_await try_pooled(pool, request, may_have_run);
         if (answered)
             co_return std::move(*answered);
     }
-    auto opened = co_await http_connection::open(
-        request.address, std::min(request.deadline,
-                             std::chrono::steady_clock::now() + connect_limit));
-    if (!opened)
-        co_return tl::unexpected<error>(opened.error());
-    if (auto checked = check_before_send(request); !checked)
-        co_return tl::unexpected<error>(checked.error());
-    auto head = co_await opened->send(request);
-    if (!head)
-        co_return tl::unexpected<error>(head.error());
-    co_return open_answer{std::move(*opened), std::move(*head)};
+    for (int resends = 0; resends < max_resends; ++resends)
+    {
+        const auto resend_at = resend_time(request);
+        if (!resend_at)
+            break;
+        auto bounded = request;
+        bounded.deadline = *resend_at;
+        auto sent = co_await send_over_new(bounded);
+        if (!sent.silent)
+            co_return after_sends(std::move(sent.answer), may_have_run);
+        may_have_run = true;
+    }
+    auto sent = co_await send_over_new(request);
+    co_return after_sends(std::move(sent.answer), may_have_run);
 }
 
 asio::awaitable<result<exchange_answer>> exchange(
--- a/src/endpoints/http_exchange.hpp
+++ b/src/endpoints/http_exchange.hpp
@@ -53,8 +53,9 @@
 };
 
 /// Sends a request and reads the head of the answer. Failures before a byte
-/// could have been written have execution not_run, all others unknown. A
-/// pooled connection that stays silent is replaced by a new one.
+/// could have been written have execution not_run, all others unknown. For an
+/// idempotent request, a pooled connection that stays silent is replaced by a
+/// new one, and so is a new one after `resend_after`.
 boost::asio::awaitable<result<open_answer>> start_exchange(
     connection_pool& pool, const exchange_request& request);
 
--- a/src/endpoints/http_exchange_test.cpp
+++ b/src/endpoints/http_exchange_test.cpp
@@ -59,6 +59,8 @@
     CPPUNIT_TEST(failed_check_sends_nothing);
     CPPUNIT_TEST(idempotent_request_survives_a_closed_pooled_connection);
     CPPUNIT_TEST(idempotent_request_survives_silent_pooled_connections);
+    CPPUNIT_TEST(idempotent_request_survives_silent_new_connections);
+    CPPUNIT_TEST(refusal_after_a_silent_connection_may_have_run);
     CPPUNIT_TEST(non_idempotent_request_takes_a_new_connection);
     CPPUNIT_TEST(pool_drops_old_connections);
     CPPUNIT_TEST(pool_closes_old_connections_without_another_request);
@@ -165,6 +167,46 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), server.requests.size());
     }
 
+    // Guards against waiting for the whole deadline on new connections that
+    // go silent.
+    void idempotent_request_survives_silent_new_connections()
+    {
+        scripted_server server(
+            {{"", then::silent}, {"", then::silent}, {whole}});
+        connection_pool pool;
+        auto request = make_request(server, true);
+        request.resend_after = std::chrono::milliseconds(50);
+        CPPUNIT_ASSERT(server.run(exchange(pool, request)).has_value());
+        CPPUNIT_ASSERT_EQUAL(3, server.connections);
+    }
+
+    // Guards against "not run" for a request whose first send may have run.
+    void refusal_after_a_silent_connection_may_have_run()
+    {
+        for (const bool pooled : {false, true})
+        {
+            std::vector<scripted_answer> script{{"", then::silent}};
+            if (pooled)
+                script.insert(script.begin(), {whole, then::keep_open});
+            scripted_server server(script);
+            connection_pool pool;
+            auto request = make_request(server, true);
+            if (pooled)
+                CPPUNIT_ASSERT(server.run(exchange(pool, request)).has_value());
+            request.resend_after = std::chrono::milliseconds(50);
+            int sends = 0;
+            request.before_send = [&sends]() -> result<void>
+            {
+                if (++sends == 1)
+                    return {};
+                return fail(error_code::withdrawn_key, "the key is withdrawn");
+            };
+            const auto answer = server.run(exchange(pool, request));
+            assert_failure(
+                error_code::withdrawn_key, execution_state::unknown, answer);
+        }
+    }
+
     // Guards against sending an order over a connection that may be dead.
     void non_idempotent_request_takes_a_new_connection()
     {
--- a/src/ingress/server.hpp
+++ b/src/ingress/server.hpp
@@ -51,6 +51,11 @@
     duration write_limit = std::chrono::seconds(30);
     /// Deadline of requests without X-Deadline-Ms.
     duration default_deadline = std::chrono::seconds(60);
+    /// Longest wait for the first byte of an idempotent call's answer on a
+    /// new connection, as long as the call can be sent again. A service that
+    /// takes longer gets the call up to three times, so this is well above
+    /// the time of a usual lookup.
+    duration resend_after = std::chrono::seconds(4);
     /// How long callers may keep an answer of GET /v1/entries.
     duration entries_keep = std::chrono::seconds(10);
 };
--- a/src/ingress/server_test.cpp
+++ b/src/ingress/server_test.cpp
@@ -4,6 +4,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "ingress/routes.hpp"
+
 namespace tarragonquay::ingress
 {
 
@@ -56,6 +58,10 @@
     CPPUNIT_TEST(order_without_connection_is_not_run);
     CPPUNIT_TEST(order_is_recorded_anew_when_the_membership_changes);
     CPPUNIT_TEST(idempotent_call_is_tried_elsewhere);
+    CPPUNIT_TEST(idempotent_call_passes_silent_new_connections);
+    CPPUNIT_TEST(idempotent_call_is_answered_after_three_silent_connections);
+    CPPUNIT_TEST(silent_order_is_never_sent_again);
+    CPPUNIT_TEST(attempts_leave_time_for_the_answer);
     CPPUNIT_TEST(stop_waits_for_running_requests);
     CPPUNIT_TEST(stop_closes_idle_connections);
     CPPUNIT_TEST(stop_serves_a_request_that_is_being_sent);
@@ -253,6 +259,67 @@
                            routing::outcome::completed}));
     }
 
+    // Guards against a lookup that waits for half of its deadline on each new
+    // connection that goes silent, so that no time is left for an answer.
+    void idempotent_call_passes_silent_new_connections()
+    {
+        server_fixture all({{"", then::silent}, {"", then::silent}, {whole}},
+            {.resend_after = std::chrono::milliseconds(50)});
+        assert_contains("\r\n\r\nsent",
+            all.call(
+                server_fixture::request_text("GET /services/florist/status",
+                    "X-Api-Key: s3cret\r\nX-Deadline-Ms: 8000\r\n")));
+        CPPUNIT_ASSERT_EQUAL(3, all.endpoint.connections);
+        // A connection that went silent says nothing about its endpoint.
+        CPPUNIT_ASSERT(all.released == (std::vector<routing::outcome>{
+                                           routing::outcome::completed}));
+    }
+
+    // Guards against one silent connection in each attempt that uses up the
+    // whole deadline.
+    void idempotent_call_is_answered_after_three_silent_connections()
+    {
+        server_fixture all({{"", then::silent}, {"", then::silent},
+                               {"", then::silent}, {whole}},
+            {.resend_after = std::chrono::milliseconds(50)});
+        assert_contains("\r\n\r\nsent",
+            all.call(
+                server_fixture::request_text("GET /services/florist/status",
+                    "X-Api-Key: s3cret\r\nX-Deadline-Ms: 4000\r\n")));
+        CPPUNIT_ASSERT_EQUAL(4, all.endpoint.connections);
+    }
+
+    // Guards against a second run of an order that got no answer in the time
+    // after which a lookup is sent again.
+    void silent_order_is_never_sent_again()
+    {
+        server_fixture all({{"", then::silent}, {whole}},
+            {.resend_after = std::chrono::milliseconds(50)});
+        const auto answer =
+            all.call(server_fixture::request_text("POST /services/florist/send",
+                "X-Api-Key: s3cret\r\nIdempotency-Key: o1\r\n"
+                "X-Deadline-Ms: 500\r\n",
+                "send"));
+        assert_contains("\"outcome_unknown\"", answer);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), all.endpoint.requests.size());
+    }
+
+    // Guards against a typed error that is sent only when the deadline has
+    // passed and the caller has given up.
+    void attempts_leave_time_for_the_answer()
+    {
+        server_fixture all(
+            {{"", then::silent}, {"", then::silent}, {"", then::silent}});
+        assert_contains("\"deadline_exceeded\"",
+            all.call(
+                server_fixture::request_text("GET /services/florist/status",
+                    "X-Api-Key: s3cret\r\nX-Deadline-Ms: 1000\r\n")));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(max_attempts), all.acquired.size());
+        const auto& first = all.acquired.front();
+        CPPUNIT_ASSERT(
+            first.spec.deadline < first.at + std::chrono::milliseconds(950));
+    }
+
     // Guards against a planned stop that interrupts a request.
     void stop_waits_for_running_requests()
     {
@@ -304,7 +371,7 @@
     // one.
     void connection_above_the_limit_is_answered()
     {
-        server_fixture all({}, 0);
+        server_fixture all({}, {.max_connections = 0});
         const auto answer =
             all.call(server_fixture::request_text("GET /healthz", ""));
         assert_contains("HTTP/1.1 503", answer);
--- a/src/ingress/server_test_support.hpp
+++ b/src/ingress/server_test_support.hpp
@@ -57,8 +57,8 @@
 class server_fixture
 {
 public:
-    explicit server_fixture(std::vector<scripted_answer> script,
-        std::size_t max_connections = server_settings{}.max_connections)
+    explicit server_fixture(
+        std::vector<scripted_answer> script, server_settings settings = {})
         : endpoint(std::move(script)), book(store, environment())
     {
         address = endpoint.address();
@@ -70,10 +70,8 @@
         services.orders = make_orders();
         services.events = &events;
         services.metrics = &metrics;
-        server_settings settings;
         settings.listen_address = "127.0.0.1:0";
         settings.availability_zone = "a";
-        settings.max_connections = max_connections;
         auto created = server::create(
             {endpoint.context.get_executor()}, settings, services);
         tested = std::move(*created);
@@ -180,6 +178,13 @@
     std::uint64_t assigned = 0;
     std::vector<std::int64_t> settled;
     std::vector<routing::outcome> released;
+    struct acquire_call
+    {
+        time_point at;
+        routing::request_spec spec;
+    };
+    /// Requests for an endpoint.
+    std::vector<acquire_call> acquired;
     /// Called when an endpoint is chosen.
     std::function<void()> on_acquire = [] {};
 
@@ -223,9 +228,10 @@
         };
         out.settle = [this](limits::reservation, std::int64_t used)
         { settled.push_back(used); };
-        out.acquire = [this](routing::request_spec, auto handler)
+        out.acquire = [this](routing::request_spec spec, auto handler)
         {
             on_acquire();
+            acquired.push_back({std::chrono::steady_clock::now(), spec});
             routing::assignment held;
             held.id = ++assigned;
             held.endpoint = endpoint_id("e" + std::to_string(held.id));
--- a/src/ingress/service_route.cpp
+++ b/src/ingress/service_route.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <array>
 #include <optional>
 #include <utility>
@@ -31,6 +32,8 @@
     service_id service;
     /// Path and query for the endpoint.
     std::string target;
+    /// End of the wait for endpoints.
+    time_point answer_by;
     bool idempotent = false;
     /// Nothing on a route that is open to all.
     std::optional<caller> who;
@@ -39,6 +42,16 @@
     std::optional<orders::dispatch_permit> permit;
 };
 
+// The caller gives up at its deadline, so the wait for endpoints ends early
+// enough for a typed error to reach it.
+time_point answer_time(const caller_request& request)
+{
+    constexpr duration most = std::chrono::milliseconds(100);
+    constexpr int least_part = 10;
+    const auto whole = request.deadline - request.received_at;
+    return request.deadline - std::min(most, whole / least_part);
+}
+
 result<service_call> find_call(
     worker& on, const caller_request& request, responder& out)
 {
@@ -55,6 +68,7 @@
         end == std::string::npos ? std::string("/") : request.path.substr(end);
     const auto rule = view->match_route(*service, path, request.method);
     service_call call{on, request, out, service->name};
+    call.answer_by = answer_time(request);
     call.target = request.raw_path.substr(prefix.size() + name.size());
     if (call.target.empty())
         call.target = "/";
@@ -99,8 +113,9 @@
     exchange.body = call.request.body;
     exchange.request_id =
         call.request.request_id + "-" + std::to_string(held.id);
-    exchange.deadline = call.request.deadline;
+    exchange.deadline = call.answer_by;
     exchange.idempotent = call.idempotent;
+    exchange.resend_after = call.on.shared->settings.resend_after;
     return exchange;
 }
 
@@ -109,14 +124,14 @@
 time_point attempt_deadline(const service_call& call, int attempt)
 {
     if (!call.idempotent || attempt == max_attempts)
-        return call.request.deadline;
+        return call.answer_by;
     const auto now = std::chrono::steady_clock::now();
-    return now + (call.request.deadline - now) / 2;
+    return now + (call.answer_by - now) / 2;
 }
 
 bool may_retry(const service_call& call, const error& cause)
 {
-    if (std::chrono::steady_clock::now() >= call.request.deadline)
+    if (std::chrono::steady_clock::now() >= call.answer_by)
         return false;
     if (cause.code() == error_code::connect_failed)
         return true;
@@ -130,7 +145,7 @@
 asio::awaitable<result<endpoints::exchange_answer>> attempt_at(
     service_call& call, assignment_guard& assignment, int attempt)
 {
-    if (std::chrono::steady_clock::now() >= call.request.deadline)
+    if (std::chrono::steady_clock::now() >= call.answer_by)
         co_return fail(
             error_code::deadline_exceeded, "the deadline has passed");
     auto request = make_exchange(call, assignment.held());
@@ -154,7 +169,7 @@
     spec.service = call.service;
     spec.cost_tokens = tokens_per_call;
     spec.priority = call.request.priority;
-    spec.deadline = call.request.deadline;
+    spec.deadline = call.answer_by;
     for (int attempt = 1;; ++attempt)
     {
         auto assigned = co_await acquire(call.on, spec);
