Replace fixed sleeps of two unit tests by signals

Cause: shutdown_lets_a_call_in_progress_end answered its call after 300 ms, whether or not the shutdown had begun by then, and the stand-in store of the client's tests polled for the cancellation of its callers.

Change: the call in progress is answered once new calls are refused, that is, after the shutdown has begun. The store holds answers until the test releases them, so no answer can overtake a caller that gives up. The checks are the same.

--- a/src/operators/service_test.cpp
+++ b/src/operators/service_test.cpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <future>
 #include <memory>
 #include <string>
 #include <thread>
@@ -42,12 +43,12 @@
         port.drain = [this](const Drain_request&, auto on_done)
         {
             slow_answer_ = std::thread(
-                [on_done]
+                [this, on_done]
                 {
-                    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+                    drain_started_.set_value();
+                    wait_for_shutdown();
                     on_done(Drain_reply());
                 });
-            drain_started_ = true;
         };
         auto made = service::create({"127.0.0.1:0", "", ""}, port);
         CPPUNIT_ASSERT(made.has_value());
@@ -116,21 +117,23 @@
         CPPUNIT_ASSERT_EQUAL(std::string("stopping"), reply.failure().code());
     }
 
+    // Guards against a shutdown that cancels the calls in progress. The call
+    // is answered only after the shutdown has begun.
     void shutdown_lets_a_call_in_progress_end()
     {
-        grpc::Status status;
-        std::thread caller(
-            [&]
+        auto call = std::async(std::launch::async,
+            [this]
             {
                 grpc::ClientContext context;
+                context.set_deadline(latest());
                 Drain_reply reply;
-                status = stub_->Drain(&context, Drain_request(), &reply);
+                return stub_->Drain(&context, Drain_request(), &reply);
             });
-        while (!drain_started_)
-            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        CPPUNIT_ASSERT(drain_started_.get_future().wait_until(latest()) ==
+                       std::future_status::ready);
         service_->shutdown(
             std::chrono::steady_clock::now() + std::chrono::seconds(10));
-        caller.join();
+        const auto status = call.get();
         CPPUNIT_ASSERT_MESSAGE(status.error_message(), status.ok());
     }
 
@@ -145,6 +148,24 @@
     }
 
 private:
+    static std::chrono::system_clock::time_point latest()
+    {
+        return std::chrono::system_clock::now() + std::chrono::seconds(20);
+    }
+
+    /// Returns when new calls are refused, which begins with the shutdown.
+    void wait_for_shutdown()
+    {
+        for (;;)
+        {
+            grpc::ClientContext context;
+            context.set_deadline(latest());
+            Describe_reply reply;
+            if (!stub_->Describe(&context, Describe_request(), &reply).ok())
+                return;
+        }
+    }
+
     static Apply_request valid_request()
     {
         Apply_request request;
@@ -168,7 +189,7 @@
     }
 
     std::atomic<int> applied_{0};
-    std::atomic<bool> drain_started_{false};
+    std::promise<void> drain_started_;
     std::thread slow_answer_;
     std::unique_ptr<service> service_;
     std::unique_ptr<Operator::Stub> stub_;
--- a/src/platform/client_test.cpp
+++ b/src/platform/client_test.cpp
@@ -2,12 +2,12 @@
 
 #include <atomic>
 #include <chrono>
+#include <condition_variable>
 #include <future>
 #include <memory>
 #include <mutex>
 #include <set>
 #include <string>
-#include <thread>
 
 #include <arpa/inet.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -33,21 +33,20 @@
     return std::chrono::steady_clock::now() + delay;
 }
 
-/// Answers reads and applies writes, or holds the answer of each write until
-/// the caller has given up.
+/// Answers reads and applies writes, or holds the answers of writes until they
+/// are released.
 class test_service final : public Platform::Service
 {
 public:
     grpc::Status Transact(grpc::ServerContext* context,
         const Transact_request* request, Transact_reply* reply) override
     {
+        ++transactions;
         {
-            const std::scoped_lock lock(mutex_);
+            std::unique_lock lock(mutex_);
             peers.insert(context->peer());
+            released_.wait(lock, [this] { return !held_; });
         }
-        ++transactions;
-        while (hold_answers && !context->IsCancelled())
-            std::this_thread::sleep_for(milliseconds(5));
         if (request->conditions_size() > 0)
         {
             reply->set_failed_key(request->conditions(0).key());
@@ -69,12 +68,26 @@
         return grpc::Status::OK;
     }
 
-    std::atomic<bool> hold_answers{false};
+    void hold_answers()
+    {
+        const std::scoped_lock lock(mutex_);
+        held_ = true;
+    }
+
+    void release_answers()
+    {
+        const std::scoped_lock lock(mutex_);
+        held_ = false;
+        released_.notify_all();
+    }
+
     std::atomic<int> transactions{0};
     std::set<std::string> peers;
 
 private:
     std::mutex mutex_;
+    std::condition_variable released_;
+    bool held_ = false;
 };
 
 /// Waits for the result of one call.
@@ -150,6 +163,8 @@
     void tearDown() override
     {
         client_.reset();
+        // The server waits for its handlers.
+        service_.release_answers();
         if (server_)
             server_->Shutdown();
     }
@@ -177,7 +192,7 @@
 
     void a_write_without_an_answer_has_an_unknown_outcome()
     {
-        service_.hold_answers = true;
+        service_.hold_answers();
         CPPUNIT_ASSERT_EQUAL(std::string("store_outcome_unknown"),
             code_of(transact({}, short_limit)));
         CPPUNIT_ASSERT_EQUAL(1, service_.transactions.load());
@@ -187,9 +202,9 @@
     void a_call_after_a_timeout_uses_a_new_connection()
     {
         CPPUNIT_ASSERT(transact().has_value());
-        service_.hold_answers = true;
+        service_.hold_answers();
         transact({}, short_limit);
-        service_.hold_answers = false;
+        service_.release_answers();
         CPPUNIT_ASSERT(transact().has_value());
         client_.reset();
         server_->Shutdown();
@@ -223,7 +238,7 @@
     // Guards against handlers that run after their client is gone.
     void destruction_cancels_calls_in_flight()
     {
-        service_.hold_answers = true;
+        service_.hold_answers();
         std::atomic<int> answered{0};
         for (int i = 0; i < 20; ++i)
             client_->transact({}, {}, after(long_limit),
