Report the versions of adapters in the stand-in engine

Cause: GET /control/state of the stand-in listed adapters without their version, and an adapter of one version answered a load of another with success, so nothing could see or test that an old version stays.

Change: each version of an adapter is a resident of its own with its own memory, load and unload commands name it, and new streams use the version that became ready last. An unload waits for the streams that use the version, as the unload of a model does; the version is no longer listed meanwhile, and its memory stays counted.

Ruled out: replacing the version in place on a load. It would hide an overcommit by a late copy of a load of the old version.

--- a/standins/engine_memory.cpp
+++ b/standins/engine_memory.cpp
@@ -139,7 +139,7 @@
         co_return co_await unload_model(command);
     if (command.kind == "load_adapter")
         co_return co_await load_adapter(command);
-    co_return unload_adapter(command);
+    co_return co_await unload_adapter(command);
 }
 
 asio::awaitable<bool> engine_memory::load_model(const engine_command& command)
@@ -199,7 +199,7 @@
     residents_.erase(key);
     for (auto at = adapters_.begin(); at != adapters_.end();)
     {
-        const bool orphan = at->first.second == command.model &&
+        const bool orphan = std::get<1>(at->first) == command.model &&
                             at->second.ready && !serves(command.model, "");
         if (orphan)
             used_bytes_ -= at->second.bytes;
@@ -210,14 +210,15 @@
 
 asio::awaitable<bool> engine_memory::load_adapter(const engine_command& command)
 {
-    const pair_key key(command.adapter, command.model);
-    if (adapters_.count(key) > 0)
-        co_return true;
+    const adapter_key key(command.adapter, command.model, command.version);
+    // A version that is being unloaded is not listed and is not ready again.
+    if (const auto found = adapters_.find(key); found != adapters_.end())
+        co_return !found->second.unloading;
     if (!serves(command.model, "") ||
         (options_.refuse_overcommit && !has_room(command.bytes)))
         co_return false;
     reserve(command.bytes);
-    adapters_[key] = {command.bytes, false};
+    adapters_[key].bytes = command.bytes;
     const std::string incarnation = incarnation_;
     ++adapters_loading_;
     // 5 to 10 ms, fixed for each adapter; longer in proportion to the excess.
@@ -230,30 +231,44 @@
         co_return false;
     --adapters_loading_;
     adapters_.at(key).ready = true;
+    adapters_.at(key).ready_sequence = ++ready_sequence_;
     co_return true;
 }
 
-bool engine_memory::unload_adapter(const engine_command& command)
+asio::awaitable<bool> engine_memory::unload_adapter(
+    const engine_command& command)
 {
-    const auto found = adapters_.find({command.adapter, command.model});
+    const adapter_key key(command.adapter, command.model, command.version);
+    const auto found = adapters_.find(key);
     if (found == adapters_.end())
-        return true;
+        co_return true;
     if (!found->second.ready)
-        return false;
-    used_bytes_ -= found->second.bytes;
-    adapters_.erase(found);
-    return true;
+        co_return false;
+    found->second.ready = false;
+    found->second.unloading = true;
+    const std::string incarnation = incarnation_;
+    while (incarnation == incarnation_ && adapter_holds_[key] > 0)
+        co_await sleep_ms(poll_ms);
+    if (incarnation != incarnation_)
+        co_return false;
+    used_bytes_ -= adapters_.at(key).bytes;
+    adapters_.erase(key);
+    co_return true;
 }
 
 bool engine_memory::serves(
     const std::string& model, const std::string& adapter) const
 {
-    if (!adapter.empty())
-    {
-        const auto found = adapters_.find({adapter, model});
-        if (found == adapters_.end() || !found->second.ready)
-            return false;
-    }
+    const bool adapter_ready =
+        adapter.empty() ||
+        std::any_of(adapters_.begin(), adapters_.end(),
+            [&](const auto& entry)
+            {
+                const auto& [id, base, version] = entry.first;
+                return id == adapter && base == model && entry.second.ready;
+            });
+    if (!adapter_ready)
+        return false;
     return std::any_of(residents_.begin(), residents_.end(),
         [&model](const auto& entry) {
             return entry.first.first == model && entry.second.state == "ready";
@@ -274,6 +289,23 @@
     return version;
 }
 
+std::string engine_memory::ready_adapter_version(
+    const std::string& model, const std::string& adapter) const
+{
+    std::string newest_version;
+    std::int64_t newest = -1;
+    for (const auto& [key, entry] : adapters_)
+    {
+        const auto& [id, base, version] = key;
+        if (id != adapter || base != model || !entry.ready ||
+            entry.ready_sequence <= newest)
+            continue;
+        newest = entry.ready_sequence;
+        newest_version = version;
+    }
+    return newest_version;
+}
+
 bool engine_memory::has_room(std::int64_t bytes) const
 {
     return used_bytes_ + bytes <= options_.capacity_bytes;
@@ -307,7 +339,8 @@
     json adapters = json::array();
     for (const auto& [key, entry] : adapters_)
         if (entry.ready)
-            adapters.push_back({{"adapter", key.first}, {"model", key.second}});
+            adapters.push_back({{"adapter", std::get<0>(key)},
+                {"model", std::get<1>(key)}, {"version", std::get<2>(key)}});
     json commands = json::array();
     for (const auto& id : command_order_)
         commands.push_back({{"command_id", id}, {"outcome", outcomes_.at(id)}});
--- a/standins/engine_memory.hpp
+++ b/standins/engine_memory.hpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <string>
+#include <tuple>
 #include <utility>
 
 #include "standins/engine_options.hpp"
@@ -48,6 +49,10 @@
     /// Version of the model that new streams use: the last one that became
     /// ready.
     std::string ready_version(const std::string& model) const;
+    /// Version of the adapter that new streams use: the last one that became
+    /// ready.
+    std::string ready_adapter_version(
+        const std::string& model, const std::string& adapter) const;
     /// A running stream keeps its model version from being unloaded.
     void hold(const std::string& model, const std::string& version)
     {
@@ -57,6 +62,17 @@
     {
         --holds_[{model, version}];
     }
+    /// A running stream keeps its adapter version from being unloaded.
+    void hold_adapter(const std::string& model, const std::string& adapter,
+        const std::string& version)
+    {
+        ++adapter_holds_[{adapter, model, version}];
+    }
+    void release_adapter(const std::string& model, const std::string& adapter,
+        const std::string& version)
+    {
+        --adapter_holds_[{adapter, model, version}];
+    }
     /// Loses all memory and all commands and takes a new incarnation.
     void restart();
 
@@ -67,8 +83,10 @@
     json counts() const;
 
 private:
-    // Model and version, or adapter and model.
+    // Model and version.
     using pair_key = std::pair<std::string, std::string>;
+    // Adapter, model and version.
+    using adapter_key = std::tuple<std::string, std::string, std::string>;
     struct resident
     {
         std::int64_t bytes = 0;
@@ -80,6 +98,10 @@
     {
         std::int64_t bytes = 0;
         bool ready = false;
+        /// Waits for its last stream; new ones can't use it.
+        bool unloading = false;
+        /// Grows with each adapter that becomes ready.
+        std::int64_t ready_sequence = 0;
     };
 
     http_answer reject(const engine_command& command, int status,
@@ -89,7 +111,7 @@
     asio::awaitable<bool> load_model(const engine_command& command);
     asio::awaitable<bool> unload_model(const engine_command& command);
     asio::awaitable<bool> load_adapter(const engine_command& command);
-    bool unload_adapter(const engine_command& command);
+    asio::awaitable<bool> unload_adapter(const engine_command& command);
     asio::awaitable<void> fetch_weights(const engine_command& command);
     bool has_room(std::int64_t bytes) const;
     void reserve(std::int64_t bytes);
@@ -105,8 +127,9 @@
     std::int64_t overcommits_ = 0;
     std::int64_t highest_fencing_ = 0;
     std::map<pair_key, resident> residents_;
-    std::map<pair_key, loaded_adapter> adapters_;
+    std::map<adapter_key, loaded_adapter> adapters_;
     std::map<pair_key, int> holds_;
+    std::map<adapter_key, int> adapter_holds_;
     std::map<std::string, std::string> outcomes_;
     std::deque<std::string> command_order_;
     int adapters_loading_ = 0;
--- a/standins/engine_streams.cpp
+++ b/standins/engine_streams.cpp
@@ -132,6 +132,10 @@
     ++started_;
     stream->version = memory_.ready_version(stream->model);
     memory_.hold(stream->model, stream->version);
+    stream->adapter_version =
+        memory_.ready_adapter_version(stream->model, stream->adapter);
+    memory_.hold_adapter(
+        stream->model, stream->adapter, stream->adapter_version);
     queues_.at(stream->priority).push_back(stream);
     admit_waiting();
     asio::co_spawn(io_, generate(stream), asio::detached);
@@ -177,6 +181,8 @@
         --running_;
     }
     memory_.release(stream->model, stream->version);
+    memory_.release_adapter(
+        stream->model, stream->adapter, stream->adapter_version);
     admit_waiting();
     if (!stream->finished())
     {
--- a/standins/engine_streams.hpp
+++ b/standins/engine_streams.hpp
@@ -49,6 +49,7 @@
     std::string model;
     std::string version;
     std::string adapter;
+    std::string adapter_version;
     std::string prompt;
     std::size_t priority = 1;
     int max_tokens = 0;
--- a/tests/standins_test.cpp
+++ b/tests/standins_test.cpp
@@ -52,6 +52,7 @@
     CPPUNIT_TEST(engine_counts_overcommits_and_refuses_stale_fencing);
     CPPUNIT_TEST(restarted_engine_refuses_commands_for_its_predecessor);
     CPPUNIT_TEST(unload_frees_memory_after_running_streams);
+    CPPUNIT_TEST(versions_of_an_adapter_are_residents_of_their_own);
     CPPUNIT_TEST(crossed_answer_carries_another_request_id);
     CPPUNIT_TEST(store_refuses_writes_beyond_its_queue);
     CPPUNIT_TEST(instance_list_lags);
@@ -187,6 +188,60 @@
         CPPUNIT_ASSERT_EQUAL(409, refused.status);
     }
 
+    // Guards against a stand-in that hides an overcommit by two versions of an
+    // adapter, or that takes one away under a running stream.
+    void versions_of_an_adapter_are_residents_of_their_own()
+    {
+        const auto engine = start_engine({});
+        const auto address = engine->address("engine");
+        int number = 0;
+        const auto command =
+            [&](const std::string& kind, const std::string& version, int bytes)
+        {
+            ++number;
+            return post(address, "/control/commands",
+                {{"command_id", "c" + std::to_string(number)},
+                    {"fencing", number}, {"kind", kind}, {"model", "m"},
+                    {"adapter", "a"}, {"version", version}, {"bytes", bytes}});
+        };
+        const auto versions = [&]
+        {
+            std::string out;
+            const auto state = fetch(address, "/control/state").json();
+            for (const auto& each : state.at("adapters"))
+                out += each.at("version").get<std::string>() + ";";
+            return out;
+        };
+        command("load_adapter", "1", 10);
+        CPPUNIT_ASSERT(eventually([&] { return versions() == "1;"; }));
+        http_call call;
+        call.method = "POST";
+        call.target = "/v1/chat/completions";
+        call.headers["X-Request-Id"] = "r1";
+        auto body = completion(20, true);
+        body["adapter"] = "a";
+        call.body = body.dump();
+        int used_while_running = -1;
+        call.on_event = [&](const sse_event& event)
+        {
+            if (event.id == "1")
+            {
+                command("load_adapter", "2", 30);
+                CPPUNIT_ASSERT(
+                    eventually([&] { return versions() == "1;2;"; }));
+                command("unload_adapter", "1", 10);
+                CPPUNIT_ASSERT(eventually([&] { return versions() == "2;"; }));
+                used_while_running = memory_of(address).first;
+            }
+            return true;
+        };
+        CPPUNIT_ASSERT(send_once(address, call).complete);
+        CPPUNIT_ASSERT_EQUAL(1040, used_while_running);
+        CPPUNIT_ASSERT(
+            eventually([&] { return memory_of(address).first == 1030; }));
+        CPPUNIT_ASSERT_EQUAL(std::string("2;"), versions());
+    }
+
     // Guards against a fault switch that has no effect, which would let
     // correlation tests pass without a crossed answer.
     void crossed_answer_carries_another_request_id()
