Account adapters and conclude their commands by version

Cause: the report of an engine, the ledger and its conclusions knew adapters by id only. A load of a new version counted as done while the old version was resident, an unload of the old one as open while the new one was, and both versions together were accounted once.

Change: the parser reads an optional version of each resident adapter; a version of another type or above 512 bytes is refused like other wrong members. The ledger keeps the size of each configured version, accounts each resident version and each open command by version, and concludes a command by the version it names. An adapter without a version stands for every version, so engines that leave it out are treated as before. Where the size of a resident version is not known, for example after a restart, the largest known one counts; the engine's own figure stays the lower bound.

Run: unit.endpoints and unit.placement with the new cases, passed; lint.

--- a/src/endpoints/endpoint_state.cpp
+++ b/src/endpoints/endpoint_state.cpp
@@ -1,6 +1,7 @@
 #include "endpoints/endpoint_state.hpp"
 
 #include <limits>
+#include <optional>
 
 #include <nlohmann/json.hpp>
 
@@ -32,6 +33,14 @@
         return value->get<std::string>();
     }
 
+    // None when the member is left out.
+    std::optional<std::string> optional_text(const char* name)
+    {
+        if (member(name) == nullptr)
+            return std::nullopt;
+        return text(name);
+    }
+
     std::int64_t count(const char* name)
     {
         const auto* value = member(name);
@@ -149,7 +158,7 @@
         [&](reader& entry)
         {
             report.adapters.push_back({adapter_id(entry.text("adapter")),
-                model_id(entry.text("model"))});
+                model_id(entry.text("model")), entry.optional_text("version")});
         });
     source.list("commands",
         [&](reader& entry) {
--- a/src/endpoints/endpoint_state.hpp
+++ b/src/endpoints/endpoint_state.hpp
@@ -8,7 +8,8 @@
 {
 
 /// Decodes an answer of GET /control/state. Unknown members are ignored;
-/// a missing or wrongly typed one fails with malformed_message.
+/// a missing or wrongly typed one fails with malformed_message. Only the
+/// version of an adapter may be left out.
 result<routing::endpoint_report> decode_endpoint_state(
     const endpoint_id& endpoint, const std::string& body,
     time_point received_at);
--- a/src/endpoints/input_fuzz_test.cpp
+++ b/src/endpoints/input_fuzz_test.cpp
@@ -56,7 +56,8 @@
             R"("overcommits":0,"running":1,"waiting":2,"leaving":false,)"
             R"("highest_fencing":7,"reported_unix_ms":5,"residents":[{)"
             R"("model":"m","version":"1","bytes":1,"state":"ready"}],)"
-            R"("adapters":[{"adapter":"a","model":"m"}],)"
+            R"("adapters":[{"adapter":"a","model":"m"},)"
+            R"({"adapter":"b","model":"m","version":"1"}],)"
             R"("commands":[{"command_id":"c","outcome":"done"}]})";
         test_support::mutator random(seed);
         int accepted = 0;
--- a/src/endpoints/state_poller_test.cpp
+++ b/src/endpoints/state_poller_test.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(state_of_a_plain_service_is_optional);
     CPPUNIT_TEST(command_answers_are_told_apart);
     CPPUNIT_TEST(command_names_the_incarnation_it_is_meant_for);
+    CPPUNIT_TEST(version_of_an_adapter_is_optional_and_checked);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -132,6 +133,39 @@
         }
     }
 
+    // Guards against an engine that is refused because it does not tell the
+    // version, and against a version that can't be compared.
+    void version_of_an_adapter_is_optional_and_checked()
+    {
+        const auto decoded = [](const std::string& more)
+        {
+            return decode_endpoint_state(endpoint_id("e"),
+                R"({"incarnation":"i","capacity_bytes":9,"used_bytes":1,)"
+                R"("overcommits":0,"running":1,"waiting":2,"leaving":false,)"
+                R"("highest_fencing":7,"reported_unix_ms":5,"residents":[],)"
+                R"("commands":[],"adapters":[{"adapter":"a","model":"m")" +
+                    more + "}]}",
+                {});
+        };
+        const auto untold = decoded("");
+        CPPUNIT_ASSERT(untold.has_value());
+        CPPUNIT_ASSERT(!untold->adapters.at(0).version);
+        CPPUNIT_ASSERT(untold->adapters.at(0).matches("2"));
+        const auto told = decoded(R"(,"version":"1")");
+        CPPUNIT_ASSERT(told.has_value());
+        CPPUNIT_ASSERT(told->adapters.at(0).matches("1"));
+        CPPUNIT_ASSERT(!told->adapters.at(0).matches("2"));
+        const std::string too_long(513, 'v');
+        for (const auto& wrong : {std::string("1"), std::string("null"),
+                 std::string("[\"1\"]"), "\"" + too_long + "\""})
+        {
+            const auto refused = decoded(",\"version\":" + wrong);
+            CPPUNIT_ASSERT_MESSAGE(wrong, !refused.has_value());
+            CPPUNIT_ASSERT_MESSAGE(
+                wrong, refused.error().code() == error_code::malformed_message);
+        }
+    }
+
     // Guards against memory that is freed while a command may still run.
     void command_answers_are_told_apart()
     {
--- a/src/placement/controller.ipp
+++ b/src/placement/controller.ipp
@@ -63,7 +63,7 @@
     for (const auto& id : gone)
         ledger_.remove_engine(id);
     for (const auto& each : adapters)
-        ledger_.set_adapter_bytes(each.id, each.bytes);
+        ledger_.set_adapter_bytes(each.id, each.version, each.bytes);
     inputs_.listed = std::move(listed);
     inputs_.models = models;
     inputs_.adapters = adapters;
--- a/src/placement/ledger.cpp
+++ b/src/placement/ledger.cpp
@@ -32,9 +32,11 @@
 bool has_adapter(const endpoint_report& report, const intent& value)
 {
     return std::any_of(report.adapters.begin(), report.adapters.end(),
-        [&](const routing::resident_adapter& resident) {
+        [&](const routing::resident_adapter& resident)
+        {
             return resident.adapter == value.adapter &&
-                   resident.model == value.model;
+                   resident.model == value.model &&
+                   resident.matches(value.version);
         });
 }
 
@@ -78,9 +80,28 @@
         engines_.erase(it);
 }
 
-void ledger::set_adapter_bytes(const adapter_id& id, std::int64_t bytes)
+void ledger::set_adapter_bytes(
+    const adapter_id& id, const std::string& version, std::int64_t bytes)
+{
+    adapter_bytes_[id][version] = bytes;
+}
+
+std::int64_t ledger::adapter_bytes(
+    const routing::resident_adapter& resident) const
 {
-    adapter_bytes_[id] = bytes;
+    const auto sizes = adapter_bytes_.find(resident.adapter);
+    if (sizes == adapter_bytes_.end())
+        return 0;
+    if (resident.version)
+    {
+        const auto exact = sizes->second.find(*resident.version);
+        if (exact != sizes->second.end())
+            return exact->second;
+    }
+    std::int64_t largest = 0;
+    for (const auto& [version, bytes] : sizes->second)
+        largest = std::max(largest, bytes);
+    return largest;
 }
 
 void ledger::require_fresh_reports(time_point now)
@@ -169,20 +190,19 @@
     if (it == engines_.end())
         return 0;
     const auto& engine = it->second;
-    // Two versions of a model are two residents.
+    // Two versions of a model or an adapter are two residents. An adapter of
+    // unknown version stands for each version that a command names.
     std::map<std::pair<model_id, std::string>, std::int64_t> models;
-    std::map<adapter_id, std::int64_t> adapters;
+    std::map<std::pair<adapter_id, std::optional<std::string>>, std::int64_t>
+        adapters;
     std::int64_t total = 0;
     if (engine.report)
     {
         for (const auto& resident : engine.report->models)
             models[{resident.model, resident.version}] += resident.bytes;
         for (const auto& resident : engine.report->adapters)
-        {
-            const auto size = adapter_bytes_.find(resident.adapter);
-            adapters[resident.adapter] =
-                size == adapter_bytes_.end() ? 0 : size->second;
-        }
+            adapters[{resident.adapter, resident.version}] =
+                adapter_bytes(resident);
         for (const auto& [model, bytes] : models)
             total += bytes;
         for (const auto& [adapter, bytes] : adapters)
@@ -194,9 +214,11 @@
     // Two open commands of one version need its memory once.
     for (const auto& [command_id, value] : engine.intents)
     {
+        const bool untold = adapters.contains({value.adapter, std::nullopt});
         auto& known = value.adapter.empty()
                           ? models[{value.model, value.version}]
-                          : adapters[value.adapter];
+                      : untold ? adapters[{value.adapter, std::nullopt}]
+                               : adapters[{value.adapter, value.version}];
         total += std::max<std::int64_t>(0, value.bytes - known);
         known = std::max(known, value.bytes);
     }
--- a/src/placement/ledger.hpp
+++ b/src/placement/ledger.hpp
@@ -36,7 +36,12 @@
     /// Forgets engines that are not listed, unless they have open intents.
     void set_engine(const endpoint_id& id, bool honours_fencing);
     void remove_engine(const endpoint_id& id);
-    void set_adapter_bytes(const adapter_id& id, std::int64_t bytes);
+    /// Sizes of earlier versions are kept, since these may still be resident.
+    void set_adapter_bytes(
+        const adapter_id& id, const std::string& version, std::int64_t bytes);
+    /// Memory of a resident adapter. When the size of its version is not
+    /// known, that of its largest known version; 0 when none is known.
+    std::int64_t adapter_bytes(const routing::resident_adapter& resident) const;
 
     /// Ignores all reports that may have been asked for before this call.
     /// Needed after a take-over: an older report may lack the effect of a
@@ -86,7 +91,8 @@
     bool concluded(const engine_account& engine, const intent& value) const;
 
     std::map<endpoint_id, engine_account> engines_;
-    std::map<adapter_id, std::int64_t> adapter_bytes_;
+    // By version.
+    std::map<adapter_id, std::map<std::string, std::int64_t>> adapter_bytes_;
     time_point fresh_since_{};
 };
 
--- a/src/placement/ledger_test.cpp
+++ b/src/placement/ledger_test.cpp
@@ -9,6 +9,7 @@
 
 const endpoint_id engine("e");
 const model_id poet("poet");
+const adapter_id rhyme("rhyme");
 
 intent load_of(std::int64_t fencing, const std::string& incarnation = "1")
 {
@@ -16,6 +17,13 @@
         command_kind::load_model, poet, {}, "1", 60, 0};
 }
 
+intent adapter_command(command_kind kind, std::int64_t fencing,
+    const std::string& version, std::int64_t bytes)
+{
+    return {"c" + std::to_string(fencing), engine, "1", fencing, kind, poet,
+        rhyme, version, bytes, 0};
+}
+
 routing::endpoint_report report_of(const std::string& incarnation,
     std::int64_t highest, std::vector<routing::resident_model> models = {})
 {
@@ -43,6 +51,9 @@
     CPPUNIT_TEST(answered_command_without_fencing_ends_with_its_effect);
     CPPUNIT_TEST(report_from_before_a_takeover_is_ignored);
     CPPUNIT_TEST(report_received_before_a_takeover_is_ignored);
+    CPPUNIT_TEST(two_versions_of_an_adapter_need_memory_twice);
+    CPPUNIT_TEST(command_for_an_adapter_ends_with_its_own_version);
+    CPPUNIT_TEST(untold_version_of_an_adapter_stands_for_each);
     CPPUNIT_TEST_SUITE_END();
 
     ledger accounts_;
@@ -180,6 +191,72 @@
             accounts_.apply(report_of("1", 0));
         CPPUNIT_ASSERT(!accounts_.fresh(engine));
     }
+
+    // Guards against an overcommit by a second version of an adapter, and
+    // against a size of the old version that changes with the configuration.
+    void two_versions_of_an_adapter_need_memory_twice()
+    {
+        start(true);
+        accounts_.set_adapter_bytes(rhyme, "1", 10);
+        accounts_.set_adapter_bytes(rhyme, "2", 30);
+        auto report = report_of("1", 4);
+        report.adapters = {{rhyme, poet, "1"}};
+        accounts_.apply(report);
+        CPPUNIT_ASSERT_EQUAL(
+            std::int64_t(10), accounts_.committed_bytes(engine));
+        accounts_.add(adapter_command(command_kind::load_adapter, 5, "2", 30));
+        CPPUNIT_ASSERT_EQUAL(
+            std::int64_t(40), accounts_.committed_bytes(engine));
+        report.adapters.push_back({rhyme, poet, "2"});
+        CPPUNIT_ASSERT(accounts_.apply(report).empty());
+        CPPUNIT_ASSERT_EQUAL(
+            std::int64_t(40), accounts_.committed_bytes(engine));
+        report.highest_fencing = 5;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), accounts_.apply(report).size());
+        CPPUNIT_ASSERT_EQUAL(
+            std::int64_t(40), accounts_.committed_bytes(engine));
+    }
+
+    // Guards against memory that counts as free while the command that needs
+    // or frees it is still open.
+    void command_for_an_adapter_ends_with_its_own_version()
+    {
+        start(false);
+        accounts_.add(adapter_command(command_kind::load_adapter, 5, "2", 30));
+        accounts_.mark_answered("c5");
+        auto report = report_of("1", 0);
+        report.adapters = {{rhyme, poet, "1"}};
+        CPPUNIT_ASSERT(accounts_.apply(report).empty());
+        report.adapters.push_back({rhyme, poet, "2"});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), accounts_.apply(report).size());
+        accounts_.add(
+            adapter_command(command_kind::unload_adapter, 6, "1", 10));
+        accounts_.mark_answered("c6");
+        CPPUNIT_ASSERT(accounts_.apply(report).empty());
+        report.adapters.erase(report.adapters.begin());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), accounts_.apply(report).size());
+    }
+
+    // Guards against commands that never end at an engine that does not tell
+    // the versions of its adapters.
+    void untold_version_of_an_adapter_stands_for_each()
+    {
+        start(false);
+        accounts_.set_adapter_bytes(rhyme, "1", 10);
+        accounts_.add(adapter_command(command_kind::load_adapter, 5, "1", 10));
+        accounts_.mark_answered("c5");
+        auto report = report_of("1", 0);
+        report.adapters = {{rhyme, poet}};
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), accounts_.apply(report).size());
+        accounts_.add(
+            adapter_command(command_kind::unload_adapter, 6, "1", 10));
+        accounts_.mark_answered("c6");
+        CPPUNIT_ASSERT_EQUAL(
+            std::int64_t(10), accounts_.committed_bytes(engine));
+        CPPUNIT_ASSERT(accounts_.apply(report).empty());
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t(1), accounts_.apply(report_of("1", 0)).size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ledger_test);
--- a/src/routing/types.hpp
+++ b/src/routing/types.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,8 @@
     completed,
     /// The endpoint rejected the request because it is overloaded.
     rejected,
+    /// The endpoint no longer has the model or the adapter.
+    not_resident,
     /// No connection, or silent past its deadline; counts for suspicion.
     failed,
     cancelled
@@ -83,6 +86,15 @@
 {
     adapter_id adapter;
     model_id model;
+    /// None when the engine does not tell it.
+    std::optional<std::string> version = {};
+
+    /// Whether this may be the version. An engine that does not tell the
+    /// version of an adapter is taken to have the wanted one.
+    bool matches(const std::string& wanted) const
+    {
+        return !version || *version == wanted;
+    }
 
     auto operator<=>(const resident_adapter&) const = default;
 };
