Prefer the configured version of an adapter, and wait for one that is gone

Cause: any engine with the adapter was a candidate, whatever its version. Also, an engine whose model or adapter was unloaded after its last report answers 409, which counted as a refusal of the request: the request failed, although another engine or the same one a moment later could run it. During a rollout, callers would have met this up to once a poll and engine.

Change: the scheduler takes the configured versions and chooses among the engines with room that have it, if there are any, else among the others. 409 for a completion means model_not_ready, as 404 did. The scheduler then takes the engine to lack the adapter (or the model) until its next report, and the retry does not exclude the engine, since it may be the only one that will have the model again. The number of attempts is unchanged.

Ruled out: excluding the engine as before; with one engine, the request ended with no_endpoint instead of waiting for the load.

Run: unit.routing, unit.endpoints and unit.ingress with the new cases, passed.

--- a/src/daemon/control_configuration.cpp
+++ b/src/daemon/control_configuration.cpp
@@ -66,8 +66,9 @@
 
     auto endpoints = values(configuration.endpoints());
     scheduler_.update(endpoints, process_.settings.availability_zone);
-    placement_->update(endpoints, values(configuration.models()),
-        values(configuration.adapters()));
+    const auto adapters = values(configuration.adapters());
+    scheduler_.update_adapters(adapters);
+    placement_->update(endpoints, values(configuration.models()), adapters);
     commands_.update(configuration);
     poller_.set_endpoints(std::move(endpoints));
     std::erase_if(reports_, [&](const auto& entry)
--- a/src/endpoints/completion_stream.cpp
+++ b/src/endpoints/completion_stream.cpp
@@ -18,6 +18,7 @@
 constexpr std::chrono::seconds cancel_limit{2};
 constexpr int status_ok = 200;
 constexpr int status_not_found = 404;
+constexpr int status_conflict = 409;
 constexpr int status_too_many_requests = 429;
 constexpr int status_unavailable = 503;
 
@@ -43,7 +44,7 @@
 {
     if (status == status_unavailable || status == status_too_many_requests)
         return fail(error_code::overloaded, "the engine is overloaded");
-    if (status == status_not_found)
+    if (status == status_not_found || status == status_conflict)
         return fail(
             error_code::model_not_ready, "the engine does not have the model");
     if (status >= 400 && status < 500)
--- a/src/endpoints/completion_stream_test.cpp
+++ b/src/endpoints/completion_stream_test.cpp
@@ -105,6 +105,7 @@
     CPPUNIT_TEST(gap_in_the_ids_is_read_again);
     CPPUNIT_TEST(stream_without_end_is_an_error);
     CPPUNIT_TEST(refusal_of_the_engine_is_not_run);
+    CPPUNIT_TEST(engine_without_the_model_is_told_apart);
     CPPUNIT_TEST(parser_does_not_depend_on_chunk_sizes);
     CPPUNIT_TEST(state_is_decoded_strictly);
     CPPUNIT_TEST_SUITE_END();
@@ -162,6 +163,23 @@
         CPPUNIT_ASSERT(actual.failure->execution() == execution_state::not_run);
     }
 
+    // Guards against a request that fails, instead of being run elsewhere or
+    // later, because the model or the adapter was just unloaded.
+    void engine_without_the_model_is_told_apart()
+    {
+        for (const std::string status : {"404 Not Found", "409 Conflict"})
+        {
+            const auto actual = collect_from(
+                {{"HTTP/1.1 " + status + "\r\nX-Request-Id: {id}\r\n" +
+                    "Content-Length: 0\r\n\r\n"}});
+            CPPUNIT_ASSERT_MESSAGE(status, actual.failure.has_value());
+            CPPUNIT_ASSERT_MESSAGE(
+                status, actual.failure->code() == error_code::model_not_ready);
+            CPPUNIT_ASSERT_MESSAGE(status,
+                actual.failure->execution() == execution_state::not_run);
+        }
+    }
+
     // Guards against events that are lost at the border of two reads.
     void parser_does_not_depend_on_chunk_sizes()
     {
--- a/src/ingress/completion_route.cpp
+++ b/src/ingress/completion_route.cpp
@@ -281,7 +281,11 @@
             assignment_guard assignment(
                 call.on.services().control, std::move(*assigned));
             outcome = co_await run_at(call, assignment, charged);
-            spec.excluded.push_back(assignment.held().endpoint);
+            // An engine that lacks the model may be the only one that will
+            // have it again; the scheduler waits for its next report.
+            if (outcome ||
+                outcome.error().code() != error_code::model_not_ready)
+                spec.excluded.push_back(assignment.held().endpoint);
         }
         else
             outcome = tl::unexpected<error>(assigned.error());
--- a/src/ingress/routes.cpp
+++ b/src/ingress/routes.cpp
@@ -154,9 +154,10 @@
     switch (cause.code())
     {
     case error_code::overloaded:
-    case error_code::model_not_ready:
     case error_code::endpoint_rejected:
         return routing::outcome::rejected;
+    case error_code::model_not_ready:
+        return routing::outcome::not_resident;
     case error_code::cancelled:
     case error_code::withdrawn_key:
     case error_code::no_view_lease:
--- a/src/routing/endpoint_state.cpp
+++ b/src/routing/endpoint_state.cpp
@@ -131,4 +131,16 @@
         { return resident.adapter == adapter && resident.model == model; });
 }
 
+bool endpoint_state::has_version(const model_id& model,
+    const adapter_id& adapter, const std::string& version) const
+{
+    return report &&
+           std::any_of(report->adapters.begin(), report->adapters.end(),
+               [&](const resident_adapter& resident)
+               {
+                   return resident.adapter == adapter &&
+                          resident.model == model && resident.matches(version);
+               });
+}
+
 } // namespace tarragonquay::routing
--- a/src/routing/endpoint_state.hpp
+++ b/src/routing/endpoint_state.hpp
@@ -92,6 +92,9 @@
     duration expected_service(const request_spec& spec, time_point now) const;
     /// Whether the model and, if named, the adapter are ready here.
     bool ready(const model_id& model, const adapter_id& adapter) const;
+    /// Whether this version of the adapter may be resident here.
+    bool has_version(const model_id& model, const adapter_id& adapter,
+        const std::string& version) const;
 };
 
 } // namespace tarragonquay::routing
--- a/src/routing/scheduler.hpp
+++ b/src/routing/scheduler.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <optional>
@@ -75,6 +76,10 @@
     void update(const std::vector<catalog::endpoint>& endpoints,
         const std::string& own_zone);
 
+    /// Takes the configured versions of the adapters. Endpoints that have the
+    /// version come before those that have another one.
+    void update_adapters(const std::vector<catalog::adapter>& adapters);
+
     /// Takes the answer of a state poll; unknown endpoints are ignored.
     void report(endpoint_report report);
 
@@ -108,6 +113,7 @@
     {
         endpoint_id endpoint;
         target for_target;
+        adapter_id adapter;
         time_point since;
         std::int64_t output_tokens = 0;
     };
@@ -125,11 +131,17 @@
     }
 
     waiting_line& line_of(const target& of);
+    // Until the next report, the endpoint is taken to lack what was asked for.
+    void forget_resident(endpoint_state& state, const held& of);
     bool able(const endpoint_state& state, const request_spec& spec) const;
     bool any_able(const request_spec& spec, bool despite_exclusion) const;
     service_time fastest(const target& of, time_point now) const;
     bool has_room(const endpoint_state& state, const request_spec& spec) const;
     bool any_room(const request_spec& spec) const;
+    // Leaves only endpoints with the configured version of the adapter, if
+    // there is any.
+    void prefer_version(
+        const request_spec& spec, std::vector<endpoint_state*>& states) const;
     std::optional<assignment> assign(const request_spec& spec);
     std::optional<error> early_refusal(
         const request_spec& spec, waiting_line& line, time_point now);
@@ -147,6 +159,7 @@
     // Endpoints by service and by ready model, so that a choice looks only at
     // those that can serve the request.
     std::map<target, std::set<endpoint_id>> by_target_;
+    std::map<adapter_id, std::string> adapter_versions_;
     std::map<target, waiting_line> lines_;
     std::map<std::uint64_t, held> assignments_;
     std::map<std::uint64_t, target> tickets_;
--- a/src/routing/scheduler_calls.ipp
+++ b/src/routing/scheduler_calls.ipp
@@ -72,6 +72,8 @@
         }
         else if (how == outcome::rejected)
             state.limit.rejected();
+        else if (how == outcome::not_resident)
+            forget_resident(state, released);
         else if (how == outcome::failed &&
                  state.health.exchange_failed(clock_.now()))
             notify(released.endpoint, true);
@@ -121,6 +123,15 @@
     run(std::move(done));
 }
 
+template <clock_source Clock, choice_policy Choice, queue_discipline Queue>
+void scheduler<Clock, Choice, Queue>::update_adapters(
+    const std::vector<catalog::adapter>& adapters)
+{
+    adapter_versions_.clear();
+    for (const auto& each : adapters)
+        adapter_versions_[each.id] = each.version;
+}
+
 template <clock_source Clock, choice_policy Choice, queue_discipline Queue>
 void scheduler<Clock, Choice, Queue>::report(endpoint_report report)
 {
--- a/src/routing/scheduler_choice.ipp
+++ b/src/routing/scheduler_choice.ipp
@@ -11,6 +11,24 @@
         .first->second;
 }
 
+template <clock_source Clock, choice_policy Choice, queue_discipline Queue>
+void scheduler<Clock, Choice, Queue>::forget_resident(
+    endpoint_state& state, const held& of)
+{
+    if (!state.report)
+        return;
+    const auto& model = of.for_target.first;
+    if (of.adapter.empty())
+    {
+        std::erase_if(state.report->models,
+            [&](const resident_model& each) { return each.model == model; });
+        by_target_[of.for_target].erase(of.endpoint);
+        return;
+    }
+    std::erase_if(state.report->adapters, [&](const resident_adapter& each)
+        { return each.adapter == of.adapter && each.model == model; });
+}
+
 template <clock_source Clock, choice_policy Choice, queue_discipline Queue>
 bool scheduler<Clock, Choice, Queue>::able(
     const endpoint_state& state, const request_spec& spec) const
@@ -86,6 +104,21 @@
                { return has_room(endpoints_.at(id), spec); });
 }
 
+template <clock_source Clock, choice_policy Choice, queue_discipline Queue>
+void scheduler<Clock, Choice, Queue>::prefer_version(
+    const request_spec& spec, std::vector<endpoint_state*>& states) const
+{
+    const auto wanted = adapter_versions_.find(spec.adapter);
+    if (wanted == adapter_versions_.end())
+        return;
+    const auto first_other = std::stable_partition(states.begin(), states.end(),
+        [&](const endpoint_state* state) {
+            return state->has_version(spec.model, spec.adapter, wanted->second);
+        });
+    if (first_other != states.begin())
+        states.erase(first_other, states.end());
+}
+
 template <clock_source Clock, choice_policy Choice, queue_discipline Queue>
 std::optional<assignment> scheduler<Clock, Choice, Queue>::assign(
     const request_spec& spec)
@@ -94,26 +127,25 @@
     if (it == by_target_.end())
         return std::nullopt;
     const auto now = clock_.now();
-    std::vector<candidate> candidates;
     std::vector<endpoint_state*> states;
     for (const auto& id : it->second)
-    {
-        auto& state = endpoints_.at(id);
-        if (!has_room(state, spec))
-            continue;
-        candidates.push_back(
-            {state.id_hash, state.own_in_flight, state.other_load(now),
-                state.settings.availability_zone == own_zone_});
-        states.push_back(&state);
-    }
-    if (candidates.empty())
+        if (auto& state = endpoints_.at(id); has_room(state, spec))
+            states.push_back(&state);
+    if (states.empty())
         return std::nullopt;
+    prefer_version(spec, states);
+    std::vector<candidate> candidates;
+    candidates.reserve(states.size());
+    for (const auto* state : states)
+        candidates.push_back(
+            {state->id_hash, state->own_in_flight, state->other_load(now),
+                state->settings.availability_zone == own_zone_});
     const choice chosen = choice_.choose(candidates, spec.prefix_hash);
     auto& state = *states.at(chosen.index);
     ++state.own_in_flight;
     const auto id = next_id_++;
-    assignments_.emplace(
-        id, held{state.settings.id, target_of(spec), now, spec.output_tokens});
+    assignments_.emplace(id, held{state.settings.id, target_of(spec),
+                                 spec.adapter, now, spec.output_tokens});
     return assignment{
         id, state.settings.id, state.settings.address, chosen.prefix_expected};
 }
--- a/src/routing/scheduler_test.cpp
+++ b/src/routing/scheduler_test.cpp
@@ -52,6 +52,10 @@
     CPPUNIT_TEST(handler_may_call_back);
     CPPUNIT_TEST(service_recovers_without_state_polls);
     CPPUNIT_TEST(slow_call_of_a_service_refuses_no_other);
+    CPPUNIT_TEST(configured_version_of_an_adapter_is_preferred);
+    CPPUNIT_TEST(untold_version_of_an_adapter_is_no_disadvantage);
+    CPPUNIT_TEST(engine_that_lost_an_adapter_is_left_out_until_its_report);
+    CPPUNIT_TEST(engine_that_lost_a_model_is_left_out_until_its_report);
     CPPUNIT_TEST_SUITE_END();
 
     using outcome_list = std::vector<result<assignment>>;
@@ -92,6 +96,26 @@
         return spec;
     }
 
+    void report_adapter(
+        const std::string& id, std::optional<std::string> version)
+    {
+        auto report = ready_report(id, clock_.now());
+        report.adapters = {{adapter_id("rhyme"), poet, std::move(version)}};
+        routes_.report(report);
+    }
+
+    // Empty when the request waits.
+    std::string endpoint_for_adapter()
+    {
+        const auto before = outcomes_.size();
+        auto spec = spec_with_prefix(0);
+        spec.adapter = adapter_id("rhyme");
+        ask(std::move(spec));
+        return outcomes_.size() == before
+                   ? std::string()
+                   : outcomes_.back().value().endpoint.str();
+    }
+
     void fail_next()
     {
         ask();
@@ -138,6 +162,67 @@
             std::string("e2"), outcomes_.at(0).value().endpoint.str());
     }
 
+    // Guards against answers by the old version while the new one is ready,
+    // and against requests that wait although the old one could serve them.
+    void configured_version_of_an_adapter_is_preferred()
+    {
+        use({engine("e1"), engine("e2")});
+        catalog::adapter rhyme;
+        rhyme.id = adapter_id("rhyme");
+        rhyme.model = poet;
+        rhyme.version = "2";
+        routes_.update_adapters({rhyme});
+        report_adapter("e1", "1");
+        report_adapter("e2", "1");
+        CPPUNIT_ASSERT(!endpoint_for_adapter().empty());
+        routes_.release(outcomes_.back()->id, outcome::completed);
+        report_adapter("e2", "2");
+        // Each endpoint takes two requests at a time.
+        CPPUNIT_ASSERT_EQUAL(std::string("e2"), endpoint_for_adapter());
+        CPPUNIT_ASSERT_EQUAL(std::string("e2"), endpoint_for_adapter());
+        CPPUNIT_ASSERT_EQUAL(std::string("e1"), endpoint_for_adapter());
+    }
+
+    void untold_version_of_an_adapter_is_no_disadvantage()
+    {
+        use({engine("e1", "a"), engine("e2", "b")});
+        catalog::adapter rhyme;
+        rhyme.id = adapter_id("rhyme");
+        rhyme.version = "2";
+        routes_.update_adapters({rhyme});
+        report_adapter("e1", std::nullopt);
+        report_adapter("e2", "2");
+        CPPUNIT_ASSERT_EQUAL(std::string("e1"), endpoint_for_adapter());
+    }
+
+    // Guards against a request that fails, or goes to the same engine again
+    // and again, because the adapter was unloaded after the last report.
+    void engine_that_lost_an_adapter_is_left_out_until_its_report()
+    {
+        use({engine("e1")});
+        report_adapter("e1", "1");
+        CPPUNIT_ASSERT_EQUAL(std::string("e1"), endpoint_for_adapter());
+        routes_.release(outcomes_.back()->id, outcome::not_resident);
+        CPPUNIT_ASSERT_EQUAL(std::string(), endpoint_for_adapter());
+        ask();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), outcomes_.size());
+        report_adapter("e1", "2");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), outcomes_.size());
+        CPPUNIT_ASSERT(outcomes_.back().has_value());
+    }
+
+    void engine_that_lost_a_model_is_left_out_until_its_report()
+    {
+        use({engine("e1")});
+        ask();
+        routes_.release(outcomes_.back()->id, outcome::not_resident);
+        ask();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), outcomes_.size());
+        routes_.report(ready_report("e1", clock_.now()));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), outcomes_.size());
+        CPPUNIT_ASSERT(outcomes_.back().has_value());
+    }
+
     void leaving_endpoint_gets_no_work()
     {
         use({engine("e1"), engine("e2")});
