Roll a changed version of an adapter out

Cause: the planner saw whether an adapter is resident at an engine, but not in which version, so a changed adapter was loaded only where it was not resident. An unload of an idle adapter also named the configured version.

Change: the view tells old versions of adapters from the configured one. After the loads of a plan, each adapter with an old version somewhere loses it on one engine, while no other command for the adapter is open and no engine with room still lacks the new version. An only copy is followed by a load on another engine with room; without one it is unloaded once no request for it waits and nobody asks for it or its engine reports no request at all. Engines that accept no command do not hold the others up. Idle old versions that make room are unloaded by their own version and size.

Ruled out: loading the new version beside the old one on the same engine. An engine that knows adapters by name only would answer the load as done.

--- a/src/placement/controller_test.cpp
+++ b/src/placement/controller_test.cpp
@@ -78,7 +78,9 @@
     CPPUNIT_TEST(intent_with_a_lost_answer_is_read_back_and_sent);
     CPPUNIT_TEST(new_holder_accounts_commands_that_are_on_their_way);
     CPPUNIT_TEST(new_version_replaces_the_old_one_everywhere);
+    CPPUNIT_TEST(new_adapter_version_replaces_the_old_one_everywhere);
     CPPUNIT_TEST(faults_never_overcommit_memory_or_lose_a_model);
+    CPPUNIT_TEST(faults_never_overcommit_memory_with_adapter_versions);
     CPPUNIT_TEST(engine_restarts_never_overcommit_memory);
     CPPUNIT_TEST(late_copies_never_use_memory_that_is_not_accounted);
     CPPUNIT_TEST_SUITE_END();
@@ -188,6 +190,55 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), world.violations());
     }
 
+    // Guards against a rollout that stops half way, or that leaves an adapter
+    // with several copies unreachable on its way.
+    void new_adapter_version_replaces_the_old_one_everywhere()
+    {
+        region world(2);
+        world.put_adapter("rhyme", 0, "1", 5);
+        world.demand(0);
+        world.run_quietly(30);
+        const auto before = world.adapter_versions("rhyme");
+        CPPUNIT_ASSERT(before.contains("1"));
+        const auto copies = before.at("1");
+        CPPUNIT_ASSERT(copies > 1);
+        world.put_adapter("rhyme", 0, "2", 7);
+        for (int i = 0; i < 40; ++i)
+        {
+            world.run_quietly(1);
+            CPPUNIT_ASSERT(world.reachable("rhyme", 0) >= copies - 1);
+        }
+        CPPUNIT_ASSERT(world.adapter_versions("rhyme") ==
+                       (std::map<std::string, int>{{"2", copies}}));
+        CPPUNIT_ASSERT_EQUAL(std::string(), world.violations());
+    }
+
+    // Guards against an overcommit while versions of an adapter change and
+    // commands for them are lost, late or repeated.
+    void faults_never_overcommit_memory_with_adapter_versions()
+    {
+        CPPUNIT_ASSERT(rc::check("faults and versions of adapters",
+            []
+            {
+                region world(5);
+                for (std::size_t i = 0; i < 5; ++i)
+                    world.put_adapter("a" + std::to_string(i), i, "0", 7);
+                world.demand(0);
+                world.run_quietly(below(12));
+                for (int i = 0; i < 400; ++i)
+                {
+                    step(world, false);
+                    if (below(10) == 0)
+                    {
+                        const auto which = below<std::size_t>(5);
+                        world.put_adapter("a" + std::to_string(which), which,
+                            std::to_string(below(3)), 5 + below(8));
+                    }
+                }
+                RC_ASSERT(world.violations() == std::string());
+            }));
+    }
+
     void faults_never_overcommit_memory_or_lose_a_model()
     {
         CPPUNIT_ASSERT(rc::check("faults of network, store and holders",
--- a/src/placement/engine_model_test.hpp
+++ b/src/placement/engine_model_test.hpp
@@ -5,6 +5,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 #include "placement/controller.hpp"
@@ -50,7 +52,14 @@
             models_.try_emplace(
                 key{command.model, command.version}, command.bytes, false);
         else if (command.kind == command_kind::unload_model)
-            models_.erase(key{command.model, command.version});
+            unload(command);
+        else if (command.kind == command_kind::load_adapter)
+            adapters_.try_emplace(
+                adapter_key{command.adapter, command.model, command.version},
+                command.bytes);
+        else
+            adapters_.erase(
+                adapter_key{command.adapter, command.model, command.version});
         peak_ = std::max(peak_, used());
         return command_answer::accepted;
     }
@@ -65,6 +74,7 @@
     {
         ++restarts_;
         models_.clear();
+        adapters_.clear();
         known_.clear();
         highest_ = 0;
     }
@@ -74,6 +84,8 @@
         std::int64_t total = 0;
         for (const auto& [model, state] : models_)
             total += state.first;
+        for (const auto& [adapter, bytes] : adapters_)
+            total += bytes;
         return total;
     }
     std::int64_t peak() const { return peak_; }
@@ -89,6 +101,17 @@
             { return entry.first.first == model && entry.second.second; });
     }
 
+    bool ready(const model_id& model, const adapter_id& adapter) const
+    {
+        return ready(model) &&
+               std::any_of(adapters_.begin(), adapters_.end(),
+                   [&](const auto& entry)
+                   {
+                       return std::get<0>(entry.first) == adapter &&
+                              std::get<1>(entry.first) == model;
+                   });
+    }
+
     routing::endpoint_report report() const
     {
         routing::endpoint_report out;
@@ -101,13 +124,28 @@
             out.models.push_back({model.first, model.second, state.first,
                 state.second ? routing::residence_state::ready
                              : routing::residence_state::loading});
+        for (const auto& [adapter, bytes] : adapters_)
+            out.adapters.push_back({std::get<0>(adapter), std::get<1>(adapter),
+                std::get<2>(adapter)});
         for (const auto& command : known_)
             out.commands.push_back({command, routing::command_outcome::done});
         return out;
     }
 
 private:
+    // Adapters go with the last version of their model.
+    void unload(const intent& command)
+    {
+        models_.erase(key{command.model, command.version});
+        const auto of_model = [&](const auto& entry)
+        { return entry.first.first == command.model; };
+        if (std::none_of(models_.begin(), models_.end(), of_model))
+            std::erase_if(adapters_, [&](const auto& entry)
+                { return std::get<1>(entry.first) == command.model; });
+    }
+
     using key = std::pair<model_id, std::string>;
+    using adapter_key = std::tuple<adapter_id, model_id, std::string>;
 
     std::string id_;
     std::int64_t capacity_;
@@ -119,6 +157,7 @@
     int restarts_ = 0;
     // By model and version.
     std::map<key, std::pair<std::int64_t, bool>> models_;
+    std::map<adapter_key, std::int64_t> adapters_;
     std::set<std::string> known_;
 };
 
--- a/src/placement/plan_adapters.cpp
+++ b/src/placement/plan_adapters.cpp
@@ -1,9 +1,29 @@
 #include "placement/plan_draft.hpp"
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 namespace tarragonquay::placement
 {
+namespace
+{
+
+bool holds_outdated(const replica_view& replica, const adapter_id& adapter)
+{
+    return std::any_of(replica.outdated_adapters.begin(),
+        replica.outdated_adapters.end(),
+        [&](const outdated_adapter& each) { return each.id == adapter; });
+}
+
+// In any version.
+bool holds(const replica_view& replica, const adapter_id& adapter)
+{
+    return replica.adapters.contains(adapter) ||
+           holds_outdated(replica, adapter);
+}
+
+} // namespace
 
 std::vector<plan_draft::idle_adapter> plan_draft::idle_adapters(
     const engine_view& engine) const
@@ -12,13 +32,22 @@
     for (const auto& replica : engine.replicas)
     {
         const auto it = index_.find(replica.model);
-        if (replica.adapters.empty() || it == index_.end())
+        if ((replica.adapters.empty() && replica.outdated_adapters.empty()) ||
+            it == index_.end())
             continue;
         for (const auto& each : view_.models[it->second].adapters)
-            if (replica.adapters.contains(each.id) && each.waiting == 0 &&
-                each.tokens_per_second < limits_.adapter_idle_below &&
-                !engine.adapters_going.contains(each.id))
+        {
+            if (!nobody_asks_for(each) ||
+                engine.adapters_going.contains(each.id))
+                continue;
+            if (replica.adapters.contains(each.id))
                 out.push_back({replica.model, each});
+            for (const auto& old : replica.outdated_adapters)
+                if (old.id == each.id)
+                    out.push_back({replica.model,
+                        {old.id, old.version, old.bytes, each.tokens_per_second,
+                            each.waiting}});
+        }
     }
     std::stable_sort(out.begin(), out.end(),
         [](const idle_adapter& a, const idle_adapter& b)
@@ -40,7 +69,7 @@
 {
     auto used = engine.adapters_coming.size();
     for (const auto& replica : engine.replicas)
-        used += replica.adapters.size();
+        used += replica.adapters.size() + replica.outdated_adapters.size();
     return limits_.adapters_per_engine <= 0 ||
            static_cast<std::int64_t>(used) < limits_.adapters_per_engine;
 }
@@ -48,10 +77,8 @@
 void plan_draft::make_room_for_adapter(
     engine_view& engine, const adapter_demand& wanted)
 {
-    const bool idle = wanted.waiting == 0 &&
-                      wanted.tokens_per_second < limits_.adapter_idle_below;
     // An unload that is under way shows first what it brings.
-    if (idle || !engine.adapters_going.empty())
+    if (nobody_asks_for(wanted) || !engine.adapters_going.empty())
         return;
     const auto options = idle_adapters(engine);
     auto free = engine.free_bytes;
@@ -64,6 +91,33 @@
         unload_adapter(engine, options[i]);
 }
 
+bool plan_draft::nobody_asks_for(const adapter_demand& adapter) const
+{
+    return adapter.waiting == 0 &&
+           adapter.tokens_per_second < limits_.adapter_idle_below;
+}
+
+bool plan_draft::may_load_adapter(
+    const engine_view& engine, const adapter_demand& wanted) const
+{
+    // A copy of an open unload could take the version away again.
+    return engine.accepts_command &&
+           !engine.adapters_coming.contains(wanted.id) &&
+           !engine.adapters_going.contains(wanted.id) &&
+           view_.adapter_loads_open < limits_.adapters_in_flight;
+}
+
+void plan_draft::load_adapter(
+    engine_view& engine, const model_id& model, const adapter_demand& wanted)
+{
+    moves_.push_back({command_kind::load_adapter, engine.id, model, wanted.id,
+        wanted.version, wanted.bytes, false});
+    engine.free_bytes -= wanted.bytes;
+    engine.adapters_coming.insert(wanted.id);
+    engine.accepts_command = !engine.one_command_at_a_time;
+    ++view_.adapter_loads_open;
+}
+
 void plan_draft::load_adapters()
 {
     for (auto& engine : view_.engines)
@@ -79,26 +133,104 @@
             {
                 const bool asked =
                     wanted.waiting > 0 || wanted.tokens_per_second > 0;
-                if (!asked || !engine.accepts_command ||
-                    replica.adapters.contains(wanted.id) ||
-                    engine.adapters_coming.contains(wanted.id) ||
-                    view_.adapter_loads_open >= limits_.adapters_in_flight)
+                if (!asked || holds(replica, wanted.id) ||
+                    !may_load_adapter(engine, wanted))
                     continue;
                 if (engine.free_bytes < wanted.bytes || !has_slot(engine))
                 {
                     make_room_for_adapter(engine, wanted);
                     continue;
                 }
-                moves_.push_back(
-                    {command_kind::load_adapter, engine.id, replica.model,
-                        wanted.id, wanted.version, wanted.bytes, false});
-                engine.free_bytes -= wanted.bytes;
-                engine.adapters_coming.insert(wanted.id);
-                engine.accepts_command = !engine.one_command_at_a_time;
-                ++view_.adapter_loads_open;
+                load_adapter(engine, replica.model, wanted);
             }
         }
     }
 }
 
+plan_draft::adapter_copies plan_draft::copies_of(
+    const model_id& model, const adapter_demand& wanted) const
+{
+    adapter_copies out;
+    for (std::size_t i = 0; i < view_.engines.size(); ++i)
+    {
+        const auto& engine = view_.engines[i];
+        if (!engine.usable)
+            continue;
+        const bool going = engine.adapters_going.contains(wanted.id);
+        // A command that was lost at a blocked engine never ends.
+        out.moving = out.moving ||
+                     (!engine.blocked &&
+                         (going || engine.adapters_coming.contains(wanted.id)));
+        for (const auto& replica : engine.replicas)
+        {
+            if (going || replica.model != model || !replica.ready ||
+                replica.going)
+                continue;
+            const bool current = replica.adapters.contains(wanted.id);
+            out.current += current ? 1 : 0;
+            for (const auto& old : replica.outdated_adapters)
+                if (old.id == wanted.id)
+                    (current ? out.surplus : out.outdated).push_back({i, old});
+            if (!holds(replica, wanted.id) && !engine.blocked &&
+                engine.free_bytes >= wanted.bytes && has_slot(engine))
+                out.room.push_back(i);
+        }
+    }
+    return out;
+}
+
+void plan_draft::unload_outdated_adapter(
+    const model_id& model, const std::vector<outdated_copy>& copies)
+{
+    for (const auto& [i, old] : copies)
+        if (view_.engines[i].accepts_command)
+            return unload_adapter(view_.engines[i],
+                {model, {old.id, old.version, old.bytes, 0, 0}});
+}
+
+void plan_draft::roll_out_adapter(
+    const model_id& model, const adapter_demand& wanted)
+{
+    const auto copies = copies_of(model, wanted);
+    if (copies.moving)
+        return;
+    if (!copies.surplus.empty())
+        return unload_outdated_adapter(model, copies.surplus);
+    const bool asked = wanted.waiting > 0 || wanted.tokens_per_second > 0;
+    if (!copies.room.empty() && (asked || copies.current == 0))
+    {
+        // Another engine gets the new version before an old one goes.
+        for (const auto i : copies.room)
+            if (may_load_adapter(view_.engines[i], wanted))
+                return load_adapter(view_.engines[i], model, wanted);
+        return;
+    }
+    if (copies.current > 0 || copies.outdated.size() > 1)
+        return unload_outdated_adapter(model, copies.outdated);
+    // The only copy. Requests that arrive meanwhile wait for the load.
+    if (!copies.outdated.empty() && wanted.waiting == 0 &&
+        (nobody_asks_for(wanted) ||
+            view_.engines[copies.outdated.front().engine].requests == 0))
+        unload_outdated_adapter(model, copies.outdated);
+}
+
+void plan_draft::roll_out_adapters()
+{
+    // Most plans find no old version and end here.
+    std::set<std::pair<model_id, adapter_id>> outdated;
+    for (const auto& engine : view_.engines)
+        if (engine.usable)
+            for (const auto& replica : engine.replicas)
+                for (const auto& old : replica.outdated_adapters)
+                    outdated.emplace(replica.model, old.id);
+    for (const auto& [model, adapter] : outdated)
+    {
+        if (!index_.contains(model))
+            continue;
+        for (const auto& wanted : find(model).adapters)
+            if (wanted.id == adapter)
+                roll_out_adapter(model, wanted);
+    }
+}
+
 } // namespace tarragonquay::placement
--- a/src/placement/plan_draft.hpp
+++ b/src/placement/plan_draft.hpp
@@ -32,6 +32,10 @@
     /// memory or the slots of an engine are used up, adapters that nobody asks
     /// for are unloaded first.
     void load_adapters();
+    /// Replaces old versions of adapters on one engine of an adapter at a
+    /// time. After `load_adapters`, so that engines that lack the adapter get
+    /// the new version first.
+    void roll_out_adapters();
     /// Adds replicas where the gain per byte is worth the move.
     void add_replicas();
 
@@ -59,6 +63,25 @@
         model_id model;
         adapter_demand demand;
     };
+    // A replica with an old version of an adapter.
+    struct outdated_copy
+    {
+        std::size_t engine = 0;
+        outdated_adapter adapter;
+    };
+    // Where an adapter is and could be, on usable engines.
+    struct adapter_copies
+    {
+        // A command for the adapter is open.
+        bool moving = false;
+        // Replicas with the configured version, or with one that is not told.
+        int current = 0;
+        std::vector<outdated_copy> outdated;
+        // Old versions at replicas that have the configured one as well.
+        std::vector<outdated_copy> surplus;
+        // Engines that lack the adapter and have room for it.
+        std::vector<std::size_t> room;
+    };
     // Replicas and adapters of one engine that make room when they are
     // unloaded.
     struct room
@@ -95,6 +118,16 @@
     std::vector<idle_adapter> idle_adapters(const engine_view& engine) const;
     void unload_adapter(engine_view& engine, const idle_adapter& which);
     bool has_slot(const engine_view& engine) const;
+    bool may_load_adapter(
+        const engine_view& engine, const adapter_demand& wanted) const;
+    void load_adapter(engine_view& engine, const model_id& model,
+        const adapter_demand& wanted);
+    bool nobody_asks_for(const adapter_demand& adapter) const;
+    adapter_copies copies_of(
+        const model_id& model, const adapter_demand& wanted) const;
+    void roll_out_adapter(const model_id& model, const adapter_demand& wanted);
+    void unload_outdated_adapter(
+        const model_id& model, const std::vector<outdated_copy>& copies);
     void make_room_for_adapter(
         engine_view& engine, const adapter_demand& wanted);
     // Whether the model may take the last replica of another one.
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -12,6 +12,7 @@
     draft.keep_demanded_models();
     draft.load_missing_models(true);
     draft.load_adapters();
+    draft.roll_out_adapters();
     draft.add_replicas();
     return draft.take_moves();
 }
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -11,6 +11,16 @@
 namespace tarragonquay::placement
 {
 
+/// A resident version of an adapter that is not the configured one.
+struct outdated_adapter
+{
+    adapter_id id;
+    std::string version;
+    std::int64_t bytes = 0;
+
+    auto operator<=>(const outdated_adapter&) const = default;
+};
+
 /// One version of a model on one engine, as the planner sees it.
 struct replica_view
 {
@@ -23,7 +33,10 @@
     bool coming = false;
     /// An unload command is open.
     bool going = false;
+    /// Resident in the configured version, or in one that the engine does not
+    /// tell.
     std::set<adapter_id> adapters;
+    std::set<outdated_adapter> outdated_adapters;
 
     auto operator<=>(const replica_view&) const = default;
 };
@@ -42,6 +55,8 @@
     /// Accepts no command before its next restart, since a command to it was
     /// lost.
     bool blocked = false;
+    /// Requests that run or wait there, as last reported.
+    std::int64_t requests = 0;
     std::vector<replica_view> replicas;
     /// Adapters whose load command is open.
     std::set<adapter_id> adapters_coming;
@@ -150,7 +165,9 @@
 /// and only when all models do not fit at once (`move::swap`). In that case,
 /// the models with the highest demand per byte are kept on a part of the
 /// engines, and the others take turns on the rest. A new version of a model is
-/// loaded on another engine before the old one is unloaded. Adapters that
+/// loaded on another engine before the old one is unloaded. An old version of
+/// an adapter is unloaded on one engine at a time, and the new one is loaded
+/// there; an only copy goes once nobody uses it. Adapters that
 /// nobody asks for are unloaded where their memory or slots are needed.
 std::vector<move> plan(const cluster_view& view, const planner_limits& limits);
 
--- a/src/placement/planner_test.cpp
+++ b/src/placement/planner_test.cpp
@@ -87,6 +87,14 @@
     CPPUNIT_TEST(suspected_engine_has_time_to_return_before_a_swap);
     CPPUNIT_TEST(unknown_engine_has_time_to_report_before_a_swap);
     CPPUNIT_TEST(models_take_turns_beside_a_blocked_engine);
+    CPPUNIT_TEST(each_old_adapter_goes_on_one_engine_at_a_time);
+    CPPUNIT_TEST(unload_or_load_of_an_adapter_holds_up_its_rollout);
+    CPPUNIT_TEST(new_adapter_version_is_loaded_on_another_engine_first);
+    CPPUNIT_TEST(only_old_adapter_stays_while_it_is_used);
+    CPPUNIT_TEST(only_old_adapter_goes_once_no_request_runs);
+    CPPUNIT_TEST(old_adapter_goes_where_the_new_one_is_ready);
+    CPPUNIT_TEST(lost_command_does_not_hold_up_the_rollout_elsewhere);
+    CPPUNIT_TEST(idle_old_adapter_gives_up_its_own_version);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -299,7 +307,147 @@
                     model("d", 1, 2)}}));
     }
 
+    // Guards against an adapter that is reachable nowhere during its rollout.
+    void each_old_adapter_goes_on_one_engine_at_a_time()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("unload_adapter rhyme@1 e1;"),
+            adapter_rollout({with_adapters("e1", {"1"}),
+                with_adapters("e2", {"1"}), with_adapters("e3", {"1"})}));
+        // The engine that was emptied gets the new version before the next
+        // one loses the old version.
+        CPPUNIT_ASSERT_EQUAL(std::string("load_adapter rhyme@2 e1;"),
+            adapter_rollout({with_adapters("e1", {}),
+                with_adapters("e2", {"1"}), with_adapters("e3", {"1"})}));
+        CPPUNIT_ASSERT_EQUAL(std::string("unload_adapter rhyme@1 e2;"),
+            adapter_rollout({with_adapters("e1", {"2"}),
+                with_adapters("e2", {"1"}), with_adapters("e3", {"1"})}));
+        CPPUNIT_ASSERT_EQUAL(std::string(),
+            adapter_rollout(
+                {with_adapters("e1", {"2"}), with_adapters("e2", {"2"})}));
+    }
+
+    void unload_or_load_of_an_adapter_holds_up_its_rollout()
+    {
+        auto going = with_adapters("e1", {"1"});
+        going.adapters_going = {adapter_id("rhyme")};
+        auto coming = with_adapters("e1", {});
+        coming.adapters_coming = {adapter_id("rhyme")};
+        for (const auto& busy : {going, coming})
+            CPPUNIT_ASSERT_EQUAL(std::string(),
+                adapter_rollout({busy, with_adapters("e2", {"1"}),
+                    with_adapters("e3", {"1"})}));
+    }
+
+    void new_adapter_version_is_loaded_on_another_engine_first()
+    {
+        for (const double demand : {10.0, 0.0})
+            CPPUNIT_ASSERT_EQUAL(std::string("load_adapter rhyme@2 e2;"),
+                adapter_rollout(
+                    {with_adapters("e1", {"1"}), with_adapters("e2", {})},
+                    demand));
+        CPPUNIT_ASSERT_EQUAL(std::string("unload_adapter rhyme@1 e1;"),
+            adapter_rollout(
+                {with_adapters("e1", {"1"}), with_adapters("e2", {"2"})}));
+    }
+
+    // Guards against callers without an answer while the only copy changes.
+    void only_old_adapter_stays_while_it_is_used()
+    {
+        auto full = with_adapters("e2", {});
+        full.free_bytes = 0;
+        auto used = with_adapters("e1", {"1"});
+        used.requests = 1;
+        CPPUNIT_ASSERT_EQUAL(std::string(), adapter_rollout({used, full}));
+        used.requests = 0;
+        CPPUNIT_ASSERT_EQUAL(std::string(), adapter_rollout({used}, 10, 1));
+    }
+
+    // Guards against an old version that answers for ever in a region with
+    // one engine.
+    void only_old_adapter_goes_once_no_request_runs()
+    {
+        auto only = with_adapters("e1", {"1"});
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("unload_adapter rhyme@1 e1;"), adapter_rollout({only}));
+        // Requests of others run; nobody asks for this adapter.
+        only.requests = 5;
+        CPPUNIT_ASSERT_EQUAL(std::string("unload_adapter rhyme@1 e1;"),
+            adapter_rollout({only}, 0.05));
+    }
+
+    void old_adapter_goes_where_the_new_one_is_ready()
+    {
+        auto both = with_adapters("e1", {"1", "2"});
+        both.requests = 5;
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("unload_adapter rhyme@1 e1;"), adapter_rollout({both}));
+    }
+
+    // Guards against a rollout that ends with the first lost command.
+    void lost_command_does_not_hold_up_the_rollout_elsewhere()
+    {
+        auto blocked = with_adapters("e1", {"1"});
+        blocked.accepts_command = false;
+        blocked.blocked = true;
+        blocked.adapters_going = {adapter_id("rhyme")};
+        CPPUNIT_ASSERT_EQUAL(std::string("unload_adapter rhyme@1 e2;"),
+            adapter_rollout({blocked, with_adapters("e2", {"1"}),
+                with_adapters("e3", {"1"})}));
+        // The copy at the blocked engine is not counted as reachable.
+        auto used = with_adapters("e2", {"1"});
+        used.requests = 1;
+        CPPUNIT_ASSERT_EQUAL(std::string(), adapter_rollout({blocked, used}));
+    }
+
+    // Guards against an unload that names a version that is not resident, so
+    // that its memory never becomes free.
+    void idle_old_adapter_gives_up_its_own_version()
+    {
+        auto poet = model("poet", 10);
+        poet.adapters = {{adapter_id("rhyme"), "2", gigabyte, 0, 0},
+            {adapter_id("asked"), "1", gigabyte, 5, 0}};
+        auto full = with_adapters("e1", {"1"});
+        full.free_bytes = 0;
+        CPPUNIT_ASSERT_EQUAL(std::string("unload_adapter rhyme@1 e1;"),
+            versioned({{full}, {poet}}));
+    }
+
 private:
+    static engine_view with_adapters(
+        const std::string& id, const std::vector<std::string>& versions)
+    {
+        auto holding = ready("poet");
+        for (const auto& version : versions)
+        {
+            if (version == "2")
+                holding.adapters.insert(adapter_id("rhyme"));
+            else
+                holding.outdated_adapters.insert(
+                    {adapter_id("rhyme"), version, gigabyte});
+        }
+        return engine(id, 5, {holding});
+    }
+
+    static std::string versioned(const cluster_view& view)
+    {
+        std::string out;
+        for (const auto& each : plan(view, planner_limits()))
+            out += std::string(to_string(each.kind)) + " " +
+                   each.adapter.str() + "@" + each.version + " " +
+                   each.endpoint.str() + ";";
+        return out;
+    }
+
+    // Plan for the model poet with the adapter rhyme, whose configured
+    // version is 2.
+    static std::string adapter_rollout(std::vector<engine_view> engines,
+        double demand = 10, std::int64_t waiting = 0)
+    {
+        auto poet = model("poet", 10);
+        poet.adapters = {{adapter_id("rhyme"), "2", gigabyte, demand, waiting}};
+        return versioned({std::move(engines), {poet}});
+    }
+
     // Plan for one engine with a model whose last adapter is not resident.
     static std::string adapter_plan(std::int64_t free_gigabytes,
         const std::vector<std::pair<std::string, double>>& adapters,
--- a/src/placement/region_model_test.hpp
+++ b/src/placement/region_model_test.hpp
@@ -103,7 +103,7 @@
             own.limits.least_residence_s = 1;
             holders_.push_back(std::make_unique<test_controller>(
                 own, store_, clocks_.at(i), network_));
-            holders_.back()->update(settings_, models_, {});
+            holders_.back()->update(settings_, models_, adapters_);
         }
         queued_reports_.resize(holders_.size());
         asked_reports_.resize(holders_.size());
@@ -115,6 +115,8 @@
         for (std::size_t i = 0; i < models_.size(); ++i)
             all.push_back({models_[i].id, {}, 0, i == hot ? 250.0 : 5.0, 0,
                 std::nullopt});
+        for (const auto& each : adapters_)
+            all.push_back({each.model, each.id, 0, 5.0, 0, std::nullopt});
         for (auto& holder : holders_)
             holder->set_demand(all);
     }
@@ -123,7 +125,35 @@
     {
         models_[model].version += "+";
         for (auto& holder : holders_)
-            holder->update(settings_, models_, {});
+            holder->update(settings_, models_, adapters_);
+    }
+    // Adds an adapter of a model, or gives it a version and a size.
+    void put_adapter(const std::string& id, std::size_t model,
+        const std::string& version, std::int64_t bytes)
+    {
+        std::erase_if(adapters_,
+            [&](const catalog::adapter& each) { return each.id.str() == id; });
+        adapters_.push_back(
+            {adapter_id(id), models_[model].id, version, bytes});
+        for (auto& holder : holders_)
+            holder->update(settings_, models_, adapters_);
+    }
+    // Resident copies of each version of an adapter.
+    std::map<std::string, int> adapter_versions(const std::string& id) const
+    {
+        std::map<std::string, int> out;
+        for (const auto& engine : engines_)
+            for (const auto& resident : engine.report().adapters)
+                if (resident.adapter.str() == id)
+                    ++out[*resident.version];
+        return out;
+    }
+    // Engines at which requests find the adapter.
+    int reachable(const std::string& id, std::size_t model) const
+    {
+        return static_cast<int>(std::count_if(engines_.begin(), engines_.end(),
+            [&](const engine_model& each)
+            { return each.ready(models_[model].id, adapter_id(id)); }));
     }
     // Whether each model is ready, and no replica is of an old version.
     bool only_configured_versions() const
@@ -315,6 +345,7 @@
     std::vector<engine_model> engines_;
     std::vector<catalog::endpoint> settings_;
     std::vector<catalog::model> models_;
+    std::vector<catalog::adapter> adapters_;
     std::vector<std::vector<routing::endpoint_report>> asked_reports_;
     std::vector<std::vector<routing::endpoint_report>> queued_reports_;
     std::string lost_;
--- a/src/placement/view_builder.cpp
+++ b/src/placement/view_builder.cpp
@@ -19,8 +19,22 @@
     return engine.replicas.emplace_back(std::move(fresh));
 }
 
+using adapter_versions = std::map<adapter_id, std::string>;
+
+void add_adapter(replica_view& replica, const ledger& accounts,
+    const routing::resident_adapter& resident,
+    const adapter_versions& configured)
+{
+    const auto wanted = configured.find(resident.adapter);
+    if (wanted == configured.end() || resident.matches(wanted->second))
+        replica.adapters.insert(resident.adapter);
+    else
+        replica.outdated_adapters.insert({resident.adapter, *resident.version,
+            accounts.adapter_bytes(resident)});
+}
+
 void add_residents(engine_view& engine, const ledger& accounts,
-    const routing::endpoint_report& report)
+    const routing::endpoint_report& report, const adapter_versions& configured)
 {
     for (const auto& resident : report.models)
     {
@@ -34,7 +48,7 @@
     for (const auto& resident : report.adapters)
         for (auto& replica : engine.replicas)
             if (replica.model == resident.model)
-                replica.adapters.insert(resident.adapter);
+                add_adapter(replica, accounts, resident, configured);
 }
 
 void add_intent(engine_view& engine, cluster_view& view, const intent& value,
@@ -123,6 +137,9 @@
 {
     cluster_view view;
     view.models = model_views(inputs);
+    adapter_versions configured;
+    for (const auto& each : inputs.adapters)
+        configured[each.id] = each.version;
     for (const auto& [id, account] : accounts.engines())
     {
         engine_view engine;
@@ -136,7 +153,11 @@
         engine.one_command_at_a_time = !account.honours_fencing;
         engine.free_bytes = accounts.free_bytes(id);
         if (account.report)
-            add_residents(engine, accounts, *account.report);
+        {
+            engine.requests =
+                std::int64_t(account.report->running) + account.report->waiting;
+            add_residents(engine, accounts, *account.report, configured);
+        }
         for (const auto& [command_id, value] : account.intents)
         {
             const bool recent = inputs.recent.contains(command_id);
