Split the replica of the configuration by duty

Cause: replica.hpp had 528 lines that held the applied state, the reading of the log, the commits, and the calls of the store that come back to the control thread. Each now has a header: applied_configuration.hpp with its source, log_reader.hpp, committer.hpp and store_access.hpp. replica.hpp joins them and keeps its interface, so no caller changes. The code was moved, not rewritten.

The tests of replica_test.cpp moved unchanged to the file beside the part that they test. Each now says which failure it guards against.

Ruled out: sources for log_reader and committer, which are templates over the store and the clock.

Not run: integration tests.

--- /dev/null
+++ b/src/catalog/committer_test.cpp
@@ -0,0 +1,155 @@
+#include "catalog/committer.hpp"
+
+#include "catalog/replica_nodes_test.hpp"
+
+namespace tarragonquay::catalog
+{
+
+using platform::fake_store;
+
+class committer_test : public replica_nodes
+{
+    CPPUNIT_TEST_SUITE(committer_test);
+    CPPUNIT_TEST(of_two_racing_operators_one_gets_a_conflict);
+    CPPUNIT_TEST(racing_changes_of_different_entities_both_commit);
+    CPPUNIT_TEST(concurrent_commits_of_one_instance_end_without_a_poll);
+    CPPUNIT_TEST(a_lost_answer_is_settled_by_the_operation_row);
+    CPPUNIT_TEST(an_unsettled_commit_ends_at_its_deadline);
+    CPPUNIT_TEST(a_repeated_operation_returns_its_first_revision);
+    CPPUNIT_TEST(a_change_survives_one_call_without_an_answer);
+    CPPUNIT_TEST(a_missed_snapshot_is_made_up_for_soon);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a change that overwrites one its operator never saw.
+    void of_two_racing_operators_one_gets_a_conflict()
+    {
+        std::optional<result<std::int64_t>> first;
+        std::optional<result<std::int64_t>> second;
+        start(a_, workspace_change("w", 1), "op1", 0, first);
+        start(b_, workspace_change("w", 2), "op2", 0, second);
+        a_.run();
+        b_.run();
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), text_of(first));
+        CPPUNIT_ASSERT_EQUAL(std::string("conflict"), text_of(second));
+        CPPUNIT_ASSERT(
+            second->error().message().find("revision 1") != std::string::npos);
+    }
+
+    // Guards against a head conflict that is reported to the operator.
+    void racing_changes_of_different_entities_both_commit()
+    {
+        std::optional<result<std::int64_t>> first;
+        std::optional<result<std::int64_t>> second;
+        start(a_, workspace_change("w", 1), "op1", 0, first);
+        start(b_, workspace_change("v", 2), "op2", 0, second);
+        a_.run();
+        b_.run();
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), text_of(first));
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), text_of(second));
+        a_.poll();
+        CPPUNIT_ASSERT(a_.get().current() == b_.get().current());
+    }
+
+    // Guards against commits of one instance that wait for the next poll.
+    void concurrent_commits_of_one_instance_end_without_a_poll()
+    {
+        std::optional<result<std::int64_t>> first;
+        std::optional<result<std::int64_t>> second;
+        std::optional<result<std::int64_t>> repeat;
+        start(a_, workspace_change("w", 1), "op1", 0, first);
+        start(a_, workspace_change("v", 2), "op2", 0, second);
+        start(a_, workspace_change("w", 1), "op1", 0, repeat);
+        a_.run();
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), text_of(first));
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), text_of(second));
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), text_of(repeat));
+    }
+
+    // Guards against a change that is committed twice.
+    void a_lost_answer_is_settled_by_the_operation_row()
+    {
+        std::optional<result<std::int64_t>> outcome;
+        // The commit reads the head and the operation before it writes.
+        store_.set_fault_after(2, fake_store::fault::answers_lost);
+        start(a_, workspace_change("w", 1), "op1", 0, outcome);
+        a_.run();
+        CPPUNIT_ASSERT_EQUAL(std::string("no answer"), text_of(outcome));
+        store_.set_fault(fake_store::fault::none);
+        // Another instance moves on; the commit must not run twice.
+        commit(b_, workspace_change("w", 3), "op2", 1);
+        a_.poll();
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), text_of(outcome));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(2), a_.get().revision());
+    }
+
+    // Guards against a claim that a change which may be committed was not.
+    void an_unsettled_commit_ends_at_its_deadline()
+    {
+        std::optional<result<std::int64_t>> outcome;
+        store_.set_fault_after(2, fake_store::fault::answers_lost);
+        start(a_, workspace_change("w", 1), "op1", 0, outcome);
+        a_.run();
+        clock_.advance(std::chrono::seconds(31));
+        a_.poll();
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("store_outcome_unknown"), text_of(outcome));
+    }
+
+    // Guards against a repeated operation that becomes a second change.
+    void a_repeated_operation_returns_its_first_revision()
+    {
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("1"), commit(a_, workspace_change("w", 1), "op1", 0));
+        commit(a_, workspace_change("v", 1), "op2", 0);
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("1"), commit(b_, workspace_change("w", 1), "op1", 0));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(2), store_.revision());
+    }
+
+    // Guards against changes that are refused because the connection to the
+    // store went silent; the first failed call replaces it.
+    void a_change_survives_one_call_without_an_answer()
+    {
+        for (const int calls_before : {0, 1, 2})
+        {
+            const auto name = "w" + std::to_string(calls_before);
+            std::optional<result<std::int64_t>> outcome;
+            store_.set_fault_after(calls_before, fake_store::fault::down);
+            start(a_, workspace_change(name, 1), "op-" + name, 0, outcome);
+            a_.run(calls_before);
+            store_.set_fault(fake_store::fault::none);
+            a_.run();
+            CPPUNIT_ASSERT_EQUAL(
+                std::to_string(calls_before + 1), text_of(outcome));
+        }
+    }
+
+    // Guards against a log that grows by a whole interval because a snapshot
+    // failed or its writer ended.
+    void a_missed_snapshot_is_made_up_for_soon()
+    {
+        const auto commit_up_to = [&](std::int64_t last)
+        {
+            for (auto i = a_.get().revision() + 1; i <= last; ++i)
+                commit(
+                    a_, workspace_change("w", i), "op" + std::to_string(i), -1);
+        };
+        a_.objects_fail = true;
+        commit_up_to(snapshot_interval);
+        CPPUNIT_ASSERT(!store_.rows().contains(rows::snapshot_pointer));
+        a_.objects_fail = false;
+        commit_up_to(snapshot_interval + snapshot_check_interval);
+        CPPUNIT_ASSERT(store_.rows().contains(rows::snapshot_pointer));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), objects_.size());
+        // The next one is due a whole interval later.
+        commit_up_to(2 * snapshot_interval);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), objects_.size());
+        commit_up_to(2 * snapshot_interval + snapshot_check_interval);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), objects_.size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(committer_test);
+
+} // namespace tarragonquay::catalog
--- /dev/null
+++ b/src/catalog/store_access.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "catalog/rows.hpp"
+#include "common/clock.hpp"
+#include "common/error.hpp"
+#include "platform/client.hpp"
+
+namespace tarragonquay::catalog
+{
+
+/// Runs a function on the control thread.
+using post_function = std::function<void(std::function<void()>)>;
+
+/// Calls of the store whose handlers continue on the control thread, and only
+/// while this object exists. The store must outlive its own handlers.
+template <platform::table_store Store, clock_source Clock>
+class store_access
+{
+public:
+    /// Bound of one call of the store, so that a frozen call leaves time to
+    /// settle its outcome.
+    static constexpr std::chrono::seconds call_limit{2};
+
+    store_access(Store& store, const Clock& clock, post_function post)
+        : store_(store), clock_(clock), post_(std::move(post))
+    {
+    }
+
+    store_access(const store_access&) = delete;
+    store_access& operator=(const store_access&) = delete;
+
+    Store& store() const { return store_; }
+    time_point now() const { return clock_.now(); }
+    time_point call_deadline() const { return now() + call_limit; }
+
+    /// A handler that continues on the control thread while this lives.
+    template <class T, class Function>
+    platform::handler<T> on_control(Function function) const
+    {
+        return [alive = std::weak_ptr<char>(alive_), post = post_,
+                   function = std::move(function)](result<T> value)
+        {
+            post(
+                [alive, function, value = std::move(value)]
+                {
+                    if (!alive.expired())
+                        function(value);
+                });
+        };
+    }
+
+    /// Reads a row that holds a revision.
+    template <class Function>
+    void read_revision(
+        const std::string& key, time_point deadline, Function on_done) const
+    {
+        store_.read({key}, deadline,
+            on_control<std::vector<platform::row>>(
+                [on_done = std::move(on_done)](
+                    const result<std::vector<platform::row>>& found)
+                {
+                    on_done(found ? rows::parse_revision_row(*found)
+                                  : tl::unexpected(found.error()));
+                }));
+    }
+
+private:
+    Store& store_;
+    const Clock& clock_;
+    const post_function post_;
+    /// Expires with this object; handlers check it.
+    std::shared_ptr<char> alive_ = std::make_shared<char>();
+};
+
+} // namespace tarragonquay::catalog
