Refuse placement rows out of range, and saturate the accounts

A holder also accepted a row whose key names another command: it could never be erased, and two rows of one command were concluded together.

Such rows are now refused as malformed_message and logged, and the sums of the ledger saturate. The row of a lease out of range is taken over like an unreadable one, as before.

Trial: without the comparison of key and value, damaged_rows_of_intents_are_ignored fails.

--- a/src/placement/controller.hpp
+++ b/src/placement/controller.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "catalog/types.hpp"
+#include "common/log.hpp"
 #include "common/random.hpp"
 #include "events/recorder.hpp"
 #include "placement/lease_keeper.hpp"
@@ -112,6 +113,7 @@
 
     void start_scan();
     void scan_page(std::string after, commands found, int generation);
+    result<intent> read_intent(const platform::row& row) const;
     void take_scanned(commands found);
     void refill_loads();
     void plan_and_commit();
@@ -141,6 +143,7 @@
     double loads_allowed_ = 1;
     time_point refilled_at_{};
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+    log::logger logger_ = log::make_logger("placement");
 };
 
 } // namespace tarragonquay::placement
--- a/src/placement/controller.ipp
+++ b/src/placement/controller.ipp
@@ -142,8 +142,14 @@
                 return;
             }
             for (const auto& row : page->rows)
-                if (auto value = intent_from_row(row.value))
+            {
+                auto value = read_intent(row);
+                if (value)
                     found.push_back(std::move(*value));
+                else
+                    TQ_LOG(logger_, warning)
+                        << "Ignored a row: " << value.error().message();
+            }
             if (page->more && !page->rows.empty())
                 return scan_page(
                     page->rows.back().key, std::move(found), generation);
@@ -151,6 +157,20 @@
         });
 }
 
+// A row whose key names another command could never be erased, and two rows of
+// one command would be concluded together.
+template <platform::table_store S, clock_source C, command_transport T,
+    placement_planner P>
+result<intent> controller<S, C, T, P>::read_intent(
+    const platform::row& row) const
+{
+    auto value = intent_from_row(row.value);
+    if (value && row_key(*value) != row.key)
+        return fail(error_code::malformed_message,
+            "The intent names another command than its row.");
+    return value;
+}
+
 template <platform::table_store S, clock_source C, command_transport T,
     placement_planner P>
 void controller<S, C, T, P>::take_scanned(commands found)
--- a/src/placement/controller_test.cpp
+++ b/src/placement/controller_test.cpp
@@ -77,6 +77,7 @@
     CPPUNIT_TEST(nothing_moves_while_the_store_is_down);
     CPPUNIT_TEST(intent_with_a_lost_answer_is_read_back_and_sent);
     CPPUNIT_TEST(new_holder_accounts_commands_that_are_on_their_way);
+    CPPUNIT_TEST(damaged_rows_of_intents_are_ignored);
     CPPUNIT_TEST(new_version_replaces_the_old_one_everywhere);
     CPPUNIT_TEST(faults_never_overcommit_memory_or_lose_a_model);
     CPPUNIT_TEST(engine_restarts_never_overcommit_memory);
@@ -173,6 +174,29 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), known.count(command.command_id));
     }
 
+    // Guards against a holder that stops at a damaged row, or takes a row for
+    // a command other than the one its key names: it could not be erased, and
+    // two rows of one command would be concluded together.
+    void damaged_rows_of_intents_are_ignored()
+    {
+        region world;
+        const intent foreign{"c", endpoint_id("e0"), "1", 5,
+            command_kind::load_model, model_id("m0"), {}, "1", 90, 0};
+        const std::string prefix = "placement/r/intent/";
+        world.store_.store.transact({},
+            {{prefix + "e1/c", to_row(foreign)},
+                {prefix + "e0/d", to_row(foreign)},
+                {prefix + "e0/x", "damaged"}},
+            {}, [](const auto&) {});
+        world.tick(0);
+        world.tick(0);
+        CPPUNIT_ASSERT(world.holders_[0]->active());
+        CPPUNIT_ASSERT(world.holders_[0]->accounts().intents().empty());
+        world.demand(9);
+        world.run_quietly(10);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), world.ready_models());
+    }
+
     // Guards against a rollout that stops half way or leaves a model without
     // a ready replica.
     void new_version_replaces_the_old_one_everywhere()
--- a/src/placement/ledger.cpp
+++ b/src/placement/ledger.cpp
@@ -1,6 +1,7 @@
 #include "placement/ledger.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace tarragonquay::placement
@@ -55,6 +56,15 @@
     return false;
 }
 
+// A sum that wrapped around would make a full engine look empty.
+std::int64_t sum_of(std::int64_t left, std::int64_t right)
+{
+    std::int64_t sum = 0;
+    return __builtin_add_overflow(left, right, &sum)
+               ? std::numeric_limits<std::int64_t>::max()
+               : sum;
+}
+
 // Whether the engine has finished the command, with effect or without.
 bool finished(const endpoint_report& report, const intent& value)
 {
@@ -176,7 +186,10 @@
     if (engine.report)
     {
         for (const auto& resident : engine.report->models)
-            models[{resident.model, resident.version}] += resident.bytes;
+        {
+            auto& bytes = models[{resident.model, resident.version}];
+            bytes = sum_of(bytes, resident.bytes);
+        }
         for (const auto& resident : engine.report->adapters)
         {
             const auto size = adapter_bytes_.find(resident.adapter);
@@ -184,9 +197,9 @@
                 size == adapter_bytes_.end() ? 0 : size->second;
         }
         for (const auto& [model, bytes] : models)
-            total += bytes;
+            total = sum_of(total, bytes);
         for (const auto& [adapter, bytes] : adapters)
-            total += bytes;
+            total = sum_of(total, bytes);
         // The engine also knows what is not listed, such as a load that has
         // just begun.
         total = std::max(total, engine.report->used_bytes);
@@ -197,7 +210,8 @@
         auto& known = value.adapter.empty()
                           ? models[{value.model, value.version}]
                           : adapters[value.adapter];
-        total += std::max<std::int64_t>(0, value.bytes - known);
+        if (value.bytes > known)
+            total = sum_of(total, value.bytes - known);
         known = std::max(known, value.bytes);
     }
     return total;
--- a/src/placement/types.cpp
+++ b/src/placement/types.cpp
@@ -1,5 +1,6 @@
 #include "placement/types.hpp"
 
+#include "catalog/types.hpp"
 #include "records.pb.h"
 
 namespace tarragonquay::placement
@@ -43,6 +44,36 @@
     }
 }
 
+// Larger numbers are damaged; the next one must never overflow.
+constexpr std::int64_t max_number = 1'000'000'000'000'000;
+// As in the reports of engines, which may name models and adapters that the
+// configuration lacks and whose names it would refuse.
+constexpr std::size_t max_text_bytes = 512;
+
+bool in_range(std::int64_t value, std::int64_t least)
+{
+    return value >= least && value <= max_number;
+}
+
+bool is_for_adapter(command_kind kind)
+{
+    return kind == command_kind::load_adapter ||
+           kind == command_kind::unload_adapter;
+}
+
+bool names_are_valid(const kind_message& message, command_kind kind)
+{
+    const auto is_short = [](const std::string& text)
+    { return text.size() <= max_text_bytes; };
+    return catalog::is_valid_id(message.command_id()) &&
+           catalog::is_valid_id(message.endpoint()) &&
+           is_short(message.model()) && is_short(message.adapter()) &&
+           is_short(message.version()) &&
+           is_short(message.engine_incarnation()) &&
+           // The ledger tells adapters from models by the adapter's name.
+           is_for_adapter(kind) != message.adapter().empty();
+}
+
 } // namespace
 
 std::string_view to_string(command_kind kind)
@@ -86,6 +117,11 @@
     const auto kind = from_proto(message.kind());
     if (!kind)
         return tl::unexpected<error>(kind.error());
+    // The numbers of commands begin at 1.
+    if (!names_are_valid(message, *kind) || !in_range(message.fencing(), 1) ||
+        message.bytes() < 0 || message.deadline_unix_ms() < 0)
+        return fail(error_code::malformed_message,
+            "The intent has a name or a number out of range.");
     return intent{message.command_id(), endpoint_id(message.endpoint()),
         message.engine_incarnation(), message.fencing(), *kind,
         model_id(message.model()), adapter_id(message.adapter()),
@@ -108,6 +144,12 @@
     if (!message.ParseFromString(bytes))
         return fail(
             error_code::malformed_message, "The lease can't be parsed.");
+    if (!in_range(message.fencing(), 0) || !in_range(message.renewals(), 0) ||
+        message.instance().empty() ||
+        message.instance().size() > max_text_bytes ||
+        message.incarnation().size() > max_text_bytes)
+        return fail(error_code::malformed_message,
+            "The lease has a name or a number out of range.");
     return lease{message.instance(), message.incarnation(), message.fencing(),
         message.renewals()};
 }
