Bound the receivers of shares in an epoch

Cause: a fuzz test with requests of 3,000 made-up instances and as many made-up incarnations of one instance found no bound: each got a share, and the limiter kept its name, its sequence number and its transfer until the epoch ended, and named it as a guest. At most 1,500 receivers, twice the instances to design for, now get shares in one epoch; members always do.

Ruled out: the 64 guests that a message can name. A larger fleet that joins in an outage of the store would be refused; without names the next epoch waits for the fencing time, which is correct.

Before: requests_of_made_up_instances_are_bounded failed (more than 1,500 guests). After: unit.limits, 20 tests, passed; formatter and linter clean.

--- a/src/limits/limiter.cpp
+++ b/src/limits/limiter.cpp
@@ -23,6 +23,9 @@
 // Transfers to one member that are not acknowledged yet. It bounds what a
 // receiver has to remember; a few are open at a time.
 constexpr std::uint64_t transfer_window = 64;
+// Receivers of transfers that are no members, and members. Twice the instances
+// to design for.
+constexpr std::size_t max_receivers = 1500;
 // A member whose heartbeats, one each 500 ms, have stopped for this long gets
 // no shares of a stopping one.
 constexpr duration successor_silence = std::chrono::seconds(2);
@@ -405,6 +408,15 @@
     return found != incarnations_.end() && found->second == who.incarnation;
 }
 
+// Any process can ask in the name of instances that do not exist, and each
+// receiver is remembered until the epoch ends.
+template <class Policy>
+bool basic_limiter<Policy>::may_give(const receiver& to) const
+{
+    return is_member(to) || last_transfer_.contains(to) ||
+           last_transfer_.size() < max_receivers;
+}
+
 template <class Policy>
 bool basic_limiter<Policy>::is_known(const std::string& incarnation) const
 {
@@ -420,12 +432,12 @@
 void basic_limiter<Policy>::donate(const workspace_id& workspace, bucket& from,
     const receiver& to, std::int64_t shares, std::int64_t level, time_point now)
 {
-    auto& sequence = last_transfer_[to];
     const auto open = std::count_if(outgoing_.begin(), outgoing_.end(),
         [&](const auto& entry) { return entry.second.to == to; });
-    if (shares <= 0 || shares > from.shares ||
+    if (shares <= 0 || shares > from.shares || !may_give(to) ||
         static_cast<std::uint64_t>(open) >= transfer_window)
         return;
+    auto& sequence = last_transfer_[to];
     // Set before the transfer exists, so that no acknowledgement of the next
     // membership change can lack it.
     if (!is_member(to))
--- a/src/limits/limiter.hpp
+++ b/src/limits/limiter.hpp
@@ -242,6 +242,7 @@
     receiver member_receiver(const instance_id& member) const;
     bool is_member(const receiver& who) const;
     /// Whether this is an incarnation of a member or of a guest.
+    bool may_give(const receiver& to) const;
     bool is_known(const std::string& incarnation) const;
     bool may_move() const;
     /// Whether this instance has not had its first share yet.
--- a/src/limits/message_fuzz_test.cpp
+++ b/src/limits/message_fuzz_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST_SUITE(message_fuzz_test);
     CPPUNIT_TEST(damaged_messages_keep_shares_and_level_in_range);
     CPPUNIT_TEST(transfers_of_unknown_senders_are_not_remembered);
+    CPPUNIT_TEST(requests_of_made_up_instances_are_bounded);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint64_t seed = 20261204;
@@ -74,6 +75,32 @@
         CPPUNIT_ASSERT(tested_.on_transfer(whole_transfer(), now_));
     }
 
+    // Guards against memory and messages that grow with each made-up
+    // instance, and with each made-up incarnation of one instance.
+    void requests_of_made_up_instances_are_bounded()
+    {
+        // Four times the instances to design for.
+        constexpr int made_up = 3000;
+        constexpr std::size_t most_guests = 1500;
+        peer::Share_request request;
+        request.set_workspace(acme_.str());
+        request.set_epoch(1);
+        request.set_level_millitokens(1);
+        for (int i = 0; i < made_up; ++i)
+        {
+            const auto name = "x" + std::to_string(i);
+            tested_.on_request(instance_id(name), name + "-1", request, now_);
+            tested_.on_request(instance_id("y"), name + "-2", request, now_);
+        }
+        const auto& guests = tested_.given_guests().incarnations;
+        CPPUNIT_ASSERT(guests.size() >= 700 && guests.size() <= most_guests);
+        CPPUNIT_ASSERT(tested_.take_messages(now_).size() <= most_guests);
+        // A member still gets what it asks for.
+        tested_.on_request(instance_id("i1"), "i1-1", request, now_);
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t(1), tested_.take_messages(now_).size());
+    }
+
 private:
     peer::Share_transfer whole_transfer() const
     {
