--- a/src/daemon/control_core.cpp
+++ b/src/daemon/control_core.cpp
@@ -59,7 +59,7 @@
     local_ = make_member(settings, {entry_address, settings.listen.peer});
     auto transport = peering::transport::create(
         control_, settings.listen.peer, local_.instance, local_.incarnation,
-        [this](const peer::Envelope& envelope) { on_message(envelope); },
+        [this](const peer::Envelope& envelope) { receive(envelope); },
         local_.peer_address);
     if (!transport)
         return tl::unexpected<error>(transport.error());
--- a/src/daemon/control_core.hpp
+++ b/src/daemon/control_core.hpp
@@ -64,6 +64,11 @@
     }
     const catalog::member& local() const { return local_; }
 
+    /// Handles a message of another instance, as the transport delivers it.
+    /// Fails with `malformed_message` or `payload_too_large` when it was
+    /// dropped.
+    result<void> on_message(const peer::Envelope& envelope);
+
     void admit(const workspace_id& workspace, std::int64_t tokens,
         time_point deadline,
         std::function<void(result<limits::reservation>)> on_done);
@@ -118,7 +123,7 @@
     // Messages between instances.
     void send(const instance_id& to, peer::Envelope message);
     void stamp(peer::Envelope& message);
-    void on_message(const peer::Envelope& envelope);
+    void receive(const peer::Envelope& envelope);
     void on_share_transfer(const peer::Envelope& envelope);
     peer::Catch_up_reply read_changes(std::int64_t after) const;
     void apply_catch_up(const peer::Catch_up_reply& reply);
--- a/src/daemon/control_messages.cpp
+++ b/src/daemon/control_messages.cpp
@@ -2,10 +2,32 @@
 
 #include "daemon/control_core.hpp"
 
+#include <algorithm>
+
+#include <fmt/format.h>
+
 // Messages between instances and the membership's collaborators.
 namespace tarragonquay::daemon
 {
 
+namespace
+{
+
+// Names are remembered, sent on and logged, so they have to be short and
+// without line ends.
+result<void> check_names(const peer::Envelope& envelope)
+{
+    const auto& guests = envelope.guest_incarnations();
+    if (!catalog::is_valid_id(envelope.from_instance()) ||
+        !catalog::is_valid_id(envelope.from_incarnation()) ||
+        !std::all_of(guests.begin(), guests.end(), catalog::is_valid_id))
+        return fail(error_code::malformed_message,
+            "a message names no instance or incarnation");
+    return {};
+}
+
+} // namespace
+
 membership::collaborators control_core::collaborators()
 {
     membership::collaborators parts;
@@ -68,37 +90,46 @@
     transport_->send(to, std::move(message));
 }
 
-void control_core::on_message(const peer::Envelope& envelope)
+void control_core::receive(const peer::Envelope& envelope)
 {
+    if (const auto taken = on_message(envelope); !taken)
+        TQ_LOG(logger_, warning)
+            << "Dropped a message: " << taken.error().message() << ".";
+}
+
+result<void> control_core::on_message(const peer::Envelope& envelope)
+{
+    if (auto checked = check_names(envelope); !checked)
+        return checked;
     process_.events.observe({envelope.sent_wall_ms(), envelope.sent_logical()});
     if (membership_->on_message(envelope))
-        return;
+        return {};
     const instance_id from(envelope.from_instance());
     const auto now = clock_.now();
     switch (envelope.body_case())
     {
     case peer::Envelope::kShareTransfer:
-        return on_share_transfer(envelope);
+        on_share_transfer(envelope);
+        return {};
     case peer::Envelope::kShareTransferAck:
-        return limiter_->on_transfer_ack(envelope.share_transfer_ack());
+        limiter_->on_transfer_ack(envelope.share_transfer_ack());
+        return {};
     case peer::Envelope::kShareRequest:
         limiter_->on_request(
             from, envelope.from_incarnation(), envelope.share_request(), now);
-        return send_limiter_messages();
+        send_limiter_messages();
+        return {};
     case peer::Envelope::kDemandReport:
-        if (const auto taken =
-                demand_.receive(from, envelope.demand_report(), now);
-            !taken)
-            TQ_LOG(logger_, warning) << "Dropped a message from " << from
-                                     << ": " << taken.error().message() << ".";
-        return;
+        return demand_.receive(from, envelope.demand_report(), now);
     case peer::Envelope::kEventsRequest:
-        return timeline_->on_request(from, envelope.events_request());
+        timeline_->on_request(from, envelope.events_request());
+        return {};
     case peer::Envelope::kEventsReply:
-        return timeline_->on_reply(from, envelope.events_reply());
+        timeline_->on_reply(from, envelope.events_reply());
+        return {};
     default:
-        TQ_LOG(logger_, warning)
-            << "Dropped a message without a known body from " << from << ".";
+        return fail(error_code::malformed_message,
+            fmt::format("a message of {} has no known body", from.str()));
     }
 }
 
