Show the thread sanitizer the completion queues of gRPC

Cause: integration.orders gave 28 reports for tq-standin, all between ServerUnaryReactor::Finish, called at the end of platform_service::serve, and CallbackWithSuccessTag::Run. They were false: Finish fills the operation before grpc_call_start_batch, and Run reads it after grpc_completion_queue_next has handed its tag back, but the queue is in a library that is not instrumented. The two calls are now passed through definitions in the executable, which release and acquire the tag, as is done for the locks of absl already.

Ruled out, by reading the stand-in and the headers of gRPC: Finish before the handler has returned, which gRPC allows (it binds the reactor under a lock); a reply that is changed after Finish, since the effect runs before it and nothing follows it; a second Finish. A suppression was ruled out too: the frames of Finish also serialize the reply, and those of Run release it, so either would hide exactly these faults of the stand-in.

Not run: other tests with the thread sanitizer.

--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -44,11 +44,13 @@
   set(${out_tests} ${tests} PARENT_SCOPE)
 endfunction()
 
-# A program; the thread sanitizer also needs to see the locks of gRPC.
+# A program; the thread sanitizer also needs to see the locks and the completion
+# queues of gRPC.
 function(tq_executable name)
   add_executable(${name} ${ARGN})
   if(TQ_SANITIZE STREQUAL "thread")
     target_sources(${name} PRIVATE
+      ${PROJECT_SOURCE_DIR}/cmake/thread_sanitizer_grpc.cpp
       ${PROJECT_SOURCE_DIR}/cmake/thread_sanitizer_mutex.cpp)
     target_link_libraries(${name} PRIVATE ${CMAKE_DL_LIBS})
   endif()
