Refuse an instance name that peers would drop

Cause: peers drop messages whose sender has no valid name, but a daemon with such a name in its settings started and was never heard.

Change: the start fails with invalid_argument and says which characters a name may have. unit.membership passes, 27 tests.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -39,9 +39,12 @@
 result<std::unique_ptr<membership>> membership::create(
     catalog::member local, std::vector<std::string> seeds, collaborators parts)
 {
-    if (local.instance.empty() || local.incarnation.empty())
+    // Peers drop messages with other names.
+    if (!catalog::is_valid_id(local.instance.str()) ||
+        !catalog::is_valid_id(local.incarnation))
         return fail(error_code::invalid_argument,
-            "a member needs an instance id and an incarnation");
+            "the name of an instance consists of letters, digits, '-', '_', "
+            "'.' and ':'");
     return std::unique_ptr<membership>(
         new membership(std::move(local), std::move(seeds), std::move(parts)));
 }
--- a/src/membership/membership_test.cpp
+++ b/src/membership/membership_test.cpp
@@ -12,6 +12,7 @@
 class membership_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(membership_test);
+    CPPUNIT_TEST(names_that_peers_would_drop_are_refused);
     CPPUNIT_TEST(instances_join_and_open_an_epoch);
     CPPUNIT_TEST(silent_member_is_removed_and_fenced_before_the_epoch);
     CPPUNIT_TEST(member_missing_from_the_platform_list_is_removed);
@@ -33,6 +34,18 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against an instance that starts and is never heard.
+    void names_that_peers_would_drop_are_refused()
+    {
+        for (const auto* name : {"", "two words", "line\nend"})
+        {
+            const auto made = membership::create(
+                {instance_id(name), "a-1", "a:1", "", "", ""}, {}, {});
+            CPPUNIT_ASSERT(!made);
+            CPPUNIT_ASSERT(made.error().code() == error_code::invalid_argument);
+        }
+    }
+
     void instances_join_and_open_an_epoch()
     {
         start(3);
