--- a/src/orders/order_book_test.cpp
+++ b/src/orders/order_book_test.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(store_outage_refuses_without_dispatch);
     CPPUNIT_TEST(lost_answer_is_read_back);
     CPPUNIT_TEST(unsettled_write_is_marked_not_run_later);
+    CPPUNIT_TEST(order_recorded_too_late_gets_no_permit);
     CPPUNIT_TEST(answer_is_stored_after_an_outage);
     CPPUNIT_TEST(abandoned_order_has_an_unknown_outcome);
     CPPUNIT_TEST(operator_settles_an_unknown_outcome);
@@ -149,6 +150,22 @@
         permit_of(begin(a, make_call(all)));
     }
 
+    // Guards against a dispatch after the caller has given up, when the store
+    // answers late; a repeat may run the order.
+    void order_recorded_too_late_gets_no_permit()
+    {
+        world all;
+        instance a(all, "a");
+        result<begin_outcome> out = fail(error_code::internal, "none");
+        a.book.begin(make_call(all),
+            [&](result<begin_outcome> got) { out = std::move(got); });
+        all.clock.advance(std::chrono::seconds(11));
+        a.settle();
+        assert_code(error_code::deadline_exceeded, out);
+        CPPUNIT_ASSERT(out.error().execution() == execution_state::not_run);
+        permit_of(begin(a, make_call(all)));
+    }
+
     // Guards against a completed order whose answer is lost.
     void answer_is_stored_after_an_outage()
     {
