Compile the main program of the tests once

Cause: clang-tidy read tests/support/unit_test_main.cpp once for each of the 35 test programs that compiled it, alone for over two minutes at the end of the lint.

Change: an object library that all test programs link.

All test programs build; unit.limits, orders, settings, catalog and integration.standins pass.

--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -56,13 +56,20 @@
   endif()
 endfunction()
 
+# Compiled once for all tests; the linter reads a file as often as it is compiled.
+function(tq_test_main)
+  add_library(tq_test_main OBJECT
+    ${PROJECT_SOURCE_DIR}/tests/support/unit_test_main.cpp)
+  target_link_libraries(tq_test_main PRIVATE tq_options PkgConfig::CPPUNIT)
+endfunction()
+
 # A unit-test program of the *_test.cpp files of one folder.
 function(tq_unit_tests name tests)
   if(NOT tests)
     return()
   endif()
   tq_executable(${name}_tests ${tests}
-    ${PROJECT_SOURCE_DIR}/tests/support/unit_test_main.cpp)
+    $<TARGET_OBJECTS:tq_test_main>)
   target_link_libraries(${name}_tests PRIVATE ${ARGN} rapidcheck
     PkgConfig::CPPUNIT)
   target_include_directories(${name}_tests PRIVATE ${PROJECT_SOURCE_DIR}/tests)
@@ -138,7 +145,7 @@
   foreach(test ${tests})
     get_filename_component(name ${test} NAME_WE)
     tq_executable(${name} ${test}
-      ${PROJECT_SOURCE_DIR}/tests/support/unit_test_main.cpp)
+      $<TARGET_OBJECTS:tq_test_main>)
     if(support)
       target_link_libraries(${name} PRIVATE tq_test_support)
     endif()
