--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -58,6 +58,9 @@
 
 # Compiled once for all tests; the linter reads a file as often as it is compiled.
 function(tq_test_main)
+  if(NOT TQ_TESTS)
+    return()
+  endif()
   add_library(tq_test_main OBJECT
     ${PROJECT_SOURCE_DIR}/tests/support/unit_test_main.cpp)
   target_link_libraries(tq_test_main PRIVATE tq_options PkgConfig::CPPUNIT)
@@ -65,7 +68,7 @@
 
 # A unit-test program of the *_test.cpp files of one folder.
 function(tq_unit_tests name tests)
-  if(NOT tests)
+  if(NOT tests OR NOT TQ_TESTS)
     return()
   endif()
   tq_executable(${name}_tests ${tests}
@@ -126,8 +129,21 @@
     tq_options)
 endfunction()
 
+# The adapter of the users' platform; only programs may use it.
+function(tq_platform_adapter)
+  tq_sources(platform sources tests)
+  add_library(tq_platform_adapter STATIC ${sources})
+  target_link_libraries(tq_platform_adapter PUBLIC ${TQ_LIBRARIES} tq_generated
+    tq_options)
+  target_include_directories(tq_platform_adapter PUBLIC ${PROJECT_SOURCE_DIR})
+  tq_unit_tests(platform_adapter "${tests}" tq_platform_adapter)
+endfunction()
+
 # Tests with real processes: each tests/<name>_test.cpp is one program.
 function(tq_integration_tests)
+  if(NOT TQ_TESTS)
+    return()
+  endif()
   file(GLOB tests CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/tests/*_test.cpp)
   file(GLOB support CONFIGURE_DEPENDS
     ${PROJECT_SOURCE_DIR}/tests/support/*.cpp)
--- a/experiment/region_sim.cpp
+++ b/experiment/region_sim.cpp
@@ -85,7 +85,7 @@
 }
 
 void direct_transport::send(const placement::intent& command,
-    const platform::handler<placement::command_answer>& on_done)
+    const store::handler<placement::command_answer>& on_done)
 {
     if (command.adapter.empty())
     {
--- a/experiment/region_sim.hpp
+++ b/experiment/region_sim.hpp
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "placement/controller.hpp"
-#include "platform/fake_store.hpp"
+#include "store/fake_store.hpp"
 
 namespace tarragonquay::experiment
 {
@@ -76,7 +76,7 @@
     {
     }
     void send(const placement::intent& command,
-        const platform::handler<placement::command_answer>& on_done);
+        const store::handler<placement::command_answer>& on_done);
 
 private:
     std::vector<loading_engine>& engines_;
@@ -141,7 +141,7 @@
     constexpr double step_s = 0.1;
     region_outcome outcome;
     fake_clock clock;
-    platform::fake_store store;
+    store::fake_store store;
     std::vector<loading_engine> engines;
     std::vector<catalog::endpoint> endpoints;
     for (std::size_t i = 0; i < settings.accelerators; ++i)
@@ -156,7 +156,7 @@
     const auto models = make_models(settings);
     const auto adapters = make_adapters(settings, models);
     direct_transport transport(engines, outcome, clock);
-    placement::controller<platform::fake_store, fake_clock, direct_transport,
+    placement::controller<store::fake_store, fake_clock, direct_transport,
         Planner>
         control({"r", "i", "1", settings.limits}, store, clock, transport);
     control.update(endpoints, models, adapters);
--- a/src/catalog/committer.hpp
+++ b/src/catalog/committer.hpp
@@ -20,13 +20,13 @@
 #include "common/clock.hpp"
 #include "common/error.hpp"
 #include "config.pb.h"
-#include "platform/client.hpp"
+#include "store/client.hpp"
 
 namespace tarragonquay::catalog
 {
 
 /// Commits changes to the configuration log of the store.
-template <platform::table_store Store, clock_source Clock>
+template <store::table_store Store, clock_source Clock>
 class committer
 {
 public:
@@ -63,7 +63,7 @@
     /// deadline, and with `deadline_exceeded` when others were always first.
     void commit(config::Change change, std::string operation_id,
         std::int64_t expected_revision, time_point deadline,
-        platform::handler<std::int64_t> on_done)
+        store::handler<std::int64_t> on_done)
     {
         if (!is_valid_id(operation_id))
             return on_done(fail(error_code::invalid_argument,
@@ -88,7 +88,7 @@
         config::Change change;
         std::int64_t expected_revision;
         time_point deadline;
-        platform::handler<std::int64_t> on_done;
+        store::handler<std::int64_t> on_done;
         rows::revision_row head;
         /// Version of the head row that a transaction without an answer
         /// depends on; while the head keeps it, the transaction may apply.
@@ -202,13 +202,13 @@
                 {rows::log(change.revision()), change.SerializeAsString()},
                 {rows::operation(change.operation_id()), text}},
             call_deadline(*task),
-            access_.template on_control<platform::transact_outcome>(
-                [this, task](const result<platform::transact_outcome>& outcome)
+            access_.template on_control<store::transact_outcome>(
+                [this, task](const result<store::transact_outcome>& outcome)
                 { on_written(task, outcome); }));
     }
 
     void on_written(
-        const task_ptr& task, const result<platform::transact_outcome>& outcome)
+        const task_ptr& task, const result<store::transact_outcome>& outcome)
     {
         if (!outcome)
         {
--- a/src/catalog/log_reader.hpp
+++ b/src/catalog/log_reader.hpp
@@ -16,13 +16,13 @@
 #include "catalog/store_access.hpp"
 #include "common/error.hpp"
 #include "config.pb.h"
-#include "platform/client.hpp"
+#include "store/client.hpp"
 
 namespace tarragonquay::catalog
 {
 
 /// Applies the changes that the store holds: its log and its snapshot.
-template <platform::table_store Store, clock_source Clock>
+template <store::table_store Store, clock_source Clock>
 class log_reader
 {
 public:
@@ -61,10 +61,10 @@
         for (auto next = applied_.revision() + 1; next <= last; ++next)
             keys.push_back(rows::log(next));
         access_.store().read(std::move(keys), access_.call_deadline(),
-            access_.template on_control<std::vector<platform::row>>(
+            access_.template on_control<std::vector<store::row>>(
                 [this, target, last, may_load_snapshot,
                     on_done = std::move(on_done)](
-                    const result<std::vector<platform::row>>& found)
+                    const result<std::vector<store::row>>& found)
                 {
                     if (!found)
                         return on_done(tl::unexpected(found.error()));
@@ -81,7 +81,7 @@
                 }));
     }
 
-    result<void> apply_rows(const std::vector<platform::row>& found)
+    result<void> apply_rows(const std::vector<store::row>& found)
     {
         std::vector<config::Change> changes;
         for (const auto& row : found)
--- a/src/catalog/replica.hpp
+++ b/src/catalog/replica.hpp
@@ -16,7 +16,7 @@
 #include "common/clock.hpp"
 #include "common/error.hpp"
 #include "config.pb.h"
-#include "platform/client.hpp"
+#include "store/client.hpp"
 
 namespace tarragonquay::catalog
 {
@@ -25,7 +25,7 @@
 /// changes to it. Belongs to the control thread; handlers of the store may
 /// arrive on other threads. Destroying a replica drops its commits in flight
 /// without a call of their handlers; the store must outlive its own handlers.
-template <platform::table_store Store, clock_source Clock>
+template <store::table_store Store, clock_source Clock>
 class replica
 {
 public:
@@ -94,7 +94,7 @@
     /// See committer::commit.
     void commit(config::Change change, std::string operation_id,
         std::int64_t expected_revision, time_point deadline,
-        platform::handler<std::int64_t> on_done)
+        store::handler<std::int64_t> on_done)
     {
         committer_.commit(std::move(change), std::move(operation_id),
             expected_revision, deadline, std::move(on_done));
--- a/src/catalog/rows.hpp
+++ b/src/catalog/rows.hpp
@@ -8,7 +8,7 @@
 #include <fmt/format.h>
 
 #include "common/error.hpp"
-#include "platform/client.hpp"
+#include "store/client.hpp"
 
 // Names and values of the configuration's rows; internal to the slice.
 namespace tarragonquay::catalog::rows
@@ -59,7 +59,7 @@
 
 /// Reads a row that holds a revision; all zero when there is no such row.
 inline result<revision_row> parse_revision_row(
-    const std::vector<platform::row>& found)
+    const std::vector<store::row>& found)
 {
     if (found.empty())
         return revision_row{};
--- a/src/catalog/snapshot_writer.hpp
+++ b/src/catalog/snapshot_writer.hpp
@@ -13,7 +13,7 @@
 #include "common/clock.hpp"
 #include "common/log.hpp"
 #include "config.pb.h"
-#include "platform/client.hpp"
+#include "store/client.hpp"
 
 namespace tarragonquay::catalog
 {
@@ -29,10 +29,10 @@
 struct object_store
 {
     std::function<void(std::string name, std::string content, time_point,
-        platform::handler<bool>)>
+        store::handler<bool>)>
         put;
     std::function<void(std::string name, time_point,
-        platform::handler<std::optional<std::string>>)>
+        store::handler<std::optional<std::string>>)>
         fetch;
 };
 
@@ -41,7 +41,7 @@
 /// and of the rows of their operations. A failure leaves the older snapshot
 /// and a longer log in place, which is safe. Steps run inside the store's
 /// handlers and touch no state of the replica.
-template <platform::table_store Store>
+template <store::table_store Store>
 class snapshot_writer
     : public std::enable_shared_from_this<snapshot_writer<Store>>
 {
@@ -68,7 +68,7 @@
     {
         store_.read({rows::snapshot_pointer}, deadline_,
             [self = this->shared_from_this(), on_read = std::move(on_read)](
-                const result<std::vector<platform::row>>& found)
+                const result<std::vector<store::row>>& found)
             {
                 if (!found)
                     return self->give_up("pointer", found.error());
@@ -102,7 +102,7 @@
         store_.transact({{rows::snapshot_pointer, version}},
             {{rows::snapshot_pointer, std::to_string(revision_)}}, deadline_,
             [self = this->shared_from_this()](
-                const result<platform::transact_outcome>& outcome)
+                const result<store::transact_outcome>& outcome)
             {
                 if (!outcome)
                     self->give_up("pointer", outcome.error());
@@ -117,7 +117,7 @@
     {
         store_.scan(rows::log_prefix, "", erased_at_once, deadline_,
             [self = this->shared_from_this()](
-                const result<platform::scan_page>& page)
+                const result<store::scan_page>& page)
             {
                 if (page)
                     self->erase_log(page->rows);
@@ -130,11 +130,11 @@
     /// loaded the previous one. The row of an operation is erased together
     /// with its log row; as long as the log row is there, no later operation
     /// can have taken the same id.
-    void erase_log(const std::vector<platform::row>& found)
+    void erase_log(const std::vector<store::row>& found)
     {
         const auto last_erased = rows::log(revision_ - snapshot_interval);
-        std::vector<platform::condition> present;
-        std::vector<platform::write> erasures;
+        std::vector<store::condition> present;
+        std::vector<store::write> erasures;
         for (const auto& row : found)
         {
             if (row.key > last_erased)
@@ -150,7 +150,7 @@
             return;
         store_.transact(std::move(present), std::move(erasures), deadline_,
             [self = this->shared_from_this()](
-                const result<platform::transact_outcome>& outcome)
+                const result<store::transact_outcome>& outcome)
             {
                 if (!outcome)
                     self->give_up("log", outcome.error());
--- a/src/catalog/store_access.hpp
+++ b/src/catalog/store_access.hpp
@@ -10,7 +10,7 @@
 #include "catalog/rows.hpp"
 #include "common/clock.hpp"
 #include "common/error.hpp"
-#include "platform/client.hpp"
+#include "store/client.hpp"
 
 namespace tarragonquay::catalog
 {
@@ -20,7 +20,7 @@
 
 /// Calls of the store whose handlers continue on the control thread, and only
 /// while this object exists. The store must outlive its own handlers.
-template <platform::table_store Store, clock_source Clock>
+template <store::table_store Store, clock_source Clock>
 class store_access
 {
 public:
@@ -42,7 +42,7 @@
 
     /// A handler that continues on the control thread while this lives.
     template <class T, class Function>
-    platform::handler<T> on_control(Function function) const
+    store::handler<T> on_control(Function function) const
     {
         return [alive = std::weak_ptr<char>(alive_), post = post_,
                    function = std::move(function)](result<T> value)
@@ -62,9 +62,9 @@
         const std::string& key, time_point deadline, Function on_done) const
     {
         store_.read({key}, deadline,
-            on_control<std::vector<platform::row>>(
+            on_control<std::vector<store::row>>(
                 [on_done = std::move(on_done)](
-                    const result<std::vector<platform::row>>& found)
+                    const result<std::vector<store::row>>& found)
                 {
                     on_done(found ? rows::parse_revision_row(*found)
                                   : tl::unexpected(found.error()));
--- a/src/common/clock.hpp
+++ b/src/common/clock.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <time.h>
+
 #include <chrono>
 #include <concepts>
 #include <cstdint>
@@ -27,6 +29,20 @@
     time_point now() const { return std::chrono::steady_clock::now(); }
 };
 
+/// Counts the time that the machine was suspended as well, which the
+/// monotonic clock does not. For leases, which lapse meanwhile.
+class suspend_aware_clock
+{
+public:
+    time_point now() const
+    {
+        timespec value{};
+        ::clock_gettime(CLOCK_BOOTTIME, &value);
+        return time_point(std::chrono::seconds(value.tv_sec) +
+                          std::chrono::nanoseconds(value.tv_nsec));
+    }
+};
+
 /// A clock that tests move by hand.
 class fake_clock
 {
--- a/src/daemon/application.cpp
+++ b/src/daemon/application.cpp
@@ -55,7 +55,7 @@
 
 result<void> application::open()
 {
-    auto store = platform::client::create(settings_.platform_address);
+    auto store = store::client::create(settings_.platform_address);
     if (!store)
         return tl::unexpected<error>(store.error());
     store_ = std::move(*store);
--- a/src/daemon/application.hpp
+++ b/src/daemon/application.hpp
@@ -63,7 +63,7 @@
     void run();
 
 private:
-    using order_book = orders::order_book<platform::client>;
+    using order_book = orders::order_book<store::client>;
 
     explicit application(settings::daemon_settings settings);
     result<void> open();
@@ -98,7 +98,7 @@
     catalog::published_state published_;
     events::recorder events_;
     metrics::registry metrics_;
-    std::unique_ptr<platform::client> store_;
+    std::unique_ptr<store::client> store_;
     std::unique_ptr<control_core> core_;
     std::unique_ptr<order_book> orders_;
     std::unique_ptr<ingress::server> server_;
--- a/src/daemon/control_core.cpp
+++ b/src/daemon/control_core.cpp
@@ -97,13 +97,13 @@
 {
     catalog::object_store objects;
     objects.put = [this](std::string name, std::string content,
-                      time_point deadline, platform::handler<bool> on_done)
+                      time_point deadline, store::handler<bool> on_done)
     {
         process_.store.put_object(
             std::move(name), std::move(content), deadline, std::move(on_done));
     };
     objects.fetch = [this](std::string name, time_point deadline,
-                        platform::handler<std::optional<std::string>> on_done) {
+                        store::handler<std::optional<std::string>> on_done) {
         process_.store.fetch_object(
             std::move(name), deadline, std::move(on_done));
     };
--- a/src/daemon/control_core.hpp
+++ b/src/daemon/control_core.hpp
@@ -27,7 +27,7 @@
 #include "operator.pb.h"
 #include "peering/transport.hpp"
 #include "placement/controller.hpp"
-#include "platform/client.hpp"
+#include "store/client.hpp"
 #include "routing/scheduler.hpp"
 #include "settings/settings.hpp"
 
@@ -38,7 +38,7 @@
 struct process_state
 {
     const settings::daemon_settings& settings;
-    platform::client& store;
+    store::client& store;
     catalog::published_state& published;
     events::recorder& events;
     metrics::registry& metrics;
@@ -108,7 +108,7 @@
 
 private:
     using replica_type =
-        catalog::replica<platform::client, steady_clock_source>;
+        catalog::replica<store::client, steady_clock_source>;
     using scheduler_type = routing::scheduler<steady_clock_source>;
     using placement_type = placement::controller<control_store,
         steady_clock_source, engine_commands>;
@@ -147,7 +147,7 @@
     void report_demand();
     void tick_placement();
     void poll_instance_list();
-    void on_instance_list(const platform::instance_list& list);
+    void on_instance_list(const store::instance_list& list);
     /// How long this instance can certainly admit requests.
     duration admits_for() const;
     void publish_lease();
--- a/src/daemon/control_endpoints.cpp
+++ b/src/daemon/control_endpoints.cpp
@@ -62,7 +62,7 @@
     if (std::exchange(listing_, true))
         return;
     process_.store.list_instances(clock_.now() + list_call_limit,
-        [this](result<platform::instance_list> listed)
+        [this](result<store::instance_list> listed)
         {
             boost::asio::post(control_,
                 [this, listed = std::move(listed)]
@@ -74,7 +74,7 @@
         });
 }
 
-void control_core::on_instance_list(const platform::instance_list& list)
+void control_core::on_instance_list(const store::instance_list& list)
 {
     const auto& configuration = replica_->current();
     std::vector<instance_id> present;
--- a/src/daemon/control_store.hpp
+++ b/src/daemon/control_store.hpp
@@ -8,7 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
-#include "platform/client.hpp"
+#include "store/client.hpp"
 
 namespace tarragonquay::daemon
 {
@@ -17,27 +17,27 @@
 class control_store
 {
 public:
-    control_store(platform::client& client, boost::asio::io_context& control)
+    control_store(store::client& client, boost::asio::io_context& control)
         : client_(client), control_(control)
     {
     }
 
-    void transact(std::vector<platform::condition> conditions,
-        std::vector<platform::write> writes, time_point deadline,
-        platform::handler<platform::transact_outcome> on_done)
+    void transact(std::vector<store::condition> conditions,
+        std::vector<store::write> writes, time_point deadline,
+        store::handler<store::transact_outcome> on_done)
     {
         client_.transact(std::move(conditions), std::move(writes), deadline,
             on_control(std::move(on_done)));
     }
 
     void read(std::vector<std::string> keys, time_point deadline,
-        platform::handler<std::vector<platform::row>> on_done)
+        store::handler<std::vector<store::row>> on_done)
     {
         client_.read(std::move(keys), deadline, on_control(std::move(on_done)));
     }
 
     void scan(std::string prefix, std::string after, std::int32_t limit,
-        time_point deadline, platform::handler<platform::scan_page> on_done)
+        time_point deadline, store::handler<store::scan_page> on_done)
     {
         client_.scan(std::move(prefix), std::move(after), limit, deadline,
             on_control(std::move(on_done)));
@@ -45,7 +45,7 @@
 
 private:
     template <class T>
-    platform::handler<T> on_control(platform::handler<T> on_done)
+    store::handler<T> on_control(store::handler<T> on_done)
     {
         return [this, on_done = std::move(on_done)](result<T> value)
         {
@@ -55,10 +55,10 @@
         };
     }
 
-    platform::client& client_;
+    store::client& client_;
     boost::asio::io_context& control_;
 };
 
-static_assert(platform::table_store<control_store>);
+static_assert(store::table_store<control_store>);
 
 } // namespace tarragonquay::daemon
--- a/src/daemon/engine_commands.cpp
+++ b/src/daemon/engine_commands.cpp
@@ -38,7 +38,7 @@
 
 boost::asio::awaitable<void> exchange(std::string address,
     records::Command_intent message,
-    platform::handler<placement::command_answer> on_done)
+    store::handler<placement::command_answer> on_done)
 {
     const auto answer = co_await endpoints::send_command(std::move(address),
         std::move(message), std::chrono::steady_clock::now() + answer_limit);
@@ -55,7 +55,7 @@
 }
 
 void engine_commands::send(const placement::intent& command,
-    platform::handler<placement::command_answer> on_done)
+    store::handler<placement::command_answer> on_done)
 {
     const auto address = addresses_.find(command.endpoint);
     if (address == addresses_.end())
--- a/src/daemon/engine_commands.hpp
+++ b/src/daemon/engine_commands.hpp
@@ -24,7 +24,7 @@
     void update(const catalog::snapshot& configuration);
 
     void send(const placement::intent& command,
-        platform::handler<placement::command_answer> on_done);
+        store::handler<placement::command_answer> on_done);
 
 private:
     boost::asio::io_context& control_;
--- /dev/null
+++ b/src/dispatch/endpoint_board.cpp
@@ -0,0 +1,358 @@
+#include "dispatch/endpoint_board.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+#include "common/digest.hpp"
+
+namespace tarragonquay::dispatch
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// Loads that a peer told earlier are out of date: most requests end sooner.
+constexpr milliseconds peer_load_lifetime{1'500};
+/// How long an engine's word that it lacks a model goes before the residency
+/// that was told. An adapter on its way arrives sooner.
+constexpr milliseconds missing_lifetime{200};
+/// Cost of another availability zone, in milliseconds of waiting: the way
+/// there and back.
+constexpr double zone_cost_ms = 3.0;
+/// Each running request slows an engine's steps a little.
+constexpr double running_cost_ms = 0.5;
+/// Waiting that a failure share of 1 is worth.
+constexpr double failure_cost_ms = 2'000.0;
+/// Waiting for memory of other requests when the KV cache is full.
+constexpr double full_cache_cost_ms = 300.0;
+/// Load of a plain endpoint, in requests for each slot, that weighs as much as
+/// the way to another zone.
+constexpr double zone_load = 0.3;
+constexpr double failure_load = 4.0;
+
+endpoint_load operator+(const endpoint_load& a, const endpoint_load& b)
+{
+    return {a.waiting_tokens + b.waiting_tokens, a.requests + b.requests,
+        a.held_tokens + b.held_tokens};
+}
+
+// Rank of an endpoint for a prompt prefix in rendezvous hashing.
+std::uint64_t rank(std::uint64_t endpoint, std::uint64_t prefix)
+{
+    const std::string_view bytes(
+        reinterpret_cast<const char*>(&endpoint), sizeof(endpoint));
+    return fast_hash(bytes, prefix);
+}
+
+time_point after_ms(time_point now, double ms)
+{
+    return now + std::chrono::duration_cast<duration>(
+                     std::chrono::duration<double, std::milli>(ms));
+}
+
+} // namespace
+
+void endpoint_board::put(endpoints::directory_entry entry)
+{
+    auto& at = records_[entry.id];
+    const bool same_process =
+        at.entry.started_unix_ms == entry.started_unix_ms &&
+        at.entry.address == entry.address && !at.entry.id.empty();
+    if (!same_process)
+    {
+        at = record();
+        at.id_hash = fast_hash(entry.id.str());
+    }
+    else
+    {
+        // A residency that was told with as many commands is more recent.
+        if (entry.accepted_commands < at.entry.accepted_commands ||
+            entry.accepted_commands == at.told_commands)
+        {
+            entry.models = std::move(at.entry.models);
+            entry.accepted_commands = at.entry.accepted_commands;
+        }
+        entry.leaving = entry.leaving || at.entry.leaving;
+    }
+    at.entry = std::move(entry);
+}
+
+void endpoint_board::erase(const endpoint_id& id)
+{
+    records_.erase(id);
+}
+
+void endpoint_board::mark_leaving(const endpoint_id& id)
+{
+    if (const auto found = records_.find(id); found != records_.end())
+        found->second.entry.leaving = true;
+}
+
+std::vector<endpoints::directory_entry> endpoint_board::entries() const
+{
+    std::vector<endpoints::directory_entry> out;
+    for (const auto& [id, each] : records_)
+        out.push_back(each.entry);
+    return out;
+}
+
+const endpoints::directory_entry* endpoint_board::find(
+    const endpoint_id& id) const
+{
+    const auto found = records_.find(id);
+    return found == records_.end() ? nullptr : &found->second.entry;
+}
+
+void endpoint_board::put_residency(const endpoint_id& id,
+    std::int64_t started_unix_ms, std::int64_t accepted_commands,
+    std::vector<endpoints::held_model> models)
+{
+    const auto found = records_.find(id);
+    if (found == records_.end() ||
+        found->second.entry.started_unix_ms != started_unix_ms ||
+        found->second.entry.accepted_commands > accepted_commands)
+        return;
+    auto& at = found->second;
+    if (at.entry.accepted_commands != accepted_commands ||
+        at.entry.models != models)
+        at.missing.clear();
+    at.told_commands = accepted_commands;
+    at.entry.accepted_commands = accepted_commands;
+    at.entry.models = std::move(models);
+}
+
+void endpoint_board::mark_missing(const endpoint_id& id, const model_id& model,
+    const adapter_id& adapter, time_point now)
+{
+    if (const auto found = records_.find(id); found != records_.end())
+        found->second.missing[{model, adapter}] = now + missing_lifetime;
+}
+
+endpoint_load endpoint_board::total_load(const record& of, time_point now)
+{
+    auto out = of.own;
+    for (const auto& [peer, told] : of.peers)
+        if (now - told.told_at < peer_load_lifetime)
+            out = out + told.load;
+    return out;
+}
+
+bool endpoint_board::holds(
+    const record& of, const prompt& request, time_point now)
+{
+    const auto missing = of.missing.find({request.model, request.adapter});
+    if (missing != of.missing.end() && now < missing->second)
+        return false;
+    for (const auto& each : of.entry.models)
+        if (each.model == request.model)
+            return request.adapter.empty() ||
+                   each.adapters.contains(request.adapter);
+    return false;
+}
+
+bool endpoint_board::usable(const record& of, const service_id& service,
+    const std::set<endpoint_id>& excluded, time_point now) const
+{
+    return of.entry.service == service && !of.entry.leaving &&
+           !excluded.contains(of.entry.id) &&
+           (!of.entry.gone_at || now < *of.entry.gone_at);
+}
+
+std::vector<const endpoint_board::record*> endpoint_board::candidates(
+    const service_id& service, const std::set<endpoint_id>& excluded,
+    time_point now) const
+{
+    std::vector<const record*> sound;
+    std::vector<const record*> suspended;
+    for (const auto& [id, each] : records_)
+        if (usable(each, service, excluded, now))
+            (each.health.suspended(now) ? suspended : sound).push_back(&each);
+    return sound.empty() ? suspended : sound;
+}
+
+double endpoint_board::rate(
+    const service_id& service, const model_id& model) const
+{
+    const auto found = rates_.find({service, model});
+    return found == rates_.end() ? prefill_rate::initial
+                                 : found->second.tokens_per_ms();
+}
+
+endpoint_choice endpoint_board::assess(const record& of,
+    const service_id& service, const prompt& request, bool home,
+    time_point now) const
+{
+    const auto load = total_load(of, now);
+    auto uncached = of.cache.uncached_tokens(request);
+    // The other instances send the same prefix to its home, so it is probably
+    // kept there.
+    if (home && !request.parts.empty())
+        uncached = std::min(
+            uncached, std::max<std::int64_t>(1, request.parts.back().tokens));
+    const auto wait =
+        static_cast<double>(load.waiting_tokens + uncached) /
+            rate(service, request.model) +
+        running_cost_ms * static_cast<double>(load.requests) +
+        failure_cost_ms * of.health.error_share() +
+        (of.entry.availability_zone == zone_ ? 0.0 : zone_cost_ms);
+    return {of.entry.id, of.entry.address, after_ms(now, wait), uncached,
+        load.waiting_tokens};
+}
+
+result<endpoint_choice> endpoint_board::choose_engine(const service_id& service,
+    const prompt& request, const std::set<endpoint_id>& excluded,
+    time_point now) const
+{
+    const auto all = candidates(service, excluded, now);
+    if (all.empty())
+        return fail(
+            error_code::no_endpoint, "the service has no engine to use");
+    std::vector<const record*> holders;
+    for (const auto* each : all)
+        if (holds(*each, request, now))
+            holders.push_back(each);
+    if (holders.empty())
+        return fail(error_code::model_not_ready,
+            "no engine holds the model or the adapter");
+    // Rendezvous hashing over the leading parts that requests share.
+    const auto hashes = request.prefix_hashes();
+    const auto shared = hashes.size() < 2 ? fast_hash(request.model.str())
+                                          : hashes[hashes.size() - 2];
+    const auto* home = *std::max_element(holders.begin(), holders.end(),
+        [&](const record* a, const record* b)
+        { return rank(a->id_hash, shared) < rank(b->id_hash, shared); });
+    std::optional<endpoint_choice> best;
+    for (const auto* each : holders)
+    {
+        auto option = assess(*each, service, request, each == home, now);
+        if (!best || option.expected_at < best->expected_at)
+            best = std::move(option);
+    }
+    return *best;
+}
+
+result<endpoint_choice> endpoint_board::choose_plain(const service_id& service,
+    const std::set<endpoint_id>& excluded, time_point now) const
+{
+    const record* best = nullptr;
+    double best_load = 0;
+    for (const auto* each : candidates(service, excluded, now))
+    {
+        const auto load =
+            static_cast<double>(total_load(*each, now).requests) /
+                static_cast<double>(
+                    std::max<std::int64_t>(1, each->entry.slots)) +
+            failure_load * each->health.error_share() +
+            (each->entry.availability_zone == zone_ ? 0.0 : zone_load);
+        if (best == nullptr || load < best_load)
+        {
+            best = each;
+            best_load = load;
+        }
+    }
+    if (best == nullptr)
+        return fail(
+            error_code::no_endpoint, "the service has no endpoint to use");
+    return endpoint_choice{best->entry.id, best->entry.address, now, 0, 0};
+}
+
+ticket endpoint_board::begin(const endpoint_choice& choice,
+    const prompt* request, std::int64_t cache_tokens, time_point now)
+{
+    ticket out;
+    out.endpoint = choice.id;
+    out.load.requests = 1;
+    out.sent_at = now;
+    const auto found = records_.find(choice.id);
+    if (request != nullptr)
+    {
+        out.load.waiting_tokens = choice.uncached_tokens;
+        out.load.held_tokens = choice.uncached_tokens + request->output_tokens;
+        out.tokens_to_read = choice.tokens_ahead + choice.uncached_tokens;
+        if (found != records_.end())
+            found->second.cache.insert(*request, cache_tokens);
+    }
+    if (found == records_.end())
+        return out;
+    out.started_unix_ms = found->second.entry.started_unix_ms;
+    found->second.own = found->second.own + out.load;
+    return out;
+}
+
+void endpoint_board::first_event(ticket& held, const service_id& service,
+    const model_id& model, time_point now)
+{
+    if (held.load.waiting_tokens == 0)
+        return;
+    const std::chrono::duration<double, std::milli> elapsed =
+        now - held.sent_at;
+    rates_[{service, model}].observe(held.tokens_to_read, elapsed.count());
+    const auto found = records_.find(held.endpoint);
+    if (found != records_.end() &&
+        found->second.entry.started_unix_ms == held.started_unix_ms)
+        found->second.own.waiting_tokens -= held.load.waiting_tokens;
+    held.load.waiting_tokens = 0;
+}
+
+void endpoint_board::finish(ticket& held)
+{
+    const auto found = records_.find(held.endpoint);
+    if (found != records_.end() &&
+        found->second.entry.started_unix_ms == held.started_unix_ms)
+    {
+        auto& own = found->second.own;
+        own.waiting_tokens -= held.load.waiting_tokens;
+        own.requests -= held.load.requests;
+        own.held_tokens -= held.load.held_tokens;
+    }
+    held.load = {};
+}
+
+void endpoint_board::record_answer(const endpoint_id& id, bool success)
+{
+    if (const auto found = records_.find(id); found != records_.end())
+        found->second.health.record_answer(success);
+}
+
+void endpoint_board::record_failure(const endpoint_id& id, time_point now)
+{
+    if (const auto found = records_.find(id); found != records_.end())
+        found->second.health.record_failure(now);
+}
+
+bool endpoint_board::suspended(const endpoint_id& id, time_point now) const
+{
+    const auto found = records_.find(id);
+    return found != records_.end() && found->second.health.suspended(now);
+}
+
+std::vector<std::pair<endpoint_id, endpoint_load>>
+endpoint_board::own_loads() const
+{
+    std::vector<std::pair<endpoint_id, endpoint_load>> out;
+    for (const auto& [id, each] : records_)
+        if (each.own != endpoint_load())
+            out.emplace_back(id, each.own);
+    return out;
+}
+
+void endpoint_board::put_peer_loads(const instance_id& peer,
+    const std::vector<std::pair<endpoint_id, endpoint_load>>& loads,
+    time_point now)
+{
+    erase_peer(peer);
+    for (const auto& [id, load] : loads)
+        if (const auto found = records_.find(id); found != records_.end())
+            found->second.peers[peer] = {load, now};
+}
+
+void endpoint_board::erase_peer(const instance_id& peer)
+{
+    for (auto& [id, each] : records_)
+        each.peers.erase(peer);
+}
+
+} // namespace tarragonquay::dispatch
--- /dev/null
+++ b/src/dispatch/endpoint_board.hpp
@@ -0,0 +1,156 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "common/clock.hpp"
+#include "common/error.hpp"
+#include "common/ids.hpp"
+#include "dispatch/endpoint_health.hpp"
+#include "dispatch/prefill_rate.hpp"
+#include "dispatch/prompt.hpp"
+#include "dispatch/prompt_cache_view.hpp"
+#include "endpoints/directory_entry.hpp"
+
+namespace tarragonquay::dispatch
+{
+
+/// Work that one instance has at an endpoint.
+struct endpoint_load
+{
+    /// Prompt tokens that are still to be read.
+    std::int64_t waiting_tokens = 0;
+    /// Requests that have not ended, waiting ones included.
+    std::int64_t requests = 0;
+    /// Tokens of these requests that the KV cache holds for them alone.
+    std::int64_t held_tokens = 0;
+
+    auto operator<=>(const endpoint_load&) const = default;
+};
+
+/// A request's place at an endpoint, from the send to the end.
+struct ticket
+{
+    endpoint_id endpoint;
+    std::int64_t started_unix_ms = 0;
+    endpoint_load load;
+    /// Tokens ahead of the request when it was sent, and its own.
+    std::int64_t tokens_to_read = 0;
+    time_point sent_at;
+
+    auto operator<=>(const ticket&) const = default;
+};
+
+/// An endpoint chosen for one request.
+struct endpoint_choice
+{
+    endpoint_id id;
+    std::string address;
+    /// When the first event, or the answer, can be expected.
+    time_point expected_at;
+    std::int64_t uncached_tokens = 0;
+    /// Tokens ahead of the request.
+    std::int64_t tokens_ahead = 0;
+
+    auto operator<=>(const endpoint_choice&) const = default;
+};
+
+/// The endpoints that this instance may use, what they hold, how busy they are
+/// and how their latest requests ended. Chooses one for each request.
+class endpoint_board
+{
+public:
+    /// `zone` is the availability zone of this instance.
+    explicit endpoint_board(std::string zone) : zone_(std::move(zone)) {}
+
+    /// Adds or changes an endpoint. Loads and health start anew with a new
+    /// process.
+    void put(endpoints::directory_entry entry);
+    void erase(const endpoint_id& id);
+    /// The endpoint itself said that it leaves or has no such process.
+    void mark_leaving(const endpoint_id& id);
+    /// Entries of all endpoints.
+    std::vector<endpoints::directory_entry> entries() const;
+    const endpoints::directory_entry* find(const endpoint_id& id) const;
+    bool empty() const { return records_.empty(); }
+
+    /// Newer knowledge about what an engine holds than its entry.
+    void put_residency(const endpoint_id& id, std::int64_t started_unix_ms,
+        std::int64_t accepted_commands,
+        std::vector<endpoints::held_model> models);
+    /// The engine said that it lacks the model or the adapter.
+    void mark_missing(const endpoint_id& id, const model_id& model,
+        const adapter_id& adapter, time_point now);
+
+    /// The engine where the first event is expected soonest. Fails with
+    /// no_endpoint when the service has none to use, and with model_not_ready
+    /// when none of them holds the model or the adapter.
+    result<endpoint_choice> choose_engine(const service_id& service,
+        const prompt& request, const std::set<endpoint_id>& excluded,
+        time_point now) const;
+    /// The endpoint of a plain service with the least load for its size.
+    result<endpoint_choice> choose_plain(const service_id& service,
+        const std::set<endpoint_id>& excluded, time_point now) const;
+
+    /// Notes that a request is sent; ends with `finish`.
+    ticket begin(const endpoint_choice& choice, const prompt* request,
+        std::int64_t cache_tokens, time_point now);
+    /// The prompt was read.
+    void first_event(ticket& held, const service_id& service,
+        const model_id& model, time_point now);
+    void finish(ticket& held);
+
+    void record_answer(const endpoint_id& id, bool success);
+    void record_failure(const endpoint_id& id, time_point now);
+    bool suspended(const endpoint_id& id, time_point now) const;
+
+    /// Loads of this instance, for the others.
+    std::vector<std::pair<endpoint_id, endpoint_load>> own_loads() const;
+    /// Loads of another instance; replaces what it told before.
+    void put_peer_loads(const instance_id& peer,
+        const std::vector<std::pair<endpoint_id, endpoint_load>>& loads,
+        time_point now);
+    void erase_peer(const instance_id& peer);
+
+private:
+    struct peer_load
+    {
+        endpoint_load load;
+        time_point told_at;
+    };
+    struct record
+    {
+        endpoints::directory_entry entry;
+        std::uint64_t id_hash = 0;
+        endpoint_health health;
+        endpoint_load own;
+        std::map<instance_id, peer_load> peers;
+        prompt_cache_view cache;
+        /// Number of accepted commands that the residency was told with.
+        std::int64_t told_commands = -1;
+        /// What the engine lacked, and until when that is believed.
+        std::map<std::pair<model_id, adapter_id>, time_point> missing;
+    };
+
+    static endpoint_load total_load(const record& of, time_point now);
+    static bool holds(const record& of, const prompt& request, time_point now);
+    bool usable(const record& of, const service_id& service,
+        const std::set<endpoint_id>& excluded, time_point now) const;
+    /// Usable endpoints; suspended ones only when there is no other.
+    std::vector<const record*> candidates(const service_id& service,
+        const std::set<endpoint_id>& excluded, time_point now) const;
+    endpoint_choice assess(const record& of, const service_id& service,
+        const prompt& request, bool home, time_point now) const;
+    double rate(const service_id& service, const model_id& model) const;
+
+    std::string zone_;
+    std::map<endpoint_id, record> records_;
+    std::map<std::pair<service_id, model_id>, prefill_rate> rates_;
+};
+
+} // namespace tarragonquay::dispatch
--- a/src/endpoints/http_connection.cpp
+++ b/src/endpoints/http_connection.cpp
@@ -1,6 +1,9 @@
 #include "endpoints/http_connection.hpp"
 
+#include <sys/socket.h>
+
 #include <array>
+#include <cerrno>
 #include <charconv>
 #include <optional>
 
@@ -112,36 +115,68 @@
     co_return http_connection(std::move(parts));
 }
 
-asio::awaitable<result<answer_head>> http_connection::send(
-    const exchange_request& request)
+namespace
+{
+
+http::request<http::string_body> make_message(const exchange_request& request)
 {
-    auto& parts = *implementation_;
     http::request<http::string_body> message;
     message.method_string({request.method.data(), request.method.size()});
     message.target({request.target.data(), request.target.size()});
     message.version(11);
     for (const auto& [name, value] : request.headers)
         message.insert(name, value);
-    message.set(http::field::host, request.address);
-    message.set("X-Request-Id", request.request_id);
+    message.set(http::field::host,
+        request.host.empty() ? request.address : request.host);
+    if (!request.request_id.empty())
+        message.set(request.id_header, request.request_id);
     message.body() = request.body;
     if (!request.body.empty() || request.method != "GET")
         message.content_length(request.body.size());
+    return message;
+}
+
+} // namespace
 
+asio::awaitable<result<answer_head>> http_connection::send(
+    const exchange_request& request)
+{
+    auto& parts = *implementation_;
+    const auto message = make_message(request);
     parts.answer_started = false;
     parts.failed = true;
-    parts.parser.emplace();
-    parts.parser->header_limit(header_limit_bytes);
-    parts.parser->body_limit(request.body_limit);
-    if (request.method == "HEAD")
-        parts.parser->skip(true);
-
     boost::system::error_code ec;
     parts.stream.expires_at(request.deadline);
     co_await http::async_write(
         parts.stream, message, asio::redirect_error(asio::use_awaitable, ec));
     if (ec)
         co_return read_failure(ec);
+    for (int skipped = 0;; ++skipped)
+    {
+        auto head = co_await read_head(request);
+        if (head || head.error().code() != error_code::wrong_answer)
+            co_return head;
+        if (skipped >= request.skipped_answers)
+        {
+            close();
+            co_return head;
+        }
+        const auto rest = co_await skip_body(request.deadline);
+        if (!rest)
+            co_return tl::unexpected<error>(rest.error());
+    }
+}
+
+asio::awaitable<result<answer_head>> http_connection::read_head(
+    const exchange_request& request)
+{
+    auto& parts = *implementation_;
+    parts.parser.emplace();
+    parts.parser->header_limit(header_limit_bytes);
+    parts.parser->body_limit(request.body_limit);
+    if (request.method == "HEAD")
+        parts.parser->skip(true);
+    boost::system::error_code ec;
     co_await http::async_read_header(parts.stream, parts.buffer, *parts.parser,
         asio::redirect_error(asio::use_awaitable, ec));
     parts.answer_started = parts.parser->got_some() || parts.buffer.size() != 0;
@@ -149,16 +184,14 @@
         co_return read_failure(ec);
 
     const auto& answer = parts.parser->get();
-    const auto echo = answer["X-Request-Id"];
-    if (std::string_view(echo.data(), echo.size()) != request.request_id)
-    {
-        close();
+    const auto echo = answer[request.id_header];
+    if (!request.request_id.empty() &&
+        std::string_view(echo.data(), echo.size()) != request.request_id)
         co_return fail(error_code::wrong_answer,
             "the answer belongs to another request", execution_state::unknown);
-    }
     // Without a length, a cut body can't be told from a complete one.
     if (request.method != "HEAD" && parts.parser->need_eof() &&
-        !parts.parser->is_done())
+        !parts.parser->is_done() && !request.accepts_unframed)
     {
         close();
         co_return fail(error_code::incomplete_answer,
@@ -173,6 +206,18 @@
     co_return head;
 }
 
+asio::awaitable<result<void>> http_connection::skip_body(time_point deadline)
+{
+    while (true)
+    {
+        const auto part = co_await read_some(deadline);
+        if (!part)
+            co_return tl::unexpected<error>(part.error());
+        if (part->empty())
+            co_return result<void>();
+    }
+}
+
 asio::awaitable<result<std::string>> http_connection::read_some(
     time_point deadline)
 {
@@ -205,6 +250,37 @@
     co_return std::string();
 }
 
+bool http_connection::quiet()
+{
+    auto& parts = *implementation_;
+    if (parts.failed || parts.buffer.size() != 0)
+        return false;
+    char byte = 0;
+    const auto count = ::recv(parts.stream.socket().native_handle(), &byte, 1,
+        MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+std::optional<std::chrono::seconds> http_connection::idle_timeout() const
+{
+    const auto& parts = *implementation_;
+    if (!parts.parser)
+        return std::nullopt;
+    const auto field = parts.parser->get()[http::field::keep_alive];
+    const std::string_view text(field.data(), field.size());
+    constexpr std::string_view name = "timeout=";
+    const auto at = text.find(name);
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    const auto digits = text.substr(at + name.size());
+    int seconds = 0;
+    const auto parsed =
+        std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    if (parsed.ec != std::errc())
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
 bool http_connection::answer_started() const
 {
     return implementation_->answer_started;
--- a/src/endpoints/http_connection.hpp
+++ b/src/endpoints/http_connection.hpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -33,7 +34,18 @@
     std::string target = "/";
     std::vector<header> headers;
     std::string body;
+    /// Sent in `id_header`; the answer must echo it. Empty for a server that
+    /// answers in order and knows no ids.
     std::string request_id;
+    std::string id_header = "X-Request-Id";
+    /// Host header; the address when empty.
+    std::string host;
+    /// Accepts an answer without a length, which ends with its connection. A
+    /// connection that is reset still fails the answer.
+    bool accepts_unframed = false;
+    /// Skips this many answers of other requests that come first, such as a
+    /// second answer to an earlier request.
+    int skipped_answers = 0;
     time_point deadline;
     /// Idempotent requests may use a pooled connection and be sent again
     /// when it turns out to be closed or silent.
@@ -82,6 +94,12 @@
 
     /// Whether any byte of the current answer has arrived.
     bool answer_started() const;
+    /// Whether the other end has neither closed the idle connection nor sent
+    /// bytes that no request asked for.
+    bool quiet();
+    /// How long the other end keeps the connection open while it is idle, as
+    /// told with its latest answer.
+    std::optional<std::chrono::seconds> idle_timeout() const;
     /// Whether another request may be sent after the complete answer.
     bool reusable() const;
     boost::asio::any_io_executor executor() const;
@@ -90,6 +108,9 @@
 private:
     struct implementation;
     explicit http_connection(std::unique_ptr<implementation> parts);
+    boost::asio::awaitable<result<answer_head>> read_head(
+        const exchange_request& request);
+    boost::asio::awaitable<result<void>> skip_body(time_point deadline);
 
     std::unique_ptr<implementation> implementation_;
 };
--- a/src/endpoints/http_exchange.cpp
+++ b/src/endpoints/http_exchange.cpp
@@ -21,7 +21,7 @@
     struct idle_connection
     {
         http_connection connection;
-        time_point since;
+        time_point use_until;
     };
 
     void discard_old(time_point now)
@@ -29,9 +29,8 @@
         for (auto it = idle.begin(); it != idle.end();)
         {
             auto& connections = it->second;
-            while (!connections.empty() &&
-                   connections.front().since + max_idle_age <= now)
-                connections.pop_front();
+            std::erase_if(connections, [now](const idle_connection& each)
+                { return each.use_until <= now; });
             it = connections.empty() ? idle.erase(it) : std::next(it);
         }
     }
@@ -77,11 +76,17 @@
     const auto it = idle.find(address);
     if (it == idle.end())
         return std::nullopt;
-    auto connection = std::move(it->second.back().connection);
-    it->second.pop_back();
-    if (it->second.empty())
+    auto& connections = it->second;
+    std::optional<http_connection> out;
+    while (!out && !connections.empty())
+    {
+        if (connections.back().connection.quiet())
+            out.emplace(std::move(connections.back().connection));
+        connections.pop_back();
+    }
+    if (connections.empty())
         idle.erase(it);
-    return connection;
+    return out;
 }
 
 void connection_pool::put(
@@ -92,7 +97,10 @@
     if (connections.size() >= max_idle_per_endpoint)
         return;
     const auto executor = connection.executor();
-    connections.push_back({std::move(connection), now});
+    duration age = max_idle_age;
+    if (const auto told = connection.idle_timeout())
+        age = std::min<duration>(age, *told / 2);
+    connections.push_back({std::move(connection), now + age});
     implementation_->arm(executor);
 }
 
--- a/src/endpoints/http_exchange.hpp
+++ b/src/endpoints/http_exchange.hpp
@@ -27,7 +27,9 @@
     /// An idle connection to this address, if there is one.
     std::optional<http_connection> take(
         const std::string& address, time_point now);
-    /// Keeps a connection whose answer was read completely.
+    /// Keeps a connection whose answer was read completely, for at most the
+    /// maximum idle age and well below the idle timeout that its other end
+    /// told, so that a request does not cross the close.
     void put(
         const std::string& address, http_connection connection, time_point now);
     /// Closes the idle connections to this address.
--- /dev/null
+++ b/src/gateway/application.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <utility>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "common/clock.hpp"
+#include "gateway/context.hpp"
+#include "gateway/document_feed.hpp"
+#include "gateway/documents.hpp"
+#include "gateway/listener.hpp"
+#include "gateway/peer_link.hpp"
+#include "gateway/placement_agent.hpp"
+#include "placement/lease_keeper.hpp"
+#include "remote_store/http_table_store.hpp"
+
+namespace tarragonquay::gateway
+{
+
+/// A gateway process: callers' requests, and the control loops beside them, on
+/// one thread.
+template <remote_store::store_codec Codec>
+class application
+{
+public:
+    /// Reads the settings anew after a change of their file.
+    using settings_reader = std::function<result<settings::gateway_settings>()>;
+
+    static result<std::unique_ptr<application>> create(
+        settings::gateway_settings settings, dialect speech,
+        settings_reader reload);
+
+    /// Serves until a signal to stop, and ends the requests that are running.
+    void run();
+
+private:
+    using store = remote_store::http_table_store<Codec>;
+    using lease = placement::lease_keeper<store, suspend_aware_clock>;
+
+    application(settings::gateway_settings settings, dialect speech,
+        log::json_log log, settings_reader reload);
+
+    result<void> listen();
+    void start_feeds();
+    void start_lease();
+    void wait_for_signal();
+    void schedule_tick();
+    void tick();
+    void tick_lease(time_point now);
+    void reload();
+    void begin_stop();
+    void stop_later();
+    void check_stopped();
+    text_answer answer_readiness(const std::string& target);
+    text_answer answer_entries(const std::string& target);
+    text_answer answer_metrics();
+    std::vector<std::string> entries_for(const std::string& zone);
+    void accept_caller(boost::asio::ip::tcp::socket socket);
+
+    boost::asio::io_context io_{1};
+    context on_;
+    suspend_aware_clock lease_clock_;
+    store store_;
+    documents documents_;
+    document_feed<store> configuration_feed_;
+    document_feed<store> directory_feed_;
+    peer_link peers_;
+    std::optional<lease> lease_;
+    std::optional<placement_agent> placement_;
+    settings_reader reload_;
+    boost::asio::signal_set signals_;
+    boost::asio::steady_timer timer_;
+    boost::asio::steady_timer stop_timer_;
+    time_point next_flush_{};
+    std::unique_ptr<tcp_listener> callers_;
+    std::unique_ptr<tcp_listener> entries_;
+    std::unique_ptr<tcp_listener> readiness_;
+    std::unique_ptr<tcp_listener> metrics_;
+};
+
+} // namespace tarragonquay::gateway
+
+#include "gateway/application.ipp"
--- /dev/null
+++ b/src/gateway/application.ipp
@@ -0,0 +1,405 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "gateway/caller_connection.hpp"
+
+namespace tarragonquay::gateway
+{
+
+namespace application_detail
+{
+
+using std::chrono::milliseconds;
+
+/// Interval of the control loops.
+inline constexpr milliseconds tick_interval = peer_link::heartbeat_interval;
+/// Part of the time to stop in which new requests are still served. Those that
+/// come later would not end in time.
+inline constexpr double serving_part = 0.3;
+/// Left for the end of the process after the last request.
+inline constexpr milliseconds end_reserve{400};
+/// After the others have heard of the stop, callers come no more; an idle
+/// process ends then.
+inline constexpr milliseconds least_stop{1'500};
+/// The holder renews this often and stops this long after its last renewal.
+inline constexpr milliseconds renewal_interval{1'000};
+inline constexpr milliseconds lease_validity{4'000};
+/// Beyond the validity and the deployment's distance between two holders.
+inline constexpr milliseconds takeover_margin{500};
+
+inline fleet::member make_self(const settings::gateway_settings& from)
+{
+    fleet::member out;
+    out.id = from.instance;
+    out.incarnation = unix_ms();
+    out.availability_zone = from.availability_zone;
+    out.peer_address = from.listen.peers;
+    out.entry_address = from.listen.callers;
+    return out;
+}
+
+} // namespace application_detail
+
+template <remote_store::store_codec Codec>
+application<Codec>::application(settings::gateway_settings settings,
+    dialect speech, log::json_log log, settings_reader reload)
+    : on_(io_, settings, std::move(speech), std::move(log),
+          application_detail::make_self(settings)),
+      store_(io_, on_.settings.store_address),
+      documents_(on_),
+      configuration_feed_(on_, store_, on_.dialect.operator_table),
+      directory_feed_(on_, store_, on_.dialect.endpoints_table),
+      peers_(on_, documents_),
+      reload_(std::move(reload)),
+      signals_(io_, SIGTERM, SIGINT, SIGHUP),
+      timer_(io_),
+      stop_timer_(io_)
+{
+}
+
+template <remote_store::store_codec Codec>
+result<std::unique_ptr<application<Codec>>> application<Codec>::create(
+    settings::gateway_settings settings, dialect speech, settings_reader reload)
+{
+    auto log =
+        log::json_log::create(settings.log_level, settings.instance.str());
+    if (!log)
+        return tl::unexpected<error>(log.error());
+    std::unique_ptr<application> out(new application(std::move(settings),
+        std::move(speech), std::move(*log), std::move(reload)));
+    if (auto listening = out->listen(); !listening)
+        return tl::unexpected<error>(listening.error());
+    out->start_feeds();
+    out->start_lease();
+    out->wait_for_signal();
+    out->schedule_tick();
+    return out;
+}
+
+template <remote_store::store_codec Codec>
+result<void> application<Codec>::listen()
+{
+    const auto& at = on_.settings.listen;
+    const auto texts = [](auto answer)
+    {
+        return [answer](boost::asio::ip::tcp::socket socket)
+        { serve_texts(std::move(socket), answer); };
+    };
+    const auto open =
+        [&](std::unique_ptr<tcp_listener>& listener, const std::string& address,
+            tcp_listener::connection_handler handler) -> result<void>
+    {
+        auto made = tcp_listener::create(io_, address, std::move(handler));
+        if (!made)
+            return tl::unexpected<error>(made.error());
+        listener = std::move(*made);
+        return {};
+    };
+    auto opened = open(callers_, at.callers,
+        [this](boost::asio::ip::tcp::socket socket)
+        { accept_caller(std::move(socket)); });
+    if (opened)
+        opened = open(entries_, at.entries,
+            texts([this](const std::string& target)
+                { return answer_entries(target); }));
+    if (opened)
+        opened = open(readiness_, at.readiness,
+            texts([this](const std::string& target)
+                { return answer_readiness(target); }));
+    if (opened && !at.metrics.empty())
+        opened = open(metrics_, at.metrics,
+            texts([this](const std::string&) { return answer_metrics(); }));
+    if (opened)
+        opened = peers_.start(on_.roster.self().incarnation);
+    return opened;
+}
+
+template <remote_store::store_codec Codec>
+void application<Codec>::accept_caller(boost::asio::ip::tcp::socket socket)
+{
+    const bool full = on_.caller_connections >= on_.settings.max_connections;
+    boost::asio::co_spawn(io_,
+        full ? refuse_caller(on_, std::move(socket))
+             : serve_caller(on_, std::move(socket)),
+        boost::asio::detached);
+}
+
+template <remote_store::store_codec Codec>
+void application<Codec>::start_feeds()
+{
+    const auto take = [this](
+                          const remote_store::table_changes& rows, time_point)
+    {
+        for (const auto& each : rows.rows)
+            if (each.key == on_.dialect.configuration_key && each.value)
+                documents_.take_configuration(*each.value, "store");
+    };
+    configuration_feed_.on_table(take);
+    configuration_feed_.on_changes(take);
+    directory_feed_.on_table(
+        [this](const remote_store::table_changes& rows, time_point now)
+        { documents_.take_directory(rows, "store", now); });
+    directory_feed_.on_changes(
+        [this](const remote_store::table_changes& rows, time_point now)
+        { documents_.take_directory_changes(rows, now); });
+    directory_feed_.on_return(
+        [this](time_point now) { documents_.note_store_return(now); });
+    boost::asio::co_spawn(
+        io_, configuration_feed_.run(), boost::asio::detached);
+    boost::asio::co_spawn(io_, directory_feed_.run(), boost::asio::detached);
+}
+
+template <remote_store::store_codec Codec>
+void application<Codec>::start_lease()
+{
+    using namespace application_detail;
+    placement::lease_settings lease_settings;
+    lease_settings.key = "placement/lease";
+    lease_settings.instance = on_.settings.instance.str();
+    lease_settings.incarnation = std::to_string(on_.roster.self().incarnation);
+    const milliseconds distance(on_.settings.bounds.placement_lease_ms);
+    lease_settings.timing.renewal_interval = renewal_interval;
+    lease_settings.timing.read_interval = renewal_interval;
+    lease_settings.timing.valid_for = lease_validity;
+    lease_settings.timing.takeover_after =
+        lease_validity + distance + takeover_margin;
+    lease_settings.timing.takeover_after_release = distance + takeover_margin;
+    lease_.emplace(std::move(lease_settings), store_, lease_clock_);
+    placement_.emplace(
+        on_, peers_, [this] { return lease_->holds(); },
+        [this] { return lease_->fencing(); });
+    lease_->on_settled(
+        [this]
+        {
+            on_.log.info(
+                "placement_lease_obtained", {{"fencing", lease_->fencing()}});
+            placement_->begin(std::chrono::steady_clock::now());
+        });
+    lease_->on_lost(
+        [this]
+        {
+            on_.log.warning("placement_lease_lost", {});
+            placement_->end();
+        });
+    peers_.on_model_demand(
+        [this](const instance_id& peer,
+            std::vector<std::pair<demanded_model, double>> rates)
+        { placement_->put_peer_demand(peer, std::move(rates)); });
+    peers_.on_adapter_request([this](const demanded_model& wanted)
+        { placement_->request_adapter(wanted); });
+    on_.request_adapter = [this](const service_id& service,
+                              const model_id& model, const adapter_id& adapter)
+    {
+        peers_.request_adapter({service, model, adapter});
+    };
+}
+
+template <remote_store::store_codec Codec>
+void application<Codec>::run()
+{
+    on_.log.info("process_started",
+        {{"availability_zone", on_.settings.availability_zone},
+            {"incarnation", on_.roster.self().incarnation},
+            {"store", on_.settings.store_address}});
+    on_.log.flush();
+    io_.run();
+    on_.log.info("process_ended", {{"running", on_.running_requests}});
+    on_.log.flush();
+}
+
+template <remote_store::store_codec Codec>
+void application<Codec>::schedule_tick()
+{
+    timer_.expires_after(application_detail::tick_interval);
+    timer_.async_wait(
+        [this](const boost::system::error_code& failed)
+        {
+            if (failed)
+                return;
+            tick();
+            schedule_tick();
+        });
+}
+
+template <remote_store::store_codec Codec>
+void application<Codec>::tick()
+{
+    const auto now = std::chrono::steady_clock::now();
+    documents_.tick(now);
+    peers_.set_store_away(
+        configuration_feed_.failing(), directory_feed_.failing());
+    tick_lease(now);
+    peers_.tick(now, lease_->holds() ? lease_->fencing() : 0);
+    placement_->tick(now);
+    on_.log.flush();
+}
+
+template <remote_store::store_codec Codec>
+void application<Codec>::tick_lease(time_point now)
+{
+    // Reads of the row cost calls of the store, so only a gateway that hears
+    // of no holder looks for a lease to take.
+    if (!on_.stopping &&
+        (lease_->holds() || lease_->busy() || !peers_.holder_alive(now)))
+        lease_->tick();
+}
+
+template <remote_store::store_codec Codec>
+void application<Codec>::wait_for_signal()
+{
+    signals_.async_wait(
+        [this](const boost::system::error_code& failed, int signal)
+        {
+            if (failed)
+                return;
+            if (signal == SIGHUP)
+                reload();
+            else
+                begin_stop();
+            wait_for_signal();
+        });
+}
+
+template <remote_store::store_codec Codec>
+void application<Codec>::reload()
+{
+    auto fresh = reload_();
+    if (!fresh)
+    {
+        on_.log.warning(
+            "settings_rejected", {{"reason", fresh.error().message()}});
+        return;
+    }
+    // Addresses and identity stay until the process starts anew.
+    on_.settings.bounds = fresh->bounds;
+    on_.settings.seeds = fresh->seeds;
+    on_.settings.feed_wait_ms = fresh->feed_wait_ms;
+    on_.settings.max_connections = fresh->max_connections;
+    on_.log.info("settings_reloaded", {});
+}
+
+template <remote_store::store_codec Codec>
+void application<Codec>::begin_stop()
+{
+    using namespace application_detail;
+    if (std::exchange(on_.stopping, true))
+        return;
+    const auto now = std::chrono::steady_clock::now();
+    const milliseconds whole(on_.settings.bounds.stop_ms);
+    on_.stop_deadline = now + whole - end_reserve;
+    on_.log.info(
+        "process_stopping", {{"running", on_.running_requests},
+                                {"connections", on_.caller_connections}});
+    lease_->release();
+    placement_->end();
+    peers_.announce();
+    stop_timer_.expires_at(
+        now + std::chrono::duration_cast<milliseconds>(whole * serving_part));
+    stop_timer_.async_wait(
+        [this](const boost::system::error_code& failed)
+        {
+            if (!failed)
+                stop_later();
+        });
+}
+
+template <remote_store::store_codec Codec>
+void application<Codec>::stop_later()
+{
+    on_.refuses_new = true;
+    boost::system::error_code ignored;
+    for (auto* socket : on_.idle_callers)
+        socket->cancel(ignored);
+    check_stopped();
+}
+
+template <remote_store::store_codec Codec>
+void application<Codec>::check_stopped()
+{
+    const bool late = std::chrono::steady_clock::now() >= on_.stop_deadline;
+    if (on_.running_requests == 0 || late)
+    {
+        peers_.stop();
+        io_.stop();
+        return;
+    }
+    stop_timer_.expires_after(application_detail::milliseconds(50));
+    stop_timer_.async_wait(
+        [this](const boost::system::error_code& failed)
+        {
+            if (!failed)
+                check_stopped();
+        });
+}
+
+template <remote_store::store_codec Codec>
+text_answer application<Codec>::answer_readiness(const std::string& target)
+{
+    if (target != on_.dialect.readiness_path)
+        return {404, "", ""};
+    return {on_.ready() ? 200 : 503, "", ""};
+}
+
+template <remote_store::store_codec Codec>
+std::vector<std::string> application<Codec>::entries_for(
+    const std::string& zone)
+{
+    /// With one address, a caller has no other one when it fails.
+    constexpr std::size_t least_entries = 2;
+    constexpr std::size_t most_entries = 64;
+    auto members = on_.roster.others();
+    auto self = on_.roster.self();
+    self.ready = on_.ready();
+    members.push_back(self);
+    std::vector<std::string> near;
+    std::vector<std::string> all;
+    for (const auto& each : members)
+    {
+        if (!each.ready)
+            continue;
+        all.push_back(each.entry_address);
+        if (each.availability_zone == zone)
+            near.push_back(each.entry_address);
+    }
+    auto& out = near.size() >= least_entries ? near : all;
+    std::shuffle(out.begin(), out.end(), on_.random);
+    if (out.size() > most_entries)
+        out.resize(most_entries);
+    return out;
+}
+
+template <remote_store::store_codec Codec>
+text_answer application<Codec>::answer_entries(const std::string& target)
+{
+    if (!target.starts_with(on_.dialect.entries_path))
+        return {404, "", ""};
+    const auto addresses = entries_for(on_.dialect.caller_zone(target));
+    if (addresses.empty())
+        return {503, "", ""};
+    return {200, "application/json",
+        on_.dialect.encode_entries(
+            addresses, on_.settings.bounds.entries_keep_ms)};
+}
+
+template <remote_store::store_codec Codec>
+text_answer application<Codec>::answer_metrics()
+{
+    on_.metrics.set("tq_gateway_running_requests", {},
+        static_cast<double>(on_.running_requests));
+    on_.metrics.set("tq_gateway_caller_connections", {},
+        static_cast<double>(on_.caller_connections));
+    on_.metrics.set(
+        "tq_gateway_instances", {}, static_cast<double>(on_.roster.size()));
+    on_.metrics.set("tq_gateway_log_lines_dropped", {},
+        static_cast<double>(on_.log.dropped_lines()));
+    return {200, "text/plain; version=0.0.4", on_.metrics.prometheus_text()};
+}
+
+} // namespace tarragonquay::gateway
--- /dev/null
+++ b/src/gateway/caller_connection.cpp
@@ -0,0 +1,369 @@
+#include "gateway/caller_connection.hpp"
+
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <chrono>
+#include <memory>
+#include <utility>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "gateway/answer_sink.hpp"
+#include "gateway/caller_request.hpp"
+#include "gateway/forwarder.hpp"
+
+namespace tarragonquay::gateway
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+/// Longest time for a caller to take a part of an answer.
+constexpr std::chrono::seconds write_limit{10};
+/// Time for a body to arrive. Callers send it at once with the header.
+constexpr std::chrono::seconds body_limit{10};
+/// How long input is read and dropped before a close. Closing a socket with
+/// unread input resets the connection, which can destroy the last answer.
+constexpr milliseconds linger_limit{500};
+constexpr std::size_t read_size = 16UL << 10U;
+
+std::string to_text(const boost::string_view& text)
+{
+    return {text.data(), text.size()};
+}
+
+class connection : public answer_sink
+{
+public:
+    connection(context& on, asio::ip::tcp::socket socket)
+        : on_(on), stream_(std::move(socket))
+    {
+        ++on_.caller_connections;
+    }
+
+    ~connection() override
+    {
+        *alive_ = false;
+        --on_.caller_connections;
+    }
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
+
+    asio::awaitable<void> run()
+    {
+        while (keep_alive_)
+        {
+            // g++ 12 evaluates a co_await behind && in a loop condition even
+            // when the left side is false.
+            const bool arrived = co_await wait_for_request();
+            if (!arrived)
+                break;
+            co_await serve_next();
+        }
+        co_await linger();
+    }
+
+    asio::awaitable<void> run_refusal()
+    {
+        keep_alive_ = false;
+        co_await respond(refusal_answer(503, 1.0));
+        co_await linger();
+    }
+
+    asio::awaitable<result<void>> respond(whole_answer answer) override
+    {
+        http::response<http::string_body> message;
+        message.result(static_cast<unsigned>(answer.status));
+        set_fields(message, answer.headers);
+        // Answers with these statuses have no body and no length.
+        const bool bodiless = answer.status == 204 || answer.status == 304;
+        if (!bodiless)
+            message.content_length(answer.body.size());
+        if (!bodiless && !head_only_)
+            message.body() = std::move(answer.body);
+        boost::system::error_code ec;
+        stream_.expires_after(write_limit);
+        co_await http::async_write(
+            stream_, message, asio::redirect_error(asio::use_awaitable, ec));
+        co_return written(ec);
+    }
+
+    asio::awaitable<result<void>> begin_stream(
+        endpoints::answer_head head) override
+    {
+        stream_open_ = true;
+        http::response<http::empty_body> message;
+        message.result(static_cast<unsigned>(head.status));
+        set_fields(message, head.headers);
+        message.chunked(true);
+        http::response_serializer<http::empty_body> serializer(message);
+        boost::system::error_code ec;
+        stream_.expires_after(write_limit);
+        co_await http::async_write_header(
+            stream_, serializer, asio::redirect_error(asio::use_awaitable, ec));
+        co_return written(ec);
+    }
+
+    asio::awaitable<result<void>> write_stream(std::string events) override
+    {
+        // An empty chunk would end the stream.
+        if (events.empty())
+            co_return result<void>();
+        const auto chunk = http::make_chunk(asio::buffer(events));
+        co_return co_await write_buffers(chunk);
+    }
+
+    asio::awaitable<result<void>> end_stream() override
+    {
+        stream_open_ = false;
+        const auto last = http::make_chunk_last();
+        co_return co_await write_buffers(last);
+    }
+
+    bool caller_gone() const override { return gone_; }
+
+    void on_caller_gone(std::function<void()> handler) override
+    {
+        gone_handler_ = std::move(handler);
+    }
+
+private:
+    template <class Body>
+    void set_fields(http::response<Body>& message,
+        const std::vector<endpoints::header>& headers)
+    {
+        if (on_.stopping)
+            keep_alive_ = false;
+        message.version(11);
+        for (const auto& [name, value] : headers)
+            if (!is_hop_by_hop(name) && !same_name(name, "Content-Length"))
+                message.insert(name, value);
+        if (!keep_alive_)
+            message.set(http::field::connection, "close");
+    }
+
+    template <class Buffers>
+    asio::awaitable<result<void>> write_buffers(const Buffers& buffers)
+    {
+        boost::system::error_code ec;
+        stream_.expires_after(write_limit);
+        co_await asio::async_write(
+            stream_, buffers, asio::redirect_error(asio::use_awaitable, ec));
+        co_return written(ec);
+    }
+
+    result<void> written(const boost::system::error_code& ec)
+    {
+        // A message that closes the connection ends with this code.
+        if (!ec || ec == http::error::end_of_stream)
+            return {};
+        note_gone();
+        return fail(error_code::cancelled, "the caller has gone",
+            execution_state::unknown);
+    }
+
+    void note_gone()
+    {
+        keep_alive_ = false;
+        if (std::exchange(gone_, true))
+            return;
+        if (auto handler = std::exchange(gone_handler_, nullptr))
+            handler();
+    }
+
+    routes::caller_limits limits() const
+    {
+        return on_.routes ? on_.routes->document().limits
+                          : routes::caller_limits();
+    }
+
+    // Waits for the first byte of a request.
+    asio::awaitable<bool> wait_for_request()
+    {
+        if (buffer_.size() != 0)
+            co_return true;
+        boost::system::error_code ec;
+        if (on_.refuses_new)
+            co_return false;
+        stream_.expires_after(milliseconds(limits().idle_timeout_ms));
+        on_.idle_callers.insert(&stream_.socket());
+        const auto count =
+            co_await stream_.async_read_some(buffer_.prepare(read_size),
+                asio::redirect_error(asio::use_awaitable, ec));
+        on_.idle_callers.erase(&stream_.socket());
+        buffer_.commit(count);
+        co_return !ec;
+    }
+
+    asio::awaitable<void> serve_next()
+    {
+        head_only_ = false;
+        stream_open_ = false;
+        http::request_parser<http::string_body> parser;
+        const auto bounds = limits();
+        parser.header_limit(
+            static_cast<std::uint32_t>(bounds.max_header_bytes));
+        parser.body_limit(static_cast<std::uint64_t>(bounds.max_body_bytes));
+        const auto arrived_at = std::chrono::steady_clock::now();
+        const int status = co_await read_request(parser, bounds);
+        if (status != 0)
+        {
+            keep_alive_ = false;
+            if (status > 0)
+                co_await respond(refusal_answer(status, 0));
+            co_return;
+        }
+        auto message = parser.release();
+        keep_alive_ = message.keep_alive();
+        head_only_ = message.method() == http::verb::head;
+        raw_request raw;
+        raw.method = to_text(message.method_string());
+        raw.target = to_text(message.target());
+        for (const auto& field : message)
+            raw.headers.push_back(
+                {to_text(field.name_string()), to_text(field.value())});
+        raw.body = std::move(message.body());
+        auto request =
+            parse_request(std::move(raw), on_.dialect.headers, arrived_at);
+        if (!request)
+        {
+            co_await respond(refusal_answer(400, 0));
+            co_return;
+        }
+        watch();
+        ++on_.running_requests;
+        co_await forward(on_, std::move(*request), *this);
+        --on_.running_requests;
+        unwatch();
+        // A stream that was broken off must not look complete.
+        if (stream_open_)
+        {
+            keep_alive_ = false;
+            stream_.close();
+        }
+    }
+
+    // Reads the rest of a request; 0, or the status of the refusal, or -1 when
+    // the connection is of no more use.
+    asio::awaitable<int> read_request(
+        http::request_parser<http::string_body>& parser,
+        const routes::caller_limits& bounds)
+    {
+        boost::system::error_code ec;
+        stream_.expires_after(milliseconds(bounds.header_timeout_ms));
+        co_await http::async_read_header(stream_, buffer_, parser,
+            asio::redirect_error(asio::use_awaitable, ec));
+        if (ec)
+            co_return read_status(ec);
+        if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
+        {
+            http::response<http::empty_body> message;
+            message.version(11);
+            message.result(http::status::continue_);
+            co_await http::async_write(stream_, message,
+                asio::redirect_error(asio::use_awaitable, ec));
+        }
+        stream_.expires_after(body_limit);
+        co_await http::async_read(stream_, buffer_, parser,
+            asio::redirect_error(asio::use_awaitable, ec));
+        co_return ec ? read_status(ec) : 0;
+    }
+
+    static int read_status(const boost::system::error_code& ec)
+    {
+        if (ec == http::error::header_limit)
+            return 431;
+        if (ec == http::error::body_limit)
+            return 413;
+        // Beast has closed the socket after a deadline.
+        if (ec == beast::error::timeout || ec == http::error::end_of_stream ||
+            ec == http::error::partial_message || ec == asio::error::eof ||
+            ec.category() == asio::error::get_system_category())
+            return -1;
+        return 400;
+    }
+
+    // Notices a caller that closes its connection while its request runs.
+    void watch()
+    {
+        watching_ = true;
+        stream_.socket().async_wait(asio::ip::tcp::socket::wait_read,
+            [this, alive = alive_](const boost::system::error_code& failed)
+            {
+                if (failed || !*alive || !watching_)
+                    return;
+                char byte = 0;
+                const auto count = ::recv(stream_.socket().native_handle(),
+                    &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+                // Input is the caller's next request.
+                const bool closed =
+                    count == 0 || (count < 0 && errno != EAGAIN &&
+                                      errno != EWOULDBLOCK && errno != EINTR);
+                if (closed)
+                    note_gone();
+            });
+    }
+
+    void unwatch()
+    {
+        watching_ = false;
+        gone_handler_ = nullptr;
+        if (!stream_.socket().is_open())
+            return;
+        boost::system::error_code ignored;
+        stream_.socket().cancel(ignored);
+    }
+
+    asio::awaitable<void> linger()
+    {
+        boost::system::error_code ec;
+        if (gone_ || !stream_.socket().is_open())
+            co_return;
+        stream_.socket().shutdown(asio::socket_base::shutdown_send, ec);
+        stream_.expires_after(linger_limit);
+        while (!ec)
+        {
+            buffer_.clear();
+            co_await stream_.async_read_some(buffer_.prepare(read_size),
+                asio::redirect_error(asio::use_awaitable, ec));
+        }
+    }
+
+    context& on_;
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_;
+    bool keep_alive_ = true;
+    bool head_only_ = false;
+    bool stream_open_ = false;
+    bool gone_ = false;
+    bool watching_ = false;
+    std::function<void()> gone_handler_;
+    // Outlives the connection in the handler of the watch.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace
+
+asio::awaitable<void> serve_caller(context& on, asio::ip::tcp::socket socket)
+{
+    connection caller(on, std::move(socket));
+    co_await caller.run();
+}
+
+asio::awaitable<void> refuse_caller(context& on, asio::ip::tcp::socket socket)
+{
+    connection caller(on, std::move(socket));
+    co_await caller.run_refusal();
+}
+
+} // namespace tarragonquay::gateway
--- /dev/null
+++ b/src/gateway/context.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <utility>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "common/json_log.hpp"
+#include "dispatch/endpoint_board.hpp"
+#include "dispatch/repeat_budget.hpp"
+#include "endpoints/http_exchange.hpp"
+#include "fleet/roster.hpp"
+#include "gateway/change_signal.hpp"
+#include "gateway/dialect.hpp"
+#include "gateway/model_demand.hpp"
+#include "limits/fleet_limiter.hpp"
+#include "metrics/registry.hpp"
+#include "routes/route_table.hpp"
+#include "settings/gateway_settings.hpp"
+
+namespace tarragonquay::gateway
+{
+
+/// State of a gateway process. Everything runs on the thread of one
+/// io_context, so that no part of it needs a lock.
+struct context
+{
+    context(boost::asio::io_context& io_context,
+        settings::gateway_settings from, gateway::dialect speech,
+        log::json_log lines, fleet::member self)
+        : io(io_context),
+          settings(std::move(from)),
+          dialect(std::move(speech)),
+          log(std::move(lines)),
+          board(settings.availability_zone),
+          roster(std::move(self)),
+          residency_changed(io_context)
+    {
+    }
+
+    /// Takes new callers: it knows a configuration and the endpoints.
+    bool ready() const
+    {
+        return routes != nullptr && endpoints_known && !stopping;
+    }
+
+    boost::asio::io_context& io;
+    settings::gateway_settings settings;
+    const gateway::dialect dialect;
+    log::json_log log;
+    metrics::registry metrics;
+
+    /// Null until a configuration is known.
+    std::shared_ptr<const routes::route_table> routes;
+    bool endpoints_known = false;
+    bool stopping = false;
+    /// When the process ends at the latest.
+    time_point stop_deadline = time_point::max();
+    /// Requests that arrive now would not end before the process does.
+    bool refuses_new = false;
+    /// Connections on which no request is running.
+    std::set<boost::asio::ip::tcp::socket*> idle_callers;
+    /// Requests and connections of callers, for the stop.
+    std::int64_t running_requests = 0;
+    std::int64_t caller_connections = 0;
+
+    dispatch::endpoint_board board;
+    endpoints::connection_pool connections;
+    std::map<service_id, dispatch::repeat_budget> repeats;
+    limits::fleet_limiter limiter;
+    fleet::roster roster;
+    model_demand demand;
+    /// Raised when an engine may hold something that it did not hold before.
+    change_signal residency_changed;
+    /// Asks for an adapter that no engine holds.
+    std::function<void(const service_id&, const model_id&, const adapter_id&)>
+        request_adapter;
+    std::mt19937_64 random{std::random_device{}()};
+};
+
+} // namespace tarragonquay::gateway
--- /dev/null
+++ b/src/gateway/document_feed.hpp
@@ -0,0 +1,151 @@
+#pragma once
+
+#include <utility>
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+#include <random>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "gateway/context.hpp"
+#include "gateway/documents.hpp"
+
+namespace tarragonquay::gateway
+{
+
+/// Follows a table of the store: reads it whole, then waits for its changes.
+/// After a failure it continues from the version that it has.
+template <class Store>
+class document_feed
+{
+public:
+    using rows_handler =
+        std::function<void(const remote_store::table_changes&, time_point)>;
+
+    /// Wait after the first failed call; each later one doubles it.
+    static constexpr std::chrono::milliseconds first_backoff{100};
+    static constexpr std::chrono::milliseconds longest_backoff{1'000};
+    static constexpr std::chrono::milliseconds read_limit{1'500};
+
+    document_feed(context& on, Store& store, std::string table)
+        : on_(on), store_(store), table_(std::move(table))
+    {
+    }
+
+    void on_table(rows_handler handler) { on_table_ = std::move(handler); }
+    void on_changes(rows_handler handler) { on_changes_ = std::move(handler); }
+    void on_return(std::function<void(time_point)> handler)
+    {
+        on_return_ = std::move(handler);
+    }
+    /// Whether the latest call failed.
+    bool failing() const { return failing_; }
+    time_point failing_since() const { return failing_since_; }
+
+    boost::asio::awaitable<void> run()
+    {
+        while (!on_.stopping)
+        {
+            if (!known_)
+                co_await read_whole();
+            else
+                co_await follow();
+            if (failing_)
+                co_await back_off();
+        }
+    }
+
+private:
+    boost::asio::awaitable<void> read_whole()
+    {
+        auto rows = co_await store_.read_table(
+            table_, std::chrono::steady_clock::now() + read_limit);
+        note(rows ? nullptr : &rows.error());
+        if (!rows)
+            co_return;
+        known_ = true;
+        version_ = rows->version;
+        on_table_(*rows, std::chrono::steady_clock::now());
+    }
+
+    boost::asio::awaitable<void> follow()
+    {
+        const auto wait = std::chrono::milliseconds(on_.settings.feed_wait_ms);
+        auto changes = co_await store_.follow_table(table_, version_,
+            std::chrono::steady_clock::now() + wait, connection_);
+        if (!changes && changes.error().code() == error_code::not_in_force)
+        {
+            on_.log.info("feed_history_gone",
+                {{"table", table_}, {"version", version_}});
+            known_ = false;
+            co_return;
+        }
+        note(changes ? nullptr : &changes.error());
+        if (!changes)
+            co_return;
+        version_ = std::max(version_, changes->version);
+        if (!changes->rows.empty())
+            on_changes_(*changes, std::chrono::steady_clock::now());
+    }
+
+    void note(const error* failure)
+    {
+        const auto now = std::chrono::steady_clock::now();
+        if (failure != nullptr)
+        {
+            connection_.reset();
+            if (!std::exchange(failing_, true))
+            {
+                failing_since_ = now;
+                on_.log.warning("store_lost",
+                    {{"table", table_}, {"reason", failure->message()},
+                        {"version", version_}});
+            }
+            return;
+        }
+        backoff_ = first_backoff;
+        if (!std::exchange(failing_, false))
+            return;
+        on_.log.info("store_regained",
+            {{"table", table_},
+                {"after_ms",
+                    std::chrono::duration_cast<std::chrono::milliseconds>(
+                        now - failing_since_)
+                        .count()}});
+        if (on_return_)
+            on_return_(now);
+    }
+
+    boost::asio::awaitable<void> back_off()
+    {
+        // Jitter spreads the calls of many gateways after an outage.
+        const auto ms = std::uniform_int_distribution<std::int64_t>(
+            backoff_.count() / 2, backoff_.count())(on_.random);
+        backoff_ = std::min(backoff_ * 2, longest_backoff);
+        boost::asio::steady_timer pause(on_.io, std::chrono::milliseconds(ms));
+        boost::system::error_code ignored;
+        co_await pause.async_wait(
+            boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    }
+
+    context& on_;
+    Store& store_;
+    const std::string table_;
+    rows_handler on_table_;
+    rows_handler on_changes_;
+    std::function<void(time_point)> on_return_;
+    std::optional<endpoints::http_connection> connection_;
+    std::int64_t version_ = 0;
+    bool known_ = false;
+    bool failing_ = false;
+    time_point failing_since_{};
+    std::chrono::milliseconds backoff_ = first_backoff;
+};
+
+} // namespace tarragonquay::gateway
--- /dev/null
+++ b/src/gateway/documents.cpp
@@ -0,0 +1,136 @@
+#include "gateway/documents.hpp"
+
+#include <chrono>
+#include <utility>
+
+namespace tarragonquay::gateway
+{
+
+void documents::take_configuration(
+    const std::string& document, const char* source)
+{
+    auto decoded = on_.dialect.decode_configuration(document);
+    auto table = decoded ? routes::route_table::create(std::move(*decoded))
+                         : result<std::shared_ptr<const routes::route_table>>(
+                               tl::unexpected<error>(decoded.error()));
+    if (!table)
+    {
+        on_.log.warning("configuration_rejected",
+            {{"source", source}, {"reason", table.error().message()},
+                {"kept_version", configuration_version()}});
+        return;
+    }
+    if ((*table)->version() <= configuration_version())
+        return;
+    on_.log.info("configuration_applied",
+        {{"source", source}, {"version", (*table)->version()},
+            {"previous", configuration_version()},
+            {"routes", (*table)->document().routes.size()}});
+    on_.routes = std::move(*table);
+    configuration_ = document;
+    on_.limiter.apply(
+        on_.routes->document().workspaces, std::chrono::steady_clock::now());
+}
+
+void documents::take_directory(
+    const remote_store::table_changes& rows, const char* source, time_point now)
+{
+    if (on_.endpoints_known && rows.version <= directory_version_)
+        return;
+    std::map<std::string, std::string> next;
+    for (const auto& each : rows.rows)
+        if (each.value)
+            next.emplace(each.key, *each.value);
+    const auto before = directory_;
+    for (const auto& [key, value] : before)
+        if (!next.contains(key))
+            erase_entry(key, now);
+    for (const auto& [key, value] : next)
+        put_entry(key, value, now);
+    directory_version_ = rows.version;
+    if (!std::exchange(on_.endpoints_known, true))
+        on_.log.info("directory_known",
+            {{"source", source}, {"entries", directory_.size()},
+                {"version", directory_version_}});
+}
+
+void documents::take_directory_changes(
+    const remote_store::table_changes& changes, time_point now)
+{
+    for (const auto& each : changes.rows)
+    {
+        if (each.value)
+            put_entry(each.key, *each.value, now);
+        else
+            erase_entry(each.key, now);
+    }
+    directory_version_ = std::max(directory_version_, changes.version);
+}
+
+void documents::note_store_return(time_point now)
+{
+    keep_lapsed_until_ = now + std::chrono::milliseconds(
+                                   on_.settings.bounds.directory_recovery_ms);
+}
+
+void documents::tick(time_point now)
+{
+    for (auto it = lapsed_.begin(); it != lapsed_.end();)
+    {
+        if (now < it->second)
+        {
+            ++it;
+            continue;
+        }
+        erase_now(it->first);
+        it = lapsed_.erase(it);
+    }
+}
+
+void documents::put_entry(
+    const std::string& key, const std::string& value, time_point now)
+{
+    lapsed_.erase(key);
+    auto& stored = directory_[key];
+    if (stored == value && on_.board.find(endpoint_id(key)) != nullptr)
+        return;
+    stored = value;
+    auto entry =
+        on_.dialect.decode_directory_entry(endpoint_id(key), value, now);
+    if (!entry)
+    {
+        on_.log.warning("directory_entry_rejected",
+            {{"endpoint", key}, {"reason", entry.error().message()}});
+        on_.board.erase(endpoint_id(key));
+        return;
+    }
+    const auto* known = on_.board.find(entry->id);
+    if (known == nullptr || known->leaving != entry->leaving ||
+        known->started_unix_ms != entry->started_unix_ms)
+        on_.log.info("endpoint_changed",
+            {{"endpoint", key}, {"service", entry->service.str()},
+                {"address", entry->address}, {"leaving", entry->leaving},
+                {"started_unix_ms", entry->started_unix_ms}});
+    on_.board.put(std::move(*entry));
+    on_.residency_changed.raise();
+}
+
+void documents::erase_entry(const std::string& key, time_point now)
+{
+    if (now < keep_lapsed_until_)
+    {
+        lapsed_.emplace(key, keep_lapsed_until_);
+        on_.log.info("endpoint_lapsed", {{"endpoint", key}});
+        return;
+    }
+    erase_now(key);
+}
+
+void documents::erase_now(const std::string& key)
+{
+    directory_.erase(key);
+    on_.board.erase(endpoint_id(key));
+    on_.log.info("endpoint_gone", {{"endpoint", key}});
+}
+
+} // namespace tarragonquay::gateway
--- /dev/null
+++ b/src/gateway/documents.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "common/clock.hpp"
+#include "gateway/context.hpp"
+#include "remote_store/calls.hpp"
+
+namespace tarragonquay::gateway
+{
+
+/// Takes the operator's configuration and the endpoint directory from the
+/// store or from other gateways, and puts what is newer in force. Keeps the
+/// documents as they came, for gateways that the store turns away.
+class documents
+{
+public:
+    explicit documents(context& on) : on_(on) {}
+
+    /// Puts a configuration in force if it is newer. `source` is for the log.
+    void take_configuration(const std::string& document, const char* source);
+
+    /// The whole directory at a version.
+    void take_directory(const remote_store::table_changes& rows,
+        const char* source, time_point now);
+    /// Changes of the directory.
+    void take_directory_changes(
+        const remote_store::table_changes& changes, time_point now);
+    /// The store answers again after a failure. Entries that lapsed meanwhile
+    /// may come back, so that they are kept for a while.
+    void note_store_return(time_point now);
+    /// Erases the entries that have not come back.
+    void tick(time_point now);
+
+    std::int64_t configuration_version() const
+    {
+        return on_.routes ? on_.routes->version() : 0;
+    }
+    const std::string& configuration() const { return configuration_; }
+    std::int64_t directory_version() const { return directory_version_; }
+    const std::map<std::string, std::string>& directory() const
+    {
+        return directory_;
+    }
+
+private:
+    void put_entry(
+        const std::string& key, const std::string& value, time_point now);
+    void erase_entry(const std::string& key, time_point now);
+    void erase_now(const std::string& key);
+
+    context& on_;
+    std::string configuration_;
+    /// Rows by key.
+    std::map<std::string, std::string> directory_;
+    std::int64_t directory_version_ = 0;
+    time_point keep_lapsed_until_{};
+    /// Lapsed entries and when they are erased.
+    std::map<std::string, time_point> lapsed_;
+};
+
+} // namespace tarragonquay::gateway
--- /dev/null
+++ b/src/gateway/engine_client.cpp
@@ -0,0 +1,102 @@
+#include "gateway/engine_client.hpp"
+
+#include <chrono>
+
+#include <fmt/format.h>
+
+namespace tarragonquay::gateway
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// Engines answer within milliseconds; a command without an answer is looked
+/// up in the engine's report instead of being waited for.
+constexpr std::chrono::milliseconds call_limit{500};
+
+endpoints::exchange_request make_request(const context& on,
+    const endpoints::directory_entry& engine, std::string target)
+{
+    endpoints::exchange_request out;
+    out.address = engine.address;
+    out.target = std::move(target);
+    out.headers.push_back(
+        {on.dialect.headers.expected_endpoint, engine.id.str()});
+    out.deadline = std::chrono::steady_clock::now() + call_limit;
+    return out;
+}
+
+result<engine_answer> answer_of(int status)
+{
+    switch (status)
+    {
+    case 202:
+        return engine_answer::accepted;
+    case 200:
+        return engine_answer::holds_already;
+    case 409:
+        return engine_answer::conflict;
+    case 412:
+        return engine_answer::stale_fencing;
+    case 421:
+        return engine_answer::misdirected;
+    default:
+        return engine_answer::refused;
+    }
+}
+
+} // namespace
+
+std::string_view to_string(engine_answer value)
+{
+    switch (value)
+    {
+    case engine_answer::accepted:
+        return "accepted";
+    case engine_answer::holds_already:
+        return "holds_already";
+    case engine_answer::conflict:
+        return "conflict";
+    case engine_answer::stale_fencing:
+        return "stale_fencing";
+    case engine_answer::misdirected:
+        return "misdirected";
+    case engine_answer::refused:
+        return "refused";
+    }
+    return "refused";
+}
+
+asio::awaitable<result<engine_answer>> send_engine_command(
+    context& on, endpoints::directory_entry engine, engine_command command)
+{
+    auto request = make_request(on, engine, on.dialect.command_path);
+    request.method = "POST";
+    request.headers.push_back({"Content-Type", "application/json"});
+    request.body = on.dialect.encode_engine_command(command);
+    const auto answer =
+        co_await endpoints::exchange(on.connections, std::move(request));
+    if (!answer)
+        co_return tl::unexpected<error>(answer.error());
+    co_return answer_of(answer->head.status);
+}
+
+asio::awaitable<result<endpoints::engine_report>> read_engine_report(
+    context& on, endpoints::directory_entry engine)
+{
+    auto request = make_request(on, engine, on.dialect.report_path);
+    request.idempotent = true;
+    const auto answer =
+        co_await endpoints::exchange(on.connections, std::move(request));
+    if (!answer)
+        co_return tl::unexpected<error>(answer.error());
+    constexpr int status_ok = 200;
+    if (answer->head.status != status_ok)
+        co_return fail(error_code::endpoint_rejected,
+            fmt::format("the engine answered {}", answer->head.status));
+    co_return on.dialect.decode_engine_report(answer->body);
+}
+
+} // namespace tarragonquay::gateway
--- /dev/null
+++ b/src/gateway/engine_client.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <utility>
+
+#include <string_view>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "gateway/context.hpp"
+
+namespace tarragonquay::gateway
+{
+
+/// An engine's answer to a command.
+enum class engine_answer
+{
+    accepted,
+    /// The state that the command asks for holds already, or holds now.
+    holds_already,
+    /// Another command is under way, or the engine has accepted others.
+    conflict,
+    /// A higher fencing number has been seen.
+    stale_fencing,
+    /// It is not the expected engine.
+    misdirected,
+    refused
+};
+
+std::string_view to_string(engine_answer value);
+
+/// Sends a command. An error means that no answer arrived, so that the command
+/// may still take effect.
+boost::asio::awaitable<result<engine_answer>> send_engine_command(
+    context& on, endpoints::directory_entry engine, engine_command command);
+
+boost::asio::awaitable<result<endpoints::engine_report>> read_engine_report(
+    context& on, endpoints::directory_entry engine);
+
+} // namespace tarragonquay::gateway
--- /dev/null
+++ b/src/gateway/event_framer.cpp
@@ -0,0 +1,62 @@
+#include "gateway/event_framer.hpp"
+
+#include <charconv>
+#include <utility>
+
+namespace tarragonquay::gateway
+{
+
+namespace
+{
+
+// The id field of an event: "id: 7" or "id:7" at the begin of a line.
+std::optional<std::int64_t> find_id(std::string_view event)
+{
+    while (!event.empty())
+    {
+        const auto end = event.find('\n');
+        auto line = event.substr(0, end);
+        if (line.starts_with("id:"))
+        {
+            line.remove_prefix(3);
+            while (line.starts_with(' '))
+                line.remove_prefix(1);
+            std::int64_t value = 0;
+            const auto parsed =
+                std::from_chars(line.data(), line.data() + line.size(), value);
+            if (parsed.ec == std::errc())
+                return value;
+            return std::nullopt;
+        }
+        event = end == std::string_view::npos ? std::string_view()
+                                              : event.substr(end + 1);
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+result<std::optional<framed_event>> event_framer::pop()
+{
+    auto end = buffer_.find("\n\n");
+    std::size_t blank = 2;
+    if (const auto other = buffer_.find("\r\n\r\n"); other < end)
+    {
+        end = other;
+        blank = 4;
+    }
+    if (end == std::string::npos)
+    {
+        if (buffer_.size() > max_event_bytes)
+            return fail(error_code::malformed_message,
+                "an event of the stream is too large");
+        return std::optional<framed_event>();
+    }
+    framed_event out;
+    out.bytes = buffer_.substr(0, end + blank);
+    out.id = find_id(out.bytes);
+    buffer_.erase(0, end + blank);
+    return std::optional(std::move(out));
+}
+
+} // namespace tarragonquay::gateway
--- /dev/null
+++ b/src/gateway/listener.cpp
@@ -0,0 +1,179 @@
+#include "gateway/listener.hpp"
+
+#include <charconv>
+#include <chrono>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace tarragonquay::gateway
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace
+{
+
+/// Pause after a failed accept, for example without free descriptors.
+constexpr std::chrono::milliseconds accept_pause{100};
+/// Connections of small services are idle for at most this long.
+constexpr std::chrono::seconds text_idle_limit{30};
+
+result<tcp::endpoint> parse_address(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    unsigned short port = 0;
+    if (colon != std::string::npos)
+    {
+        const char* end = text.data() + text.size();
+        const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+        boost::system::error_code ec;
+        const auto ip = asio::ip::make_address(text.substr(0, colon), ec);
+        if (!ec && parsed.ec == std::errc() && parsed.ptr == end)
+            return tcp::endpoint(ip, port);
+    }
+    return fail(error_code::invalid_settings,
+        "'" + text + "' does not have the form ip:port");
+}
+
+asio::awaitable<void> run_texts(
+    tcp::socket socket, std::function<text_answer(std::string)> answer)
+{
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buffer;
+    bool open = true;
+    while (open)
+    {
+        http::request<http::string_body> request;
+        boost::system::error_code ec;
+        stream.expires_after(text_idle_limit);
+        co_await http::async_read(stream, buffer, request,
+            asio::redirect_error(asio::use_awaitable, ec));
+        if (ec)
+            co_return;
+        const auto target = request.target();
+        auto made = answer({target.data(), target.size()});
+        http::response<http::string_body> response;
+        response.version(11);
+        response.result(static_cast<unsigned>(made.status));
+        if (!made.content_type.empty())
+            response.set(http::field::content_type, made.content_type);
+        response.body() = std::move(made.body);
+        response.keep_alive(request.keep_alive());
+        response.prepare_payload();
+        open = request.keep_alive();
+        co_await http::async_write(
+            stream, response, asio::redirect_error(asio::use_awaitable, ec));
+        if (ec)
+            co_return;
+    }
+}
+
+} // namespace
+
+struct tcp_listener::implementation
+    : std::enable_shared_from_this<tcp_listener::implementation>
+{
+    implementation(asio::io_context& io, connection_handler handler)
+        : acceptor(io), pause(io), on_connection(std::move(handler))
+    {
+    }
+
+    result<void> listen(const tcp::endpoint& address)
+    {
+        boost::system::error_code ec;
+        acceptor.open(address.protocol(), ec);
+        if (!ec)
+            acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+        if (!ec)
+            acceptor.bind(address, ec);
+        if (!ec)
+            acceptor.listen(asio::socket_base::max_listen_connections, ec);
+        if (ec)
+            return fail(error_code::invalid_settings,
+                "can't listen on the address: " + ec.message());
+        return {};
+    }
+
+    void accept()
+    {
+        acceptor.async_accept(
+            [self = shared_from_this()](const boost::system::error_code& ec,
+                tcp::socket socket) { self->accepted(ec, std::move(socket)); });
+    }
+
+    void accepted(const boost::system::error_code& ec, tcp::socket socket)
+    {
+        if (!acceptor.is_open())
+            return;
+        if (ec)
+        {
+            pause.expires_after(accept_pause);
+            pause.async_wait(
+                [self = shared_from_this()](
+                    const boost::system::error_code& failed)
+                {
+                    if (!failed && self->acceptor.is_open())
+                        self->accept();
+                });
+            return;
+        }
+        boost::system::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        on_connection(std::move(socket));
+        accept();
+    }
+
+    tcp::acceptor acceptor;
+    asio::steady_timer pause;
+    connection_handler on_connection;
+};
+
+tcp_listener::tcp_listener(std::shared_ptr<implementation> parts)
+    : implementation_(std::move(parts))
+{
+}
+
+result<std::unique_ptr<tcp_listener>> tcp_listener::create(asio::io_context& io,
+    const std::string& address, connection_handler on_connection)
+{
+    const auto where = parse_address(address);
+    if (!where)
+        return tl::unexpected<error>(where.error());
+    auto parts = std::make_shared<implementation>(io, std::move(on_connection));
+    if (auto listening = parts->listen(*where); !listening)
+        return tl::unexpected<error>(listening.error());
+    parts->accept();
+    return std::unique_ptr<tcp_listener>(new tcp_listener(std::move(parts)));
+}
+
+tcp_listener::~tcp_listener()
+{
+    close();
+}
+
+void tcp_listener::close()
+{
+    boost::system::error_code ignored;
+    implementation_->acceptor.close(ignored);
+    implementation_->pause.cancel();
+}
+
+void serve_texts(
+    tcp::socket socket, std::function<text_answer(std::string)> answer)
+{
+    const auto executor = socket.get_executor();
+    asio::co_spawn(executor, run_texts(std::move(socket), std::move(answer)),
+        asio::detached);
+}
+
+} // namespace tarragonquay::gateway
--- /dev/null
+++ b/src/gateway/placement_agent.hpp
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <utility>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "gateway/context.hpp"
+#include "gateway/engine_accounts.hpp"
+#include "gateway/load_window.hpp"
+#include "gateway/peer_link.hpp"
+#include "placement/planner.hpp"
+
+namespace tarragonquay::gateway
+{
+
+/// Gives commands to the engines while this gateway holds the placement lease:
+/// places models by demand, and loads adapters that requests ask for.
+class placement_agent
+{
+public:
+    /// `may_command` tells whether the lease holds now; `fencing` its number.
+    placement_agent(context& on, peer_link& peers,
+        std::function<bool()> may_command,
+        std::function<std::int64_t()> fencing)
+        : on_(on),
+          peers_(peers),
+          may_command_(std::move(may_command)),
+          fencing_(std::move(fencing))
+    {
+    }
+
+    /// The lease was obtained, or lost.
+    void begin(time_point now);
+    void end();
+
+    void put_peer_demand(const instance_id& peer,
+        std::vector<std::pair<demanded_model, double>> rates);
+    void request_adapter(const demanded_model& wanted);
+
+    /// Reads engines whose state is not known, and plans.
+    void tick(time_point now);
+
+private:
+    using rates = std::map<demanded_model, double>;
+
+    /// A command on its way to an engine.
+    struct command
+    {
+        endpoint_id engine;
+        placement::command_kind kind = placement::command_kind::load_model;
+        model_id model;
+        adapter_id adapter;
+        service_id service;
+    };
+
+    void adopt_engines();
+    void read_unknown_engines();
+    rates demand(time_point now);
+    void plan_service(
+        const routes::service& service, const rates& wanted, time_point now);
+    placement::cluster_view make_view(
+        const routes::service& service, const rates& wanted, time_point now);
+    std::vector<placement::model_view> make_models(
+        const routes::service& service, const rates& wanted, time_point now,
+        const std::vector<placement::engine_view>& engines);
+    void start(const placement::move& move, const routes::service& service,
+        time_point now);
+    bool usable(const endpoint_id& id, time_point now) const;
+
+    boost::asio::awaitable<void> send_command(command what);
+    boost::asio::awaitable<void> load_adapter(
+        demanded_model wanted, endpoint_id engine);
+    /// Sends one command; true when the engine has accepted it or did so
+    /// before.
+    boost::asio::awaitable<bool> post(const command& what);
+    boost::asio::awaitable<bool> read_report(endpoint_id id);
+    boost::asio::awaitable<void> poll(endpoint_id id);
+    boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
+    void accepted(const command& what);
+    void publish(const endpoint_id& id);
+    /// The engine to load an adapter at; empty when there is none.
+    endpoint_id engine_for(const demanded_model& wanted, time_point now);
+    /// A loaded adapter and the demand for it.
+    struct adapter_use
+    {
+        model_id model;
+        adapter_id adapter;
+        double rate = 0;
+    };
+
+    /// The adapter that gives its slot up; its id is empty for none.
+    adapter_use idle_adapter(const engine_account& account,
+        const service_id& service, time_point now);
+
+    context& on_;
+    peer_link& peers_;
+    const std::function<bool()> may_command_;
+    const std::function<std::int64_t()> fencing_;
+    bool active_ = false;
+    /// Coroutines of an earlier lease stop.
+    int generation_ = 0;
+    std::map<endpoint_id, engine_account> engines_;
+    std::map<instance_id, rates> peer_demand_;
+    /// Adapters whose load is under way.
+    std::map<demanded_model, time_point> loading_;
+    std::map<std::pair<service_id, model_id>, time_point> changed_at_;
+    std::map<std::pair<service_id, model_id>, time_point> waiting_since_;
+    load_window loads_;
+};
+
+} // namespace tarragonquay::gateway
--- /dev/null
+++ b/src/gateway/stream_call.cpp
@@ -0,0 +1,471 @@
+#include <algorithm>
+#include <chrono>
+#include <optional>
+
+#include "gateway/call.hpp"
+#include "gateway/event_framer.hpp"
+#include "gateway/forwarder.hpp"
+#include "gateway/ticket_guard.hpp"
+
+namespace tarragonquay::gateway
+{
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+// Callers abandon a stream after the longest of these without an event.
+constexpr milliseconds least_patience{2'000};
+constexpr int targets_of_patience = 4;
+constexpr int pauses_of_patience = 8;
+
+/// A resumable stream moves on when its first event is this much later than
+/// expected, as far as the route's target allows.
+constexpr milliseconds least_first_event_grace{300};
+/// A pause of this many times the longest usual one means that the endpoint
+/// has gone silent.
+constexpr int pauses_to_move = 4;
+constexpr milliseconds least_pause_limit{500};
+
+/// How often an adapter that no engine holds is asked for.
+constexpr milliseconds adapter_request_interval{100};
+/// An adapter takes some 10 ms, behind others a few times that.
+constexpr milliseconds adapter_wait{400};
+/// When a caller may return for an adapter or an engine that is missing.
+constexpr double not_ready_retry_s = 0.3;
+
+constexpr int status_ok = 200;
+constexpr int first_server_error = 500;
+
+/// A stream on its way, over several endpoints if need be.
+struct stream_state
+{
+    /// The head of the first endpoint has been sent to the caller.
+    bool begun = false;
+    /// Last event that the caller has.
+    std::optional<std::int64_t> last_event;
+};
+
+/// How one endpoint's part of the stream ended.
+enum class relay_outcome
+{
+    complete,
+    /// A whole answer that is no stream; it is in `answer`.
+    answered,
+    rejected,
+    not_connected,
+    /// Broken, silent or wrong; may be resumed.
+    broken,
+    caller_gone
+};
+
+struct relay_end
+{
+    relay_outcome outcome = relay_outcome::broken;
+    whole_answer answer;
+};
+
+milliseconds patience(const routes::route& route)
+{
+    return std::max({least_patience,
+        milliseconds(targets_of_patience * route.target_latency_ms),
+        milliseconds(pauses_of_patience * route.longest_pause_ms)});
+}
+
+time_point first_event_limit(const call& of)
+{
+    return std::min(of.deadline, of.request.arrived_at + patience(*of.route));
+}
+
+bool resumable(const call& of)
+{
+    return of.route->repeat == routes::repeat_rule::resumable;
+}
+
+bool may_move(const call& of)
+{
+    return resumable(of) && of.sends < of.route->max_attempts;
+}
+
+/// One send of a stream to one endpoint.
+class relay
+{
+public:
+    relay(call& of, stream_state& state, const dispatch::endpoint_choice& to)
+        : of_(of),
+          state_(state),
+          to_(to),
+          held_(of.on.board,
+              of.on.board.begin(to,
+                  of.request.prompt ? &*of.request.prompt : nullptr,
+                  of.service->engines ? of.service->engines->cache_tokens : 0,
+                  std::chrono::steady_clock::now()))
+    {
+    }
+
+    asio::awaitable<relay_end> run()
+    {
+        of_.endpoint = to_.id;
+        auto connection = co_await connect(of_, to_, of_.deadline);
+        if (!connection)
+            co_return failed(connection.error());
+        of_.out.on_caller_gone([&] { connection->close(); });
+        auto end = co_await exchange(*connection);
+        of_.out.on_caller_gone(nullptr);
+        co_return end;
+    }
+
+private:
+    relay_end failed(const error& cause)
+    {
+        relay_end end;
+        end.outcome = cause.execution() == execution_state::not_run
+                          ? relay_outcome::not_connected
+                          : relay_outcome::broken;
+        if (of_.out.caller_gone())
+            end.outcome = relay_outcome::caller_gone;
+        else
+            of_.on.board.record_failure(
+                to_.id, std::chrono::steady_clock::now());
+        log_attempt(of_, to_.id,
+            end.outcome == relay_outcome::not_connected
+                ? attempt_outcome::not_connected
+            : end.outcome == relay_outcome::caller_gone
+                ? attempt_outcome::caller_gone
+                : attempt_outcome::unknown,
+            cause.message());
+        return end;
+    }
+
+    time_point first_limit() const
+    {
+        if (!may_move(of_))
+            return first_event_limit(of_);
+        const auto grace = std::max(least_first_event_grace,
+            milliseconds(of_.route->target_latency_ms));
+        return std::min(first_event_limit(of_), to_.expected_at + grace);
+    }
+
+    time_point pause_limit() const
+    {
+        const auto now = std::chrono::steady_clock::now();
+        if (!may_move(of_))
+            return std::min(of_.deadline, now + patience(*of_.route));
+        return std::min(of_.deadline,
+            now + std::max(least_pause_limit,
+                      milliseconds(
+                          pauses_to_move * of_.route->longest_pause_ms)));
+    }
+
+    asio::awaitable<relay_end> exchange(endpoints::http_connection& connection)
+    {
+        ++of_.sends;
+        auto request = make_exchange(of_, to_, first_limit());
+        if (state_.last_event)
+        {
+            const auto& name = of_.on.dialect.headers.last_event;
+            std::erase_if(request.headers, [&](const endpoints::header& each)
+                { return each.name == name; });
+            request.headers.push_back(
+                {name, std::to_string(*state_.last_event)});
+        }
+        auto head = co_await connection.send(request);
+        if (!head)
+            co_return failed(head.error());
+        const auto judged = judge_head(of_, *head);
+        if (judged == attempt_outcome::answered && head->status == status_ok)
+            co_return co_await relay_events(connection, std::move(*head));
+        co_return co_await whole(connection, judged, std::move(*head));
+    }
+
+    // Reads an answer that is no stream.
+    asio::awaitable<relay_end> whole(endpoints::http_connection& connection,
+        attempt_outcome judged, endpoints::answer_head head)
+    {
+        std::string body;
+        while (true)
+        {
+            const auto part = co_await connection.read_some(of_.deadline);
+            if (!part)
+                co_return failed(part.error());
+            if (part->empty())
+                break;
+            body += *part;
+        }
+        if (judged == attempt_outcome::unknown)
+            co_return failed(error(error_code::wrong_answer,
+                "not an answer of the endpoint", execution_state::unknown));
+        keep(connection);
+        relay_end end;
+        if (judged == attempt_outcome::answered)
+        {
+            of_.on.board.record_answer(
+                to_.id, head.status < first_server_error);
+            end.outcome = relay_outcome::answered;
+            end.answer = to_caller(of_, std::move(head), std::move(body));
+            co_return end;
+        }
+        if (judged == attempt_outcome::misdirected)
+            note_misdirected(head);
+        log_attempt(of_, to_.id, judged, std::to_string(head.status));
+        end.outcome = relay_outcome::rejected;
+        co_return end;
+    }
+
+    void note_misdirected(const endpoints::answer_head& head)
+    {
+        const auto id = head.find(of_.on.dialect.headers.endpoint);
+        if (!id.empty() && id != to_.id.str())
+            of_.on.board.mark_leaving(to_.id);
+        else if (of_.request.prompt)
+            of_.on.board.mark_missing(to_.id, of_.request.prompt->model,
+                of_.request.prompt->adapter, std::chrono::steady_clock::now());
+    }
+
+    void keep(endpoints::http_connection& connection)
+    {
+        if (connection.reusable())
+            of_.on.connections.put(to_.address, std::move(connection),
+                std::chrono::steady_clock::now());
+    }
+
+    asio::awaitable<relay_end> relay_events(
+        endpoints::http_connection& connection, endpoints::answer_head head)
+    {
+        event_framer framer;
+        bool first = true;
+        while (true)
+        {
+            auto part = co_await connection.read_some(
+                first ? first_limit() : pause_limit());
+            if (!part)
+                co_return failed(part.error());
+            if (part->empty())
+                break;
+            framer.feed(*part);
+            auto events = take_events(framer);
+            if (!events)
+                co_return failed(events.error());
+            if (events->empty())
+                continue;
+            if (first)
+                note_first_event();
+            first = false;
+            const bool written = co_await deliver(head, std::move(*events));
+            if (!written)
+                co_return gone();
+        }
+        if (framer.partial())
+            co_return failed(error(error_code::incomplete_answer,
+                "the stream ended in the middle of an event",
+                execution_state::unknown));
+        keep(connection);
+        of_.on.board.record_answer(to_.id, true);
+        if (!state_.begun)
+        {
+            const auto begun = co_await of_.out.begin_stream(head);
+            if (!begun)
+                co_return gone();
+        }
+        const auto ended = co_await of_.out.end_stream();
+        if (!ended)
+            co_return gone();
+        co_return relay_end{relay_outcome::complete, {}};
+    }
+
+    static relay_end gone() { return {relay_outcome::caller_gone, {}}; }
+
+    void note_first_event()
+    {
+        if (of_.request.prompt)
+            of_.on.board.first_event(held_.held(), of_.service->id,
+                of_.request.prompt->model, std::chrono::steady_clock::now());
+    }
+
+    // Whole events that continue the stream, joined.
+    result<std::string> take_events(event_framer& framer)
+    {
+        std::string out;
+        while (true)
+        {
+            auto event = framer.pop();
+            if (!event)
+                return tl::unexpected<error>(event.error());
+            if (!*event)
+                return out;
+            const auto& id = (*event)->id;
+            if (id && state_.last_event && *id != *state_.last_event + 1)
+                return fail(error_code::wrong_answer,
+                    "an event of the stream is missing or repeated",
+                    execution_state::unknown);
+            if (id)
+                state_.last_event = id;
+            out += (*event)->bytes;
+        }
+    }
+
+    asio::awaitable<bool> deliver(
+        const endpoints::answer_head& head, std::string events)
+    {
+        if (!state_.begun)
+        {
+            state_.begun = true;
+            const auto begun = co_await of_.out.begin_stream(head);
+            if (!begun)
+                co_return false;
+        }
+        const auto written = co_await of_.out.write_stream(std::move(events));
+        co_return written.has_value();
+    }
+
+    call& of_;
+    stream_state& state_;
+    const dispatch::endpoint_choice to_;
+    ticket_guard held_;
+};
+
+// Waits for an engine that holds the model and the adapter.
+asio::awaitable<result<dispatch::endpoint_choice>> choose(call& of)
+{
+    auto& on = of.on;
+    if (!of.request.prompt || !of.service->engines)
+        co_return on.board.choose_plain(
+            of.service->id, of.tried, std::chrono::steady_clock::now());
+    const auto& prompt = *of.request.prompt;
+    const auto* model = of.routes->find_model(of.service->id, prompt.model);
+    const auto began = std::chrono::steady_clock::now();
+    auto give_up_at = std::min(first_event_limit(of), began + adapter_wait);
+    if (prompt.adapter.empty() && model != nullptr)
+    {
+        // A load that takes longer than the caller waits is not waited for.
+        const auto load =
+            milliseconds(std::llround(model->load_from_memory_s * 1000));
+        give_up_at = began + load < first_event_limit(of)
+                         ? first_event_limit(of)
+                         : began;
+    }
+    while (true)
+    {
+        const auto now = std::chrono::steady_clock::now();
+        auto chosen =
+            on.board.choose_engine(of.service->id, prompt, of.tried, now);
+        if (chosen || chosen.error().code() != error_code::model_not_ready ||
+            now >= give_up_at || of.out.caller_gone())
+            co_return chosen;
+        if (!prompt.adapter.empty())
+            on.request_adapter(of.service->id, prompt.model, prompt.adapter);
+        co_await on.residency_changed.wait(
+            std::min(give_up_at, now + adapter_request_interval));
+    }
+}
+
+void count_demand(call& of)
+{
+    if (!of.request.prompt)
+        return;
+    const auto& prompt = *of.request.prompt;
+    const auto now = std::chrono::steady_clock::now();
+    const auto own = prompt.parts.empty() ? prompt.prompt_tokens
+                                          : prompt.parts.back().tokens;
+    const auto engine_ms =
+        static_cast<double>(own) / dispatch::prefill_rate::initial;
+    of.on.demand.add({of.service->id, prompt.model, {}}, engine_ms, now);
+    if (!prompt.adapter.empty())
+        of.on.demand.add(
+            {of.service->id, prompt.model, prompt.adapter}, engine_ms, now);
+}
+
+// Ends a stream that can't go on.
+asio::awaitable<void> give_up(call& of, const stream_state& state,
+    std::optional<whole_answer> last, const error& cause)
+{
+    if (of.out.caller_gone())
+    {
+        of.reason = "caller_gone";
+        co_return;
+    }
+    if (state.begun)
+    {
+        // The connection is closed, so that the part does not look complete.
+        of.reason = "stream_broken";
+        co_return;
+    }
+    if (last)
+    {
+        of.reason = "endpoint_failed";
+        co_await of.out.respond(std::move(*last));
+        co_return;
+    }
+    if (of.may_have_run)
+    {
+        const bool late = std::chrono::steady_clock::now() >= of.deadline;
+        co_await refuse(of, late ? 504 : 502, late ? "timeout" : "unanswered");
+        co_return;
+    }
+    co_await refuse(
+        of, 503, std::string(to_string(cause.code())), not_ready_retry_s);
+}
+
+double seconds_between(time_point from, time_point to)
+{
+    return std::chrono::duration<double>(to - from).count();
+}
+
+// Whether the choice can serve the request before the caller gives up.
+asio::awaitable<bool> in_time(call& of, const dispatch::endpoint_choice& choice,
+    const stream_state& state)
+{
+    const auto limit = first_event_limit(of);
+    if (state.begun || of.sends > 0 || choice.expected_at < limit)
+        co_return true;
+    co_await refuse(of, 503, "overloaded",
+        std::max(
+            not_ready_retry_s, seconds_between(limit, choice.expected_at)));
+    co_return false;
+}
+
+} // namespace
+
+asio::awaitable<void> run_stream_call(call& of)
+{
+    count_demand(of);
+    stream_state state;
+    state.last_event = of.request.last_event;
+    std::optional<whole_answer> last;
+    error cause(error_code::deadline_exceeded, "the deadline has passed");
+    while (std::chrono::steady_clock::now() < of.deadline && take_attempt(of))
+    {
+        auto to = co_await choose(of);
+        if (!to)
+        {
+            cause = to.error();
+            break;
+        }
+        const bool served_in_time = co_await in_time(of, *to, state);
+        if (!served_in_time)
+            co_return;
+        relay one(of, state, *to);
+        auto end = co_await one.run();
+        of.tried.insert(to->id);
+        if (end.outcome == relay_outcome::complete)
+        {
+            of.reason = "answered";
+            co_return;
+        }
+        if (end.outcome == relay_outcome::caller_gone)
+            break;
+        if (end.outcome == relay_outcome::answered)
+            last = std::move(end.answer);
+        const bool ran = end.outcome == relay_outcome::answered ||
+                         end.outcome == relay_outcome::broken;
+        of.may_have_run = of.may_have_run || ran;
+        if (ran && !resumable(of))
+            break;
+        cause = error(error_code::no_endpoint, "all sends were rejected");
+    }
+    co_await give_up(of, state, std::move(last), cause);
+}
+
+} // namespace tarragonquay::gateway
--- a/src/ingress/server_test_support.hpp
+++ b/src/ingress/server_test_support.hpp
@@ -18,7 +18,7 @@
 #include "endpoints/scripted_server.hpp"
 #include "ingress/server.hpp"
 #include "orders/order_book.hpp"
-#include "platform/fake_store.hpp"
+#include "store/fake_store.hpp"
 
 namespace tarragonquay::ingress::testing
 {
@@ -193,8 +193,8 @@
 
     scripted_server endpoint;
     std::string address;
-    platform::fake_store store;
-    orders::order_book<platform::fake_store> book;
+    store::fake_store store;
+    orders::order_book<store::fake_store> book;
     catalog::published_state state;
     events::recorder events{"i1", 1000};
     metrics::registry metrics;
--- a/src/orders/order_book.hpp
+++ b/src/orders/order_book.hpp
@@ -9,7 +9,7 @@
 
 #include "orders/order_types.hpp"
 #include "orders/outcome_writer.hpp"
-#include "platform/client.hpp"
+#include "store/client.hpp"
 #include "records.pb.h"
 
 namespace tarragonquay::orders
@@ -18,7 +18,7 @@
 /// Records of non-idempotent calls, which allow one dispatch per record
 /// over all instances. Thread-safe when the store and the environment are.
 /// It must outlive the store's outstanding handlers.
-template <platform::table_store Store>
+template <store::table_store Store>
 class order_book
 {
 public:
@@ -111,7 +111,7 @@
     {
         store_.read({order_row_key(workspace, idempotency_key)},
             environment_.now() + store_call_limit,
-            [this, handler](result<std::vector<platform::row>> rows)
+            [this, handler](result<std::vector<store::row>> rows)
             {
                 if (!rows)
                     return handler(tl::unexpected<error>(rows.error()));
@@ -186,7 +186,7 @@
         store_.transact({{attempt->row_key, attempt->replaced_version}},
             {{attempt->row_key, attempt->record.SerializeAsString()}},
             call_deadline(attempt->call.deadline),
-            [this, attempt](result<platform::transact_outcome> outcome)
+            [this, attempt](result<store::transact_outcome> outcome)
             {
                 if (!outcome)
                     return creation_failed(attempt, outcome.error());
@@ -217,7 +217,7 @@
     void read_back(attempt_ptr attempt)
     {
         store_.read({attempt->row_key}, call_deadline(attempt->call.deadline),
-            [this, attempt](result<std::vector<platform::row>> rows)
+            [this, attempt](result<std::vector<store::row>> rows)
             {
                 if (!rows && !attempt->may_be_written)
                     return refuse(attempt, error_code::store_unavailable,
@@ -230,7 +230,7 @@
             });
     }
 
-    void examine(attempt_ptr attempt, const std::vector<platform::row>& rows)
+    void examine(attempt_ptr attempt, const std::vector<store::row>& rows)
     {
         const auto version = rows.empty() ? 0 : rows.front().version;
         if (version == attempt->replaced_version)
@@ -372,7 +372,7 @@
         store_.transact({{row_key, shown.version}},
             {{row_key, shown.record.SerializeAsString()}},
             environment_.now() + store_call_limit,
-            [shown, handler](result<platform::transact_outcome> outcome) mutable
+            [shown, handler](result<store::transact_outcome> outcome) mutable
             {
                 if (!outcome)
                     return handler(tl::unexpected<error>(outcome.error()));
--- a/src/orders/order_test_support.hpp
+++ b/src/orders/order_test_support.hpp
@@ -4,7 +4,7 @@
 #include <set>
 
 #include "orders/order_book.hpp"
-#include "platform/fake_store.hpp"
+#include "store/fake_store.hpp"
 
 namespace tarragonquay::orders::testing
 {
@@ -14,22 +14,22 @@
 class queued_store
 {
 public:
-    explicit queued_store(platform::fake_store& target) : target_(target) {}
+    explicit queued_store(store::fake_store& target) : target_(target) {}
 
-    void transact(std::vector<platform::condition> conditions,
-        std::vector<platform::write> writes, time_point deadline,
-        platform::handler<platform::transact_outcome> on_done)
+    void transact(std::vector<store::condition> conditions,
+        std::vector<store::write> writes, time_point deadline,
+        store::handler<store::transact_outcome> on_done)
     {
         calls_.push_back([=, this]
             { target_.transact(conditions, writes, deadline, on_done); });
     }
     void read(std::vector<std::string> keys, time_point deadline,
-        platform::handler<std::vector<platform::row>> on_done)
+        store::handler<std::vector<store::row>> on_done)
     {
         calls_.push_back([=, this] { target_.read(keys, deadline, on_done); });
     }
     void scan(std::string prefix, std::string after, std::int32_t limit,
-        time_point deadline, platform::handler<platform::scan_page> on_done)
+        time_point deadline, store::handler<store::scan_page> on_done)
     {
         calls_.push_back([=, this]
             { target_.scan(prefix, after, limit, deadline, on_done); });
@@ -48,14 +48,14 @@
     }
 
 private:
-    platform::fake_store& target_;
+    store::fake_store& target_;
     std::vector<std::function<void()>> calls_;
 };
 
 // State that all instances of a test share.
 struct world
 {
-    platform::fake_store store;
+    store::fake_store store;
     fake_clock clock;
     int last_id = 0;
     std::set<std::string> gone;
--- a/src/orders/outcome_writer.hpp
+++ b/src/orders/outcome_writer.hpp
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "orders/order_types.hpp"
-#include "platform/client.hpp"
+#include "store/client.hpp"
 #include "records.pb.h"
 
 namespace tarragonquay::orders
@@ -29,7 +29,7 @@
 
 /// Writes how dispatches ended. Thread-safe when the store and the
 /// environment are.
-template <platform::table_store Store>
+template <store::table_store Store>
 class outcome_writer
 {
 public:
@@ -115,7 +115,7 @@
         store_.transact({{change->permit.row_key, change->expected_version}},
             {{change->permit.row_key, change->record.SerializeAsString()}},
             environment_.now() + store_call_limit,
-            [this, change](result<platform::transact_outcome> outcome)
+            [this, change](result<store::transact_outcome> outcome)
             {
                 if (outcome && outcome->applied)
                     return finish(change, {});
@@ -133,7 +133,7 @@
     {
         store_.read({change->permit.row_key},
             environment_.now() + store_call_limit,
-            [this, change](result<std::vector<platform::row>> rows)
+            [this, change](result<std::vector<store::row>> rows)
             {
                 if (!rows)
                     return change_failed(change, rows.error(),
--- a/src/placement/controller.hpp
+++ b/src/placement/controller.hpp
@@ -35,7 +35,7 @@
 /// thread.
 template <class Transport>
 concept command_transport = requires(Transport& transport,
-    const intent& command, platform::handler<command_answer> on_done)
+    const intent& command, store::handler<command_answer> on_done)
 {
     transport.send(command, on_done);
 };
@@ -51,7 +51,7 @@
 /// Loop of the placement lease's holder: plans, writes intents, sends
 /// commands and concludes intents. Does nothing while it does not hold the
 /// lease. For the control thread.
-template <platform::table_store Store, clock_source Clock,
+template <store::table_store Store, clock_source Clock,
     command_transport Transport, placement_planner Planner = demand_planner>
 class controller
 {
@@ -113,7 +113,7 @@
 
     void start_scan();
     void scan_page(std::string after, commands found, int generation);
-    result<intent> read_intent(const platform::row& row) const;
+    result<intent> read_intent(const store::row& row) const;
     void take_scanned(commands found);
     void refill_loads();
     void plan_and_commit();
--- a/src/placement/controller.ipp
+++ b/src/placement/controller.ipp
@@ -3,7 +3,7 @@
 namespace tarragonquay::placement
 {
 
-template <platform::table_store S, clock_source C, command_transport T,
+template <store::table_store S, clock_source C, command_transport T,
     placement_planner P>
 controller<S, C, T, P>::controller(controller_settings settings, S& store,
     const C& clock, T& transport, P planner)
@@ -40,7 +40,7 @@
         });
 }
 
-template <platform::table_store S, clock_source C, command_transport T,
+template <store::table_store S, clock_source C, command_transport T,
     placement_planner P>
 void controller<S, C, T, P>::update(
     const std::vector<catalog::endpoint>& endpoints,
@@ -69,7 +69,7 @@
     inputs_.adapters = adapters;
 }
 
-template <platform::table_store S, clock_source C, command_transport T,
+template <store::table_store S, clock_source C, command_transport T,
     placement_planner P>
 void controller<S, C, T, P>::set_demand(
     std::vector<routing::demand_entry> demand)
@@ -77,14 +77,14 @@
     inputs_.demand = std::move(demand);
 }
 
-template <platform::table_store S, clock_source C, command_transport T,
+template <store::table_store S, clock_source C, command_transport T,
     placement_planner P>
 void controller<S, C, T, P>::set_unusable(std::set<endpoint_id> endpoints)
 {
     inputs_.unusable = std::move(endpoints);
 }
 
-template <platform::table_store S, clock_source C, command_transport T,
+template <store::table_store S, clock_source C, command_transport T,
     placement_planner P>
 void controller<S, C, T, P>::report(const routing::endpoint_report& report)
 {
@@ -99,7 +99,7 @@
     }
 }
 
-template <platform::table_store S, clock_source C, command_transport T,
+template <store::table_store S, clock_source C, command_transport T,
     placement_planner P>
 void controller<S, C, T, P>::tick()
 {
@@ -114,7 +114,7 @@
         plan_and_commit();
 }
 
-template <platform::table_store S, clock_source C, command_transport T,
+template <store::table_store S, clock_source C, command_transport T,
     placement_planner P>
 void controller<S, C, T, P>::start_scan()
 {
@@ -123,7 +123,7 @@
     scan_page({}, {}, generation_);
 }
 
-template <platform::table_store S, clock_source C, command_transport T,
+template <store::table_store S, clock_source C, command_transport T,
     placement_planner P>
 void controller<S, C, T, P>::scan_page(
     std::string after, commands found, int generation)
@@ -132,7 +132,7 @@
     const auto deadline = clock_.now() + lease_keeper<S, C>::call_deadline;
     store_.scan(intent_prefix(), std::move(after), page_size, deadline,
         [this, alive = std::weak_ptr<int>(alive_), found = std::move(found),
-            generation](result<platform::scan_page> page) mutable
+            generation](result<store::scan_page> page) mutable
         {
             if (alive.expired() || generation != generation_)
                 return;
@@ -159,10 +159,10 @@
 
 // A row whose key names another command could never be erased, and two rows of
 // one command would be concluded together.
-template <platform::table_store S, clock_source C, command_transport T,
+template <store::table_store S, clock_source C, command_transport T,
     placement_planner P>
 result<intent> controller<S, C, T, P>::read_intent(
-    const platform::row& row) const
+    const store::row& row) const
 {
     auto value = intent_from_row(row.value);
     if (value && row_key(*value) != row.key)
@@ -171,7 +171,7 @@
     return value;
 }
 
-template <platform::table_store S, clock_source C, command_transport T,
+template <store::table_store S, clock_source C, command_transport T,
     placement_planner P>
 void controller<S, C, T, P>::take_scanned(commands found)
 {
@@ -191,7 +191,7 @@
     }
 }
 
-template <platform::table_store S, clock_source C, command_transport T,
+template <store::table_store S, clock_source C, command_transport T,
     placement_planner P>
 void controller<S, C, T, P>::refill_loads()
 {
@@ -204,7 +204,7 @@
         loads_allowed_ + passed.count() * limits.loads_per_second);
 }
 
-template <platform::table_store S, clock_source C, command_transport T,
+template <store::table_store S, clock_source C, command_transport T,
     placement_planner P>
 void controller<S, C, T, P>::plan_and_commit()
 {
@@ -228,7 +228,7 @@
         commit(std::move(batch));
 }
 
-template <platform::table_store S, clock_source C, command_transport T,
+template <store::table_store S, clock_source C, command_transport T,
     placement_planner P>
 auto controller<S, C, T, P>::to_commands(const std::vector<move>& moves) const
     -> commands
@@ -246,7 +246,7 @@
     return batch;
 }
 
-template <platform::table_store S, clock_source C, command_transport T,
+template <store::table_store S, clock_source C, command_transport T,
     placement_planner P>
 void controller<S, C, T, P>::commit(commands batch)
 {
@@ -259,7 +259,7 @@
     }
     const auto rows = [&](std::int64_t first_fencing)
     {
-        std::vector<platform::write> out;
+        std::vector<store::write> out;
         for (auto& each : batch)
         {
             each.fencing = first_fencing++;
@@ -301,7 +301,7 @@
         });
 }
 
-template <platform::table_store S, clock_source C, command_transport T,
+template <store::table_store S, clock_source C, command_transport T,
     placement_planner P>
 void controller<S, C, T, P>::send(const intent& command)
 {
@@ -325,7 +325,7 @@
         });
 }
 
-template <platform::table_store S, clock_source C, command_transport T,
+template <store::table_store S, clock_source C, command_transport T,
     placement_planner P>
 void controller<S, C, T, P>::resend()
 {
--- a/src/placement/lease_keeper.hpp
+++ b/src/placement/lease_keeper.hpp
@@ -10,37 +10,47 @@
 
 #include "common/clock.hpp"
 #include "placement/types.hpp"
-#include "platform/client.hpp"
+#include "store/types.hpp"
 
 namespace tarragonquay::placement
 {
 
+/// How often the lease is renewed, and how long it lasts without that.
+struct lease_timing
+{
+    std::chrono::milliseconds renewal_interval{3'000};
+    std::chrono::milliseconds read_interval{1'000};
+    /// Time without a change of the row after which another may take over.
+    std::chrono::milliseconds takeover_after{10'000};
+    /// The holder stops earlier than others may start, counted from the start
+    /// of its last successful write.
+    std::chrono::milliseconds valid_for{8'000};
+    /// Wait of the next holder after a release.
+    std::chrono::milliseconds takeover_after_release{0};
+
+    auto operator<=>(const lease_timing&) const = default;
+};
+
 struct lease_settings
 {
     std::string key;
     std::string instance;
     std::string incarnation;
+    lease_timing timing = {};
 };
 
 /// Holds the placement lease of a region: takes it over, renews it, and makes
 /// each write of the holder conditional on it. For the control thread; the
 /// store must call its handlers there.
-template <platform::table_store Store, clock_source Clock>
+template <store::table_store Store, clock_source Clock>
 class lease_keeper
 {
 public:
-    static constexpr std::chrono::seconds renewal_interval{3};
-    static constexpr std::chrono::seconds read_interval{1};
-    /// Time without a change of the row after which another may take over.
-    static constexpr std::chrono::seconds takeover_after{10};
-    /// The holder stops earlier than others may start, counted from the start
-    /// of its last successful write.
-    static constexpr std::chrono::seconds valid_for{8};
     static constexpr std::chrono::seconds call_deadline{2};
 
     /// Rows to write, given the first fencing number of the transaction.
     using row_writer =
-        std::function<std::vector<platform::write>(std::int64_t first_fencing)>;
+        std::function<std::vector<store::write>(std::int64_t first_fencing)>;
 
     lease_keeper(lease_settings settings, Store& store, const Clock& clock)
         : settings_(std::move(settings)), store_(store), clock_(clock)
@@ -65,20 +75,26 @@
         return holder_ && settled_ && clock_.now() < valid_until_;
     }
     bool busy() const { return busy_; }
+    /// Number of the lease; it grows with each holder and each commit.
+    std::int64_t fencing() const { return state_.fencing; }
 
     /// Writes rows on the condition that the lease is unchanged; uses
     /// `numbers` fencing numbers. The handler gets the first one.
     void commit(const row_writer& rows, std::int64_t numbers,
-        platform::handler<std::int64_t> on_done);
+        store::handler<std::int64_t> on_done);
 
     void tick();
 
+    /// Gives the lease up, so that another instance may take it soon. The
+    /// keeper must not be used afterwards but for its destruction.
+    void release();
+
 private:
     void lose();
     void read_row();
-    void consider(const std::optional<platform::row>& found);
-    void write_lease(lease next, std::vector<platform::write> rows,
-        platform::handler<std::int64_t> on_done);
+    void consider(const std::optional<store::row>& found);
+    void write_lease(lease next, std::vector<store::write> rows,
+        store::handler<std::int64_t> on_done);
 
     bool is_own(const lease& value) const
     {
@@ -118,9 +134,9 @@
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
-template <platform::table_store Store, clock_source Clock>
+template <store::table_store Store, clock_source Clock>
 void lease_keeper<Store, Clock>::commit(const row_writer& rows,
-    std::int64_t numbers, platform::handler<std::int64_t> on_done)
+    std::int64_t numbers, store::handler<std::int64_t> on_done)
 {
     if (!holds() || busy_)
         return on_done(fail(
@@ -131,9 +147,9 @@
     write_lease(next, rows(state_.fencing + 1), std::move(on_done));
 }
 
-template <platform::table_store Store, clock_source Clock>
+template <store::table_store Store, clock_source Clock>
 void lease_keeper<Store, Clock>::write_lease(lease next,
-    std::vector<platform::write> rows, platform::handler<std::int64_t> on_done)
+    std::vector<store::write> rows, store::handler<std::int64_t> on_done)
 {
     busy_ = true;
     const auto started = clock_.now();
@@ -142,7 +158,7 @@
     store_.transact({{settings_.key, version_}}, std::move(rows), call_end(),
         guarded(
             [this, next, started, first, on_done = std::move(on_done)](
-                result<platform::transact_outcome> outcome)
+                result<store::transact_outcome> outcome)
             {
                 busy_ = false;
                 if (outcome && outcome->applied)
@@ -150,8 +166,8 @@
                     state_ = next;
                     version_ = outcome->revision;
                     holder_ = true;
-                    valid_until_ = started + valid_for;
-                    next_renewal_ = started + renewal_interval;
+                    valid_until_ = started + settings_.timing.valid_for;
+                    next_renewal_ = started + settings_.timing.renewal_interval;
                     if (!std::exchange(settled_, true) && on_settled_)
                         on_settled_();
                     return on_done(first);
@@ -164,13 +180,13 @@
                 if (!untouched)
                     settled_ = false;
                 next_read_ = clock_.now();
-                next_renewal_ = clock_.now() + read_interval;
+                next_renewal_ = clock_.now() + settings_.timing.read_interval;
                 on_done(fail(error_code::store_outcome_unknown,
                     "The write with the placement lease was not confirmed."));
             }));
 }
 
-template <platform::table_store Store, clock_source Clock>
+template <store::table_store Store, clock_source Clock>
 void lease_keeper<Store, Clock>::lose()
 {
     if (!std::exchange(holder_, false))
@@ -181,7 +197,21 @@
         on_lost_();
 }
 
-template <platform::table_store Store, clock_source Clock>
+template <store::table_store Store, clock_source Clock>
+void lease_keeper<Store, Clock>::release()
+{
+    if (!holds())
+        return;
+    auto next = state_;
+    next.released = true;
+    ++next.renewals;
+    holder_ = false;
+    store_.transact({{settings_.key, version_}},
+        {{settings_.key, to_row(next)}}, call_end(),
+        [](const result<store::transact_outcome>&) {});
+}
+
+template <store::table_store Store, clock_source Clock>
 void lease_keeper<Store, Clock>::tick()
 {
     const auto now = clock_.now();
@@ -201,14 +231,14 @@
         read_row();
 }
 
-template <platform::table_store Store, clock_source Clock>
+template <store::table_store Store, clock_source Clock>
 void lease_keeper<Store, Clock>::read_row()
 {
     busy_ = true;
-    next_read_ = clock_.now() + read_interval;
+    next_read_ = clock_.now() + settings_.timing.read_interval;
     store_.read({settings_.key}, call_end(),
         guarded(
-            [this](result<std::vector<platform::row>> rows)
+            [this](result<std::vector<store::row>> rows)
             {
                 busy_ = false;
                 if (!rows)
@@ -218,9 +248,9 @@
             }));
 }
 
-template <platform::table_store Store, clock_source Clock>
+template <store::table_store Store, clock_source Clock>
 void lease_keeper<Store, Clock>::consider(
-    const std::optional<platform::row>& found)
+    const std::optional<store::row>& found)
 {
     const auto now = clock_.now();
     const auto version = found ? found->version : 0;
@@ -232,7 +262,9 @@
         if (parsed)
             current = *parsed;
     }
-    if (found && !is_own(current))
+    // An earlier process of this instance has ended, so its lease needs no
+    // wait.
+    if (found && current.instance != settings_.instance)
     {
         lose();
         if (seen_version_ != version)
@@ -240,7 +272,10 @@
             seen_version_ = version;
             seen_since_ = now;
         }
-        if (now - seen_since_ < takeover_after)
+        const auto& timing = settings_.timing;
+        if (now - seen_since_ < (current.released
+                                        ? timing.takeover_after_release
+                                        : timing.takeover_after))
             return;
     }
     seen_version_.reset();
@@ -252,6 +287,7 @@
         ++next.fencing;
     next.instance = settings_.instance;
     next.incarnation = settings_.incarnation;
+    next.released = false;
     ++next.renewals;
     write_lease(next, {}, [](const result<std::int64_t>&) {});
 }
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -128,6 +128,9 @@
     /// Gain in tokens per second served in time that a moved gigabyte must
     /// bring; the cost of the move.
     double least_gain_per_gigabyte = 5;
+    /// Replicas of one model that may be on their way at once. With one, each
+    /// shows what it brings before the next one is loaded.
+    std::int64_t replicas_coming = 1;
     /// Replicas younger than this are not taken away from a model.
     double least_residence_s = 4;
     /// Added to the residence for each gigabyte, since a larger model takes
--- a/src/placement/types.cpp
+++ b/src/placement/types.cpp
@@ -135,6 +135,7 @@
     message.set_incarnation(value.incarnation);
     message.set_fencing(value.fencing);
     message.set_renewals(value.renewals);
+    message.set_released(value.released);
     return message.SerializeAsString();
 }
 
@@ -151,7 +152,7 @@
         return fail(error_code::malformed_message,
             "The lease has a name or a number out of range.");
     return lease{message.instance(), message.incarnation(), message.fencing(),
-        message.renewals()};
+        message.renewals(), message.released()};
 }
 
 } // namespace tarragonquay::placement
--- a/src/placement/types.hpp
+++ b/src/placement/types.hpp
@@ -68,6 +68,8 @@
     std::string incarnation;
     std::int64_t fencing = 0;
     std::int64_t renewals = 0;
+    /// The holder has given the lease up.
+    bool released = false;
 
     auto operator<=>(const lease&) const = default;
 };
--- /dev/null
+++ b/src/remote_store/http_table_store.hpp
@@ -0,0 +1,227 @@
+#pragma once
+
+#include <utility>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "endpoints/http_exchange.hpp"
+#include "remote_store/calls.hpp"
+#include "store/types.hpp"
+
+namespace tarragonquay::remote_store
+{
+
+/// Client of a table service over HTTP: a second transport of the concept
+/// store::table_store, with change feeds besides. Runs on one thread.
+template <store_codec Codec>
+class http_table_store
+{
+public:
+    /// `address` is "ip:port". The context outlives the store.
+    http_table_store(boost::asio::io_context& context, std::string address)
+        : context_(context), address_(std::move(address))
+    {
+    }
+
+    void transact(std::vector<store::condition> conditions,
+        std::vector<store::write> writes, time_point deadline,
+        store::handler<store::transact_outcome> on_done)
+    {
+        spawn(Codec::transact(conditions, writes), false, deadline,
+            [on_done = std::move(on_done)](result<answer> got)
+            {
+                if (got)
+                    return on_done(Codec::decode_transact(*got));
+                on_done(tl::unexpected<error>(got.error()));
+            });
+    }
+
+    void read(std::vector<std::string> keys, time_point deadline,
+        store::handler<std::vector<store::row>> on_done)
+    {
+        boost::asio::co_spawn(context_,
+            read_all(std::move(keys), deadline, std::move(on_done)),
+            boost::asio::detached);
+    }
+
+    void scan(std::string prefix, std::string after, std::int32_t limit,
+        time_point deadline, store::handler<store::scan_page> on_done)
+    {
+        // The smallest key after `after`.
+        const auto from = after.empty() ? prefix : after + '\0';
+        spawn(Codec::scan(from, end_of(prefix), limit), true, deadline,
+            [on_done = std::move(on_done)](result<answer> got)
+            {
+                if (got)
+                    return on_done(Codec::decode_scan(*got));
+                on_done(tl::unexpected<error>(got.error()));
+            });
+    }
+
+    /// All rows of a table that others write.
+    boost::asio::awaitable<result<table_changes>> read_table(
+        std::string table, time_point deadline)
+    {
+        table_changes all;
+        std::string from;
+        while (true)
+        {
+            auto got = co_await perform(
+                Codec::read_table(table, from), true, deadline);
+            if (!got)
+                co_return tl::unexpected<error>(got.error());
+            auto page = Codec::decode_table(*got);
+            if (!page)
+                co_return tl::unexpected<error>(page.error());
+            for (auto& each : page->rows)
+                all.rows.push_back(std::move(each));
+            // Changes after the first page must not be left out.
+            if (all.version == 0)
+                all.version = page->version;
+            if (!page->more || all.rows.empty())
+                co_return all;
+            from = all.rows.back().key + '\0';
+        }
+    }
+
+    /// Changes of a table after a version; waits for some until `wait_until`.
+    /// A feed has its own connection, which the caller keeps.
+    boost::asio::awaitable<result<table_changes>> follow_table(
+        std::string table, std::int64_t after, time_point wait_until,
+        std::optional<endpoints::http_connection>& connection)
+    {
+        /// Time for the answer beyond the wait; the store may be slow.
+        constexpr std::chrono::milliseconds answer_time{1'500};
+        const auto now = std::chrono::steady_clock::now();
+        const auto wait_ms =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                wait_until - now)
+                .count();
+        const auto deadline = wait_until + answer_time;
+        if (!connection || !connection->quiet())
+        {
+            auto opened = co_await endpoints::http_connection::open(
+                address_, now + answer_time);
+            if (!opened)
+                co_return tl::unexpected<error>(opened.error());
+            connection.emplace(std::move(*opened));
+        }
+        auto got = co_await round_trip(*connection,
+            make_request(Codec::follow_table(table, after, wait_ms), deadline));
+        if (!got || !connection->reusable())
+            connection.reset();
+        if (!got)
+            co_return tl::unexpected<error>(got.error());
+        co_return Codec::decode_table(*got);
+    }
+
+private:
+    endpoints::exchange_request make_request(call what, time_point deadline)
+    {
+        endpoints::exchange_request request;
+        request.address = address_;
+        request.method = std::move(what.method);
+        request.target = std::move(what.target);
+        request.body = std::move(what.body);
+        if (!request.body.empty())
+            request.headers.push_back({"Content-Type", "application/json"});
+        request.deadline = deadline;
+        return request;
+    }
+
+    boost::asio::awaitable<result<answer>> round_trip(
+        endpoints::http_connection& connection,
+        endpoints::exchange_request request)
+    {
+        const auto head = co_await connection.send(request);
+        if (!head)
+            co_return tl::unexpected<error>(head.error());
+        answer out{head->status, {}};
+        while (true)
+        {
+            const auto part = co_await connection.read_some(request.deadline);
+            if (!part)
+                co_return tl::unexpected<error>(part.error());
+            if (part->empty())
+                co_return out;
+            out.body += *part;
+        }
+    }
+
+    boost::asio::awaitable<result<answer>> perform(
+        call what, bool idempotent, time_point deadline)
+    {
+        auto request = make_request(std::move(what), deadline);
+        request.idempotent = idempotent;
+        const auto got =
+            co_await endpoints::exchange(pool_, std::move(request));
+        if (got)
+            co_return answer{got->head.status, got->body};
+        const bool untouched =
+            got.error().execution() == execution_state::not_run || idempotent;
+        co_return fail(untouched ? error_code::store_unavailable
+                                 : error_code::store_outcome_unknown,
+            got.error().message(), got.error().execution());
+    }
+
+    template <class Handler>
+    void spawn(call what, bool idempotent, time_point deadline, Handler on_done)
+    {
+        boost::asio::co_spawn(context_,
+            run(std::move(what), idempotent, deadline, std::move(on_done)),
+            boost::asio::detached);
+    }
+
+    template <class Handler>
+    boost::asio::awaitable<void> run(
+        call what, bool idempotent, time_point deadline, Handler on_done)
+    {
+        auto got = co_await perform(std::move(what), idempotent, deadline);
+        on_done(std::move(got));
+    }
+
+    boost::asio::awaitable<void> read_all(std::vector<std::string> keys,
+        time_point deadline, store::handler<std::vector<store::row>> on_done)
+    {
+        std::vector<store::row> out;
+        for (const auto& key : keys)
+        {
+            auto got = co_await perform(
+                Codec::scan(key, key + '\0', 1), true, deadline);
+            auto page = got ? Codec::decode_scan(*got)
+                            : result<store::scan_page>(
+                                  tl::unexpected<error>(got.error()));
+            if (!page)
+            {
+                on_done(tl::unexpected<error>(page.error()));
+                co_return;
+            }
+            for (auto& row : page->rows)
+                out.push_back(std::move(row));
+        }
+        on_done(std::move(out));
+    }
+
+    // The smallest text that is greater than all texts with the prefix.
+    static std::string end_of(std::string prefix)
+    {
+        if (!prefix.empty())
+            ++prefix.back();
+        return prefix;
+    }
+
+    boost::asio::io_context& context_;
+    const std::string address_;
+    endpoints::connection_pool pool_;
+};
+
+} // namespace tarragonquay::remote_store
--- a/src/platform/client.cpp
+++ b/src/store/client.cpp
@@ -1,4 +1,4 @@
-#include "platform/client.hpp"
+#include "store/client.hpp"
 
 #include <algorithm>
 #include <condition_variable>
@@ -17,7 +17,7 @@
 
 #include "platform.grpc.pb.h"
 
-namespace tarragonquay::platform
+namespace tarragonquay::store
 {
 
 namespace
@@ -28,7 +28,7 @@
 // Snapshot objects exceed gRPC's default limit of 4 MiB.
 constexpr int message_limit_bytes = 256 * 1024 * 1024;
 
-using stub_type = Platform::Stub;
+using stub_type = platform::Platform::Stub;
 
 std::shared_ptr<stub_type> make_stub(const std::string& address)
 {
@@ -43,7 +43,7 @@
     arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, keepalive_timeout_ms);
     arguments.SetMaxReceiveMessageSize(message_limit_bytes);
     arguments.SetMaxSendMessageSize(message_limit_bytes);
-    return Platform::NewStub(grpc::CreateCustomChannel(
+    return platform::Platform::NewStub(grpc::CreateCustomChannel(
         address, grpc::InsecureChannelCredentials(), arguments));
 }
 
@@ -102,7 +102,7 @@
     Reply reply;
 };
 
-row to_row(Row& message)
+row to_row(platform::Row& message)
 {
     return {std::move(*message.mutable_key()),
         std::move(*message.mutable_value()), message.version()};
@@ -277,7 +277,7 @@
     std::vector<write> writes, time_point deadline,
     handler<transact_outcome> on_done)
 {
-    Transact_request request;
+    platform::Transact_request request;
     for (auto& expected : conditions)
     {
         auto& message = *request.add_conditions();
@@ -292,11 +292,11 @@
         if (change.value)
             message.set_value(std::move(*change.value));
     }
-    implementation_->start<Transact_reply>(
+    implementation_->start<platform::Transact_reply>(
         "transact", true, std::move(request), deadline,
         [](auto* stub, auto&&... arguments)
         { stub->Transact(std::forward<decltype(arguments)>(arguments)...); },
-        [](Transact_reply& reply) -> result<transact_outcome>
+        [](platform::Transact_reply& reply) -> result<transact_outcome>
         {
             return transact_outcome{reply.applied(), reply.revision(),
                 reply.failed_key(), reply.failed_version()};
@@ -307,14 +307,14 @@
 void client::read(std::vector<std::string> keys, time_point deadline,
     handler<std::vector<row>> on_done)
 {
-    Read_request request;
+    platform::Read_request request;
     for (auto& key : keys)
         request.add_keys(std::move(key));
-    implementation_->start<Read_reply>(
+    implementation_->start<platform::Read_reply>(
         "read", false, std::move(request), deadline,
         [](auto* stub, auto&&... arguments)
         { stub->Read(std::forward<decltype(arguments)>(arguments)...); },
-        [](Read_reply& reply) -> result<std::vector<row>>
+        [](platform::Read_reply& reply) -> result<std::vector<row>>
         { return to_rows(*reply.mutable_rows()); },
         std::move(on_done));
 }
@@ -322,15 +322,15 @@
 void client::scan(std::string prefix, std::string after, std::int32_t limit,
     time_point deadline, handler<scan_page> on_done)
 {
-    Scan_request request;
+    platform::Scan_request request;
     request.set_prefix(std::move(prefix));
     request.set_after(std::move(after));
     request.set_limit(limit);
-    implementation_->start<Scan_reply>(
+    implementation_->start<platform::Scan_reply>(
         "scan", false, std::move(request), deadline,
         [](auto* stub, auto&&... arguments)
         { stub->Scan(std::forward<decltype(arguments)>(arguments)...); },
-        [](Scan_reply& reply) -> result<scan_page> {
+        [](platform::Scan_reply& reply) -> result<scan_page> {
             return scan_page{to_rows(*reply.mutable_rows()), reply.more()};
         },
         std::move(on_done));
@@ -339,27 +339,28 @@
 void client::put_object(std::string name, std::string content,
     time_point deadline, handler<bool> on_done)
 {
-    Put_object_request request;
+    platform::Put_object_request request;
     request.set_name(std::move(name));
     request.set_content(std::move(content));
-    implementation_->start<Put_object_reply>(
+    implementation_->start<platform::Put_object_reply>(
         "put_object", true, std::move(request), deadline,
         [](auto* stub, auto&&... arguments)
         { stub->PutObject(std::forward<decltype(arguments)>(arguments)...); },
-        [](Put_object_reply&) -> result<bool> { return true; },
+        [](platform::Put_object_reply&) -> result<bool> { return true; },
         std::move(on_done));
 }
 
 void client::fetch_object(std::string name, time_point deadline,
     handler<std::optional<std::string>> on_done)
 {
-    Fetch_object_request request;
+    platform::Fetch_object_request request;
     request.set_name(std::move(name));
-    implementation_->start<Fetch_object_reply>(
+    implementation_->start<platform::Fetch_object_reply>(
         "fetch_object", false, std::move(request), deadline,
         [](auto* stub, auto&&... arguments)
         { stub->FetchObject(std::forward<decltype(arguments)>(arguments)...); },
-        [](Fetch_object_reply& reply) -> result<std::optional<std::string>>
+        [](platform::Fetch_object_reply& reply)
+            -> result<std::optional<std::string>>
         {
             if (!reply.found())
                 return std::optional<std::string>();
@@ -370,13 +371,13 @@
 
 void client::list_instances(time_point deadline, handler<instance_list> on_done)
 {
-    implementation_->start<List_instances_reply>(
-        "list_instances", false, List_instances_request(), deadline,
+    implementation_->start<platform::List_instances_reply>(
+        "list_instances", false, platform::List_instances_request(), deadline,
         [](auto* stub, auto&&... arguments) {
             stub->ListInstances(
                 std::forward<decltype(arguments)>(arguments)...);
         },
-        [](List_instances_reply& reply) -> result<instance_list>
+        [](platform::List_instances_reply& reply) -> result<instance_list>
         {
             instance_list list;
             list.as_of_unix_ms = reply.as_of_unix_ms();
@@ -388,4 +389,4 @@
         std::move(on_done));
 }
 
-} // namespace tarragonquay::platform
+} // namespace tarragonquay::store
--- a/src/platform/fake_store.hpp
+++ b/src/store/fake_store.hpp
@@ -6,9 +6,9 @@
 #include <utility>
 #include <vector>
 
-#include "platform/client.hpp"
+#include "store/client.hpp"
 
-namespace tarragonquay::platform
+namespace tarragonquay::store
 {
 
 /// Table service in memory for tests of decisions. Handlers run at once,
@@ -128,4 +128,4 @@
 
 static_assert(table_store<fake_store>);
 
-} // namespace tarragonquay::platform
+} // namespace tarragonquay::store
