Share limits by admitted units while the demand is below the rate

Parts of a limit that follow the demand refuse requests within the rate: a part of a seventh holds less than two usual requests. While the demand of all is below the rate, each instance now takes from an account of the whole limit.

--- a/src/common/json_log.cpp
+++ b/src/common/json_log.cpp
@@ -133,7 +133,9 @@
 {
     nlohmann::ordered_json line = {{"time_ms", unix_ms()}, {"level", level},
         {"instance", instance_}, {"event", kind}};
-    line.update(fields);
+    // No fields at all are null instead of an object.
+    if (fields.is_object())
+        line.update(fields);
     BOOST_LOG(source()) << line.dump(
         -1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -80,6 +80,7 @@
         auto& demand = *out.add_demands();
         demand.set_workspace(each.workspace.str());
         demand.set_units_per_second(each.units_per_second);
+        demand.set_admitted_units(each.admitted_units);
     }
     for (const auto& [id, load] : on_.board.own_loads())
     {
@@ -109,14 +110,13 @@
     {
         on_.log.warning("peer_lost",
             {{"peer", gone.id.str()}, {"address", gone.peer_address}});
-        on_.limiter.erase_peer(gone.id);
+        on_.limiter.lose_peer(gone.id, now);
         on_.board.erase_peer(gone.id);
         if (on_model_demand_)
             on_model_demand_(gone.id, {});
         if (transport_)
             transport_->remove_peer(gone.id);
     }
-    on_.limiter.set_instances(on_.roster.size());
     peer::Envelope message;
     *message.mutable_gateway_heartbeat() = make_heartbeat(now);
     for (const auto& each : on_.roster.receivers(fan_out, on_.random))
@@ -233,8 +233,9 @@
     std::vector<limits::workspace_demand> demands;
     for (const auto& each : beat.demands())
         demands.push_back(
-            {workspace_id(each.workspace()), each.units_per_second()});
-    on_.limiter.put_peer_demands(from, demands);
+            {workspace_id(each.workspace()), each.units_per_second(),
+                each.admitted_units()});
+    on_.limiter.put_peer_demands(from, self.incarnation, demands, now);
     std::vector<std::pair<endpoint_id, dispatch::endpoint_load>> loads;
     for (const auto& each : beat.loads())
         loads.emplace_back(endpoint_id(each.endpoint()),
--- a/src/limits/fleet_limiter.cpp
+++ b/src/limits/fleet_limiter.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <iterator>
 
 #include <fmt/format.h>
 
@@ -18,6 +19,11 @@
 /// Part of each limit that is split evenly, for instances whose demand has
 /// not been told yet.
 constexpr double even_part = 0.2;
+/// Demand above this part of the rate counts as too much for the common
+/// account.
+constexpr double shared_account_load = 1.0;
+/// An instance that restarts is back sooner.
+constexpr std::chrono::seconds lost_peer_memory{10};
 
 double seconds(duration value)
 {
@@ -29,80 +35,109 @@
 void fleet_limiter::apply(
     const std::vector<routes::workspace>& workspaces, time_point now)
 {
-    std::map<workspace_id, bucket> next;
+    std::map<workspace_id, account> next;
     for (const auto& each : workspaces)
     {
-        const auto old = buckets_.find(each.id);
-        bucket made;
-        if (old != buckets_.end())
+        // A new account starts empty: what the others have admitted lately is
+        // not known here. It fills within the time of a burst.
+        account made;
+        made.refilled_at = now;
+        if (const auto old = accounts_.find(each.id); old != accounts_.end())
         {
             refill(old->second, now);
             made = old->second;
         }
         made.rate = each.rate_per_second;
         made.burst = each.burst;
-        made.refilled_at = now;
-        const auto capacity = part(made, now) * static_cast<double>(made.burst);
-        made.level =
-            old == buckets_.end() ? capacity : std::min(made.level, capacity);
+        refill(made, now);
         next.emplace(each.id, std::move(made));
     }
-    buckets_ = std::move(next);
+    accounts_ = std::move(next);
 }
 
-double fleet_limiter::decayed_demand(const bucket& of, time_point now)
+double fleet_limiter::decayed_demand(const account& of, time_point now)
 {
     return of.demand *
            std::exp(-seconds(now - of.demand_at) / demand_average_s);
 }
 
-double fleet_limiter::part(const bucket& of, time_point now) const
+double fleet_limiter::demand_of_all(const account& of, time_point now) const
+{
+    auto all = decayed_demand(of, now);
+    for (const auto& [peer, told] : of.peers)
+        all += told.units_per_second;
+    return all;
+}
+
+double fleet_limiter::part_of(const account& of, time_point now) const
 {
-    const auto count =
-        static_cast<double>(std::max<std::int64_t>(1, instances_));
-    const auto own = decayed_demand(of, now);
-    auto all = own;
-    for (const auto& [peer, demand] : of.peers)
-        all += demand;
-    const auto by_demand = all > 0 ? own / all : 1 / count;
+    const auto count = static_cast<double>(peers_.size() + 1);
+    const auto all = demand_of_all(of, now);
+    const auto by_demand = all > 0 ? decayed_demand(of, now) / all : 1 / count;
     return even_part / count + (1 - even_part) * by_demand;
 }
 
-void fleet_limiter::refill(bucket& of, time_point now) const
+bool fleet_limiter::cut_off() const
+{
+    const auto lost = std::count_if(peers_.begin(), peers_.end(),
+        [](const auto& each) { return each.second.lost_at.has_value(); });
+    return 2 * static_cast<std::size_t>(lost) > peers_.size();
+}
+
+void fleet_limiter::refill(account& of, time_point now) const
 {
     const auto elapsed = seconds(now - of.refilled_at);
     of.refilled_at = now;
-    const auto share = part(of, now);
-    of.level =
-        std::min(of.level + elapsed * share * static_cast<double>(of.rate),
-            share * static_cast<double>(of.burst));
+    const auto rate = static_cast<double>(of.rate);
+    const auto burst = static_cast<double>(of.burst);
+    const auto part = part_of(of, now);
+    of.whole = std::min(of.whole + elapsed * rate, burst);
+    // While the common account decides, the part may not fall behind so far
+    // that it refuses long after it begins to decide.
+    of.part = std::clamp(
+        of.part + elapsed * part * rate, -part * burst, part * burst);
+}
+
+void fleet_limiter::take(account& from, double units)
+{
+    from.whole -= units;
+    from.part -= units;
+    from.admitted += units;
 }
 
 result<void> fleet_limiter::admit(const workspace_id& workspace,
     std::int64_t units, time_point now, time_point& retry_at)
 {
-    const auto found = buckets_.find(workspace);
-    if (found == buckets_.end())
+    const auto found = accounts_.find(workspace);
+    if (found == accounts_.end())
         return {};
     auto& at = found->second;
-    at.demand =
-        decayed_demand(at, now) + static_cast<double>(units) / demand_average_s;
+    const auto wanted = static_cast<double>(units);
+    at.demand = decayed_demand(at, now) + wanted / demand_average_s;
     at.demand_at = now;
     if (at.rate <= 0)
         return {};
+    forget_lost_peers(now);
     refill(at, now);
-    const auto share = part(at, now);
-    const auto needed = std::min(
-        static_cast<double>(units), share * static_cast<double>(at.burst));
-    if (at.level >= needed)
+    const bool shared =
+        !cut_off() && demand_of_all(at, now) <=
+                          shared_account_load * static_cast<double>(at.rate);
+    const auto fraction = shared ? 1.0 : part_of(at, now);
+    // A request above the burst runs when the account is full.
+    const auto needed =
+        std::min(wanted, fraction * static_cast<double>(at.burst));
+    const auto level = shared ? at.whole : at.part;
+    if (level >= needed)
     {
-        at.level -= static_cast<double>(units);
+        take(at, wanted);
         return {};
     }
-    const auto rate = std::max(share * static_cast<double>(at.rate), 1e-3);
+    const auto rate =
+        std::max(fraction * static_cast<double>(at.rate), 1e-3);
+    constexpr double longest_wait_s = 60.0;
     retry_at = now + std::chrono::duration_cast<duration>(
-                         std::chrono::duration<double>(
-                             std::min(60.0, (needed - at.level) / rate)));
+                         std::chrono::duration<double>(std::min(
+                             longest_wait_s, (needed - level) / rate)));
     return fail(error_code::rate_limited,
         fmt::format("workspace {} has used its limit", workspace.str()));
 }
@@ -110,44 +145,81 @@
 void fleet_limiter::refund(
     const workspace_id& workspace, std::int64_t units, time_point now)
 {
-    const auto found = buckets_.find(workspace);
-    if (found == buckets_.end())
+    const auto found = accounts_.find(workspace);
+    if (found == accounts_.end())
         return;
-    found->second.level += static_cast<double>(units);
+    take(found->second, -static_cast<double>(units));
     refill(found->second, now);
 }
 
-std::int64_t fleet_limiter::cost(
-    const routes::workspace& workspace, std::optional<std::int64_t> tokens)
+std::int64_t fleet_limiter::cost(const routes::workspace& workspace,
+    std::optional<std::int64_t> tokens)
 {
     if (!workspace.limit_in_tokens)
         return 1;
     return tokens.value_or(workspace.tokens_of_plain_request);
 }
 
-void fleet_limiter::put_peer_demands(
-    const instance_id& peer, const std::vector<workspace_demand>& demands)
+void fleet_limiter::put_peer_demands(const instance_id& from,
+    std::int64_t incarnation, const std::vector<workspace_demand>& demands,
+    time_point now)
 {
-    erase_peer(peer);
+    auto& sender = peers_[from];
+    const bool same_process = sender.incarnation == incarnation;
+    sender = {incarnation, std::nullopt};
+    for (auto& [workspace, each] : accounts_)
+        if (const auto told = each.peers.find(from); told != each.peers.end())
+            told->second.units_per_second = 0;
     for (const auto& each : demands)
-        if (const auto found = buckets_.find(each.workspace);
-            found != buckets_.end())
-            found->second.peers[peer] = std::max(0.0, each.units_per_second);
+    {
+        const auto found = accounts_.find(each.workspace);
+        if (found == accounts_.end())
+            continue;
+        auto& at = found->second;
+        const auto known = at.peers.find(from);
+        // The first count says nothing about when it was admitted.
+        if (known != at.peers.end() && same_process)
+        {
+            refill(at, now);
+            at.whole -= std::max(
+                0.0, each.admitted_units - known->second.admitted_units);
+        }
+        at.peers[from] = {
+            std::max(0.0, each.units_per_second), each.admitted_units};
+    }
+}
+
+void fleet_limiter::lose_peer(const instance_id& from, time_point now)
+{
+    if (const auto found = peers_.find(from); found != peers_.end())
+        found->second.lost_at = now;
 }
 
-void fleet_limiter::erase_peer(const instance_id& peer)
+void fleet_limiter::forget_lost_peers(time_point now)
 {
-    for (auto& [workspace, each] : buckets_)
-        each.peers.erase(peer);
+    if (cut_off())
+        return;
+    for (auto it = peers_.begin(); it != peers_.end();)
+    {
+        const auto& lost_at = it->second.lost_at;
+        if (!lost_at || now - *lost_at < lost_peer_memory)
+        {
+            ++it;
+            continue;
+        }
+        for (auto& [workspace, each] : accounts_)
+            each.peers.erase(it->first);
+        it = peers_.erase(it);
+    }
 }
 
 std::vector<workspace_demand> fleet_limiter::own_demands(time_point now) const
 {
-    constexpr double least = 1e-3;
     std::vector<workspace_demand> out;
-    for (const auto& [workspace, each] : buckets_)
-        if (const auto demand = decayed_demand(each, now); demand > least)
-            out.push_back({workspace, demand});
+    for (const auto& [workspace, each] : accounts_)
+        if (each.admitted != 0 || each.demand > 0)
+            out.push_back(
+                {workspace, decayed_demand(each, now), each.admitted});
     return out;
 }
 
--- a/src/limits/fleet_limiter.hpp
+++ b/src/limits/fleet_limiter.hpp
@@ -15,30 +15,40 @@
 namespace tarragonquay::limits
 {
 
-/// What an instance asks for in one workspace, in units of its limit a second.
+/// What an instance asks for and has admitted in one workspace, in units of
+/// its limit.
 struct workspace_demand
 {
     workspace_id workspace;
     double units_per_second = 0;
+    /// Since the start of the instance.
+    double admitted_units = 0;
 
     auto operator<=>(const workspace_demand&) const = default;
 };
 
-/// Limits of workspaces over all instances, split by demand. Each instance
-/// gets the part of rate and burst that its demand has in the demand of all,
-/// which the instances tell each other several times a second. No message is
-/// needed for a request, and the parts add up to the whole as long as the
-/// instances know the same demands. Unlike basic_limiter it needs no epochs in
-/// the store; in exchange, the sum is exact only up to the age of the demands.
+/// Limits of workspaces over all instances, without a message for a request.
+/// The instances tell each other several times a second what they admit and
+/// what their callers ask for.
+///
+/// While the demand of all is below the rate, each instance keeps an account of
+/// the whole limit, which its own requests and the admitted units that others
+/// tell are taken from. What was admitted before it was told becomes a debt of
+/// the account, so the rate holds on average and an excess is bounded by the
+/// demand of one telling interval. When the demand is above the rate, or many
+/// instances are not heard of, each instance keeps to its part of the limit
+/// instead: parts follow the demand and add up to the whole.
+///
+/// Unlike basic_limiter it needs no epochs in the store.
 class fleet_limiter
 {
 public:
-    /// Limits and keys of a new configuration. A changed limit binds at once.
+    /// Limits of a new configuration. A changed limit binds at once.
     void apply(
         const std::vector<routes::workspace>& workspaces, time_point now);
 
     /// Takes the units of one request. Fails with rate_limited; `retry_at`
-    /// then tells when the bucket has enough.
+    /// then tells when the account has enough.
     result<void> admit(const workspace_id& workspace, std::int64_t units,
         time_point now, time_point& retry_at);
     /// Returns the units of a request that was not run.
@@ -47,41 +57,59 @@
 
     /// What a request costs: the tokens that it names, or what the limit counts
     /// for a request without them.
-    static std::int64_t cost(
-        const routes::workspace& workspace, std::optional<std::int64_t> tokens);
+    static std::int64_t cost(const routes::workspace& workspace,
+        std::optional<std::int64_t> tokens);
 
-    /// Demand of another instance. It counts until it is told anew or the peer
-    /// is erased.
-    void put_peer_demands(
-        const instance_id& peer, const std::vector<workspace_demand>& demands);
-    void erase_peer(const instance_id& peer);
-    /// Number of instances, this one included; a part of the limit is split
-    /// evenly among them, so that one without demand can begin at once.
-    void set_instances(std::int64_t count) { instances_ = count; }
+    /// What another instance told. `incarnation` changes when its count of
+    /// admitted units begins anew.
+    void put_peer_demands(const instance_id& peer, std::int64_t incarnation,
+        const std::vector<workspace_demand>& demands, time_point now);
+    /// Nothing is heard of an instance any more. Its demand still counts for a
+    /// while, and for as long as most instances are not heard of: then it is
+    /// rather this one that is cut off.
+    void lose_peer(const instance_id& peer, time_point now);
 
     /// Demand of this instance, for the others.
     std::vector<workspace_demand> own_demands(time_point now) const;
 
 private:
-    struct bucket
+    struct peer_demand
+    {
+        double units_per_second = 0;
+        double admitted_units = 0;
+    };
+    struct account
     {
         std::int64_t rate = 0;
         std::int64_t burst = 0;
-        /// May be negative: a request above the level is admitted when the
-        /// bucket is full, else one that exceeds the burst never ran.
-        double level = 0;
+        /// Of the whole limit; negative after requests that others told late,
+        /// and after one that exceeds the burst.
+        double whole = 0;
+        /// Of this instance's part.
+        double part = 0;
         time_point refilled_at;
         double demand = 0;
         time_point demand_at;
-        std::map<instance_id, double> peers;
+        double admitted = 0;
+        std::map<instance_id, peer_demand> peers;
+    };
+    struct peer
+    {
+        std::int64_t incarnation = 0;
+        /// None while it is heard of.
+        std::optional<time_point> lost_at;
     };
 
-    double part(const bucket& of, time_point now) const;
-    void refill(bucket& of, time_point now) const;
-    static double decayed_demand(const bucket& of, time_point now);
+    double part_of(const account& of, time_point now) const;
+    double demand_of_all(const account& of, time_point now) const;
+    void refill(account& of, time_point now) const;
+    bool cut_off() const;
+    void forget_lost_peers(time_point now);
+    static double decayed_demand(const account& of, time_point now);
+    static void take(account& from, double units);
 
-    std::map<workspace_id, bucket> buckets_;
-    std::int64_t instances_ = 1;
+    std::map<workspace_id, account> accounts_;
+    std::map<instance_id, peer> peers_;
 };
 
 } // namespace tarragonquay::limits
