Wait for adapters in use, watch for lost first events, count slots as demand

Engines answer 202 to an unload of an adapter that is in use and 409 to all commands after it; the account now takes the adapter out of routing and waits. A stream moves to another engine only if the first one serves nobody or serves later requests. A model whose adapters need more slots gets replicas for them.

--- a/src/dispatch/endpoint_board.cpp
+++ b/src/dispatch/endpoint_board.cpp
@@ -19,6 +19,8 @@
 /// How long an engine's word that it lacks a model goes before the residency
 /// that was told. An adapter on its way arrives sooner.
 constexpr milliseconds missing_lifetime{200};
+/// Requests that are sent this close together may start in any order.
+constexpr milliseconds overtaking_margin{300};
 /// Cost of another availability zone, in milliseconds of waiting: the way
 /// there and back.
 constexpr double zone_cost_ms = 3.0;
@@ -293,7 +295,12 @@
     const auto found = records_.find(held.endpoint);
     if (found != records_.end() &&
         found->second.entry.started_unix_ms == held.started_unix_ms)
-        found->second.own.waiting_tokens -= held.load.waiting_tokens;
+    {
+        auto& at = found->second;
+        at.own.waiting_tokens -= held.load.waiting_tokens;
+        at.progress_at = now;
+        at.answered_sent_at = std::max(at.answered_sent_at, held.sent_at);
+    }
     held.load.waiting_tokens = 0;
 }
 
@@ -311,6 +318,20 @@
     held.load = {};
 }
 
+void endpoint_board::note_progress(const endpoint_id& id, time_point now)
+{
+    if (const auto found = records_.find(id); found != records_.end())
+        found->second.progress_at = now;
+}
+
+bool endpoint_board::lost_request(
+    const endpoint_id& id, time_point sent_at) const
+{
+    const auto found = records_.find(id);
+    return found == records_.end() || found->second.progress_at <= sent_at ||
+           found->second.answered_sent_at > sent_at + overtaking_margin;
+}
+
 void endpoint_board::record_answer(const endpoint_id& id, bool success)
 {
     if (const auto found = records_.find(id); found != records_.end())
--- a/src/dispatch/endpoint_board.hpp
+++ b/src/dispatch/endpoint_board.hpp
@@ -104,6 +104,11 @@
     void first_event(ticket& held, const service_id& service,
         const model_id& model, time_point now);
     void finish(ticket& held);
+    /// The endpoint has sent a part of an answer.
+    void note_progress(const endpoint_id& id, time_point now);
+    /// Whether an endpoint has probably lost a request without an answer: it
+    /// has not answered anyone since, or has begun to answer a later request.
+    bool lost_request(const endpoint_id& id, time_point sent_at) const;
 
     void record_answer(const endpoint_id& id, bool success);
     void record_failure(const endpoint_id& id, time_point now);
@@ -131,6 +136,9 @@
         endpoint_load own;
         std::map<instance_id, peer_load> peers;
         prompt_cache_view cache;
+        time_point progress_at{};
+        /// Send time of the latest request that it has begun to answer.
+        time_point answered_sent_at{};
         /// Number of accepted commands that the residency was told with.
         std::int64_t told_commands = -1;
         /// What the engine lacked, and until when that is believed.
--- a/src/gateway/engine_accounts.cpp
+++ b/src/gateway/engine_accounts.cpp
@@ -30,12 +30,21 @@
     models_ = report.models;
     accepted_commands_ = report.accepted_commands;
     known_ = true;
+    busy_ = report.busy;
     adapters_coming_.clear();
     for (const auto& each : report.adapters_coming)
         for (const auto& adapter : each.adapters)
             adapters_coming_.emplace(each.model, adapter);
     at_hand_ = report.in_memory;
     at_hand_.insert(report.on_disk.begin(), report.on_disk.end());
+    if (unloading_)
+    {
+        const bool gone = !holds(unloading_->model, unloading_->adapter);
+        // New requests would keep it in use.
+        erase_adapter(unloading_->model, unloading_->adapter);
+        if (gone || now >= unloading_->expires_at)
+            unloading_.reset();
+    }
     if (pending_)
     {
         const bool arrived = holds(pending_->model) == pending_->load;
@@ -70,6 +79,19 @@
         adapters_coming_.emplace(model, adapter);
         return;
     }
+    erase_adapter(model, adapter);
+}
+
+void engine_account::accept_late_unload(
+    const model_id& model, const adapter_id& adapter, time_point expires_at)
+{
+    accept_adapter(model, adapter, false);
+    unloading_ = late_unload{model, adapter, expires_at};
+}
+
+void engine_account::erase_adapter(
+    const model_id& model, const adapter_id& adapter)
+{
     for (auto& each : models_)
         if (each.model == model)
             each.adapters.erase(adapter);
@@ -159,7 +181,7 @@
     out.free_bytes = free_bytes(group);
     out.usable = usable && known_;
     out.may_return = may_return;
-    out.accepts_command = !pending_ && !calling && known_;
+    out.accepts_command = !pending_ && !busy() && !calling && known_;
     out.one_command_at_a_time = true;
     const auto add = [&](const model_id& model)
     {
--- a/src/gateway/engine_accounts.hpp
+++ b/src/gateway/engine_accounts.hpp
@@ -46,6 +46,9 @@
     void doubt() { known_ = false; }
     const std::vector<endpoints::held_model>& models() const { return models_; }
     const std::optional<pending_model>& pending() const { return pending_; }
+    /// A model command of an earlier holder is under way; which one is not
+    /// known, so that no memory can be promised.
+    bool busy() const { return (busy_ && !pending_) || unloading_; }
 
     /// Takes a report; returns whether what the engine holds has changed.
     bool take_report(const endpoints::engine_report& report, time_point now);
@@ -54,6 +57,10 @@
     void accept_model(const model_id& model, bool load, time_point expires_at);
     void accept_adapter(
         const model_id& model, const adapter_id& adapter, bool load);
+    /// The engine unloads an adapter once the requests that use it have ended,
+    /// and accepts no other command before that.
+    void accept_late_unload(const model_id& model, const adapter_id& adapter,
+        time_point expires_at);
     /// An adapter had the time to arrive. Reports would tell it some hundred
     /// milliseconds later.
     void settle_adapter(const model_id& model, const adapter_id& adapter);
@@ -82,6 +89,8 @@
     bool polling = false;
 
 private:
+    void erase_adapter(const model_id& model, const adapter_id& adapter);
+
     std::int64_t started_unix_ms_ = 0;
     std::int64_t accepted_commands_ = 0;
     bool known_ = false;
@@ -89,6 +98,14 @@
     std::set<std::pair<model_id, adapter_id>> adapters_coming_;
     std::set<model_id> at_hand_;
     std::optional<pending_model> pending_;
+    bool busy_ = false;
+    struct late_unload
+    {
+        model_id model;
+        adapter_id adapter;
+        time_point expires_at;
+    };
+    std::optional<late_unload> unloading_;
 };
 
 } // namespace tarragonquay::gateway
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -232,9 +232,8 @@
     }
     std::vector<limits::workspace_demand> demands;
     for (const auto& each : beat.demands())
-        demands.push_back(
-            {workspace_id(each.workspace()), each.units_per_second(),
-                each.admitted_units()});
+        demands.push_back({workspace_id(each.workspace()),
+            each.units_per_second(), each.admitted_units()});
     on_.limiter.put_peer_demands(from, self.incarnation, demands, now);
     std::vector<std::pair<endpoint_id, dispatch::endpoint_load>> loads;
     for (const auto& each : beat.loads())
--- a/src/gateway/placement_agent.cpp
+++ b/src/gateway/placement_agent.cpp
@@ -23,6 +23,9 @@
 namespace
 {
 
+/// Reports are at most this old. A report that is read sooner after the latest
+/// command of an earlier holder may not show it.
+constexpr milliseconds report_lag{600};
 /// Time for an adapter to arrive; most take 5 to 10 ms.
 constexpr milliseconds adapter_time{12};
 /// Between looks while a model is on its way.
@@ -33,6 +36,10 @@
 /// this many times its usual duration.
 constexpr int patience_in_loads = 4;
 constexpr milliseconds least_model_patience{2'000};
+/// Streams that use an adapter end within this time.
+constexpr milliseconds unload_patience{15'000};
+/// A request uses its adapter for about this long.
+constexpr double adapter_use_s = 2.0;
 /// Part of an engine's time that requests may use before a model gets another
 /// replica: above it, prompts wait for each other longer than they are read.
 constexpr double add_above = 0.45;
@@ -66,6 +73,7 @@
     engines_.clear();
     loading_.clear();
     loads_.note_takeover(now);
+    read_from_ = now + report_lag;
 }
 
 void placement_agent::end()
@@ -118,8 +126,10 @@
         { return on_.board.find(each.first) == nullptr; });
 }
 
-void placement_agent::read_unknown_engines()
+void placement_agent::read_unknown_engines(time_point now)
 {
+    if (now < read_from_)
+        return;
     for (auto& [id, account] : engines_)
         if (!account.known() && !account.polling)
         {
@@ -133,13 +143,32 @@
     if (!active_ || !on_.routes || !may_command_())
         return;
     adopt_engines();
-    read_unknown_engines();
+    read_unknown_engines(now);
     const auto wanted = demand(now);
     for (const auto& service : on_.routes->document().services)
         if (service.engines)
             plan_service(service, wanted, now);
 }
 
+// Adapters that are in use at once need slots, and each replica has only some.
+// Expressed as the engine time that as many replicas would be added for.
+double placement_agent::engine_time_of_adapters(
+    const routes::service& service, const model_id& model, const rates& wanted)
+{
+    const auto slots = service.engines->adapter_slots;
+    if (slots <= 0)
+        return 0;
+    double in_use = 0;
+    for (auto it = wanted.lower_bound({service.id, model, {}});
+         it != wanted.end() && it->first.service == service.id &&
+         it->first.model == model;
+         ++it)
+        if (!it->first.adapter.empty())
+            in_use += 1 - std::exp(-it->second * adapter_use_s);
+    return in_use / static_cast<double>(slots) * engine_ms_per_second *
+           add_above;
+}
+
 std::vector<placement::model_view> placement_agent::make_models(
     const routes::service& service, const rates& wanted, time_point now,
     const std::vector<placement::engine_view>& engines)
@@ -152,6 +181,8 @@
         view.bytes = model.weight_bytes;
         const auto asked = wanted.find({service.id, model.id, {}});
         view.tokens_per_second = asked == wanted.end() ? 0 : asked->second;
+        view.tokens_per_second = std::max(view.tokens_per_second,
+            engine_time_of_adapters(service, model.id, wanted));
         const bool served = std::any_of(engines.begin(), engines.end(),
             [&](const placement::engine_view& engine)
             {
@@ -272,12 +303,13 @@
     if (answer && *answer == engine_answer::accepted)
     {
         accepted(what);
-        co_return true;
+        // The slot is free once the requests that use the adapter have ended.
+        co_return what.kind != command_kind::unload_adapter;
     }
     const bool holds = answer && *answer == engine_answer::holds_already;
     // An adapter is unloaded before the answer, and counts as a command.
     if (holds && what.kind == command_kind::unload_adapter)
-        accepted(what);
+        again->second.accept_adapter(what.model, what.adapter, false);
     else
         again->second.doubt();
     co_return holds;
@@ -286,18 +318,26 @@
 void placement_agent::accepted(const command& what)
 {
     auto& account = engines_[what.engine];
-    if (what.kind == command_kind::load_adapter ||
-        what.kind == command_kind::unload_adapter)
-        return account.accept_adapter(
-            what.model, what.adapter, is_load(what.kind));
+    const auto now = std::chrono::steady_clock::now();
+    if (what.kind == command_kind::load_adapter)
+        return account.accept_adapter(what.model, what.adapter, true);
+    if (what.kind == command_kind::unload_adapter)
+        account.accept_late_unload(
+            what.model, what.adapter, now + unload_patience);
+    else
+        accept_model(account, what, now);
+    if (!std::exchange(account.polling, true))
+        asio::co_spawn(on_.io, poll(what.engine), asio::detached);
+}
+
+void placement_agent::accept_model(
+    engine_account& account, const command& what, time_point now)
+{
     const auto* model = on_.routes->find_model(what.service, what.model);
     const auto usual =
         milliseconds(model == nullptr ? 0 : std::llround(model->load_s * 1000));
     account.accept_model(what.model, is_load(what.kind),
-        std::chrono::steady_clock::now() +
-            std::max(least_model_patience, usual * patience_in_loads));
-    if (!std::exchange(account.polling, true))
-        asio::co_spawn(on_.io, poll(what.engine), asio::detached);
+        now + std::max(least_model_patience, usual * patience_in_loads));
 }
 
 asio::awaitable<void> placement_agent::pause(milliseconds time)
@@ -318,7 +358,7 @@
         if (generation != generation_ || found == engines_.end())
             co_return;
         auto& account = found->second;
-        if (account.known() && !account.pending())
+        if (account.known() && !account.pending() && !account.busy())
             break;
         if (account.known())
             co_await pause(model_poll);
@@ -385,7 +425,7 @@
         const auto* entry = on_.board.find(id);
         if (entry == nullptr || entry->service != wanted.service ||
             !usable(id, now) || !account.known() || account.calling ||
-            !account.holds(wanted.model))
+            account.busy() || !account.holds(wanted.model))
             continue;
         // A free slot costs nothing, else the demand for what gives way.
         double cost = -1;
--- a/src/gateway/placement_agent.hpp
+++ b/src/gateway/placement_agent.hpp
@@ -60,7 +60,7 @@
     };
 
     void adopt_engines();
-    void read_unknown_engines();
+    void read_unknown_engines(time_point now);
     rates demand(time_point now);
     void plan_service(
         const routes::service& service, const rates& wanted, time_point now);
@@ -83,6 +83,10 @@
     boost::asio::awaitable<void> poll(endpoint_id id);
     boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
     void accepted(const command& what);
+    void accept_model(
+        engine_account& account, const command& what, time_point now);
+    static double engine_time_of_adapters(const routes::service& service,
+        const model_id& model, const rates& wanted);
     void publish(const endpoint_id& id);
     /// The engine to load an adapter at; empty when there is none.
     endpoint_id engine_for(const demanded_model& wanted, time_point now);
@@ -112,6 +116,7 @@
     std::map<std::pair<service_id, model_id>, time_point> changed_at_;
     std::map<std::pair<service_id, model_id>, time_point> waiting_since_;
     load_window loads_;
+    time_point read_from_{};
 };
 
 } // namespace tarragonquay::gateway
--- a/src/gateway/stream_call.cpp
+++ b/src/gateway/stream_call.cpp
@@ -1,7 +1,10 @@
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <optional>
 
+#include <boost/asio/steady_timer.hpp>
+
 #include "gateway/call.hpp"
 #include "gateway/event_framer.hpp"
 #include "gateway/forwarder.hpp"
@@ -24,6 +27,8 @@
 /// A resumable stream moves on when its first event is this much later than
 /// expected, as far as the route's target allows.
 constexpr milliseconds least_first_event_grace{300};
+/// Between two looks whether an endpoint has lost a request.
+constexpr milliseconds check_interval{200};
 /// A pause of this many times the longest usual one means that the endpoint
 /// has gone silent.
 constexpr int pauses_to_move = 4;
@@ -31,8 +36,6 @@
 
 /// How often an adapter that no engine holds is asked for.
 constexpr milliseconds adapter_request_interval{100};
-/// An adapter takes some 10 ms, behind others a few times that.
-constexpr milliseconds adapter_wait{400};
 /// When a caller may return for an adapter or an engine that is missing.
 constexpr double not_ready_retry_s = 0.3;
 
@@ -101,7 +104,8 @@
               of.on.board.begin(to,
                   of.request.prompt ? &*of.request.prompt : nullptr,
                   of.service->engines ? of.service->engines->cache_tokens : 0,
-                  std::chrono::steady_clock::now()))
+                  std::chrono::steady_clock::now())),
+          watchdog_(of.on.io)
     {
     }
 
@@ -114,6 +118,7 @@
         of_.out.on_caller_gone([&] { connection->close(); });
         auto end = co_await exchange(*connection);
         of_.out.on_caller_gone(nullptr);
+        watchdog_.cancel();
         co_return end;
     }
 
@@ -139,13 +144,30 @@
         return end;
     }
 
-    time_point first_limit() const
+    // When to look whether the endpoint has lost the request.
+    time_point first_check() const
     {
-        if (!may_move(of_))
-            return first_event_limit(of_);
-        const auto grace = std::max(least_first_event_grace,
-            milliseconds(of_.route->target_latency_ms));
-        return std::min(first_event_limit(of_), to_.expected_at + grace);
+        return to_.expected_at +
+               std::max(least_first_event_grace,
+                   milliseconds(of_.route->target_latency_ms));
+    }
+
+    // Closes the connection when the endpoint serves others, but not this
+    // request, or when it serves nobody.
+    void watch_first_event(endpoints::http_connection& connection)
+    {
+        watchdog_.expires_at(std::max(
+            first_check(), std::chrono::steady_clock::now() + check_interval));
+        watchdog_.async_wait(
+            [this, &connection](const boost::system::error_code& failed)
+            {
+                if (failed)
+                    return;
+                if (of_.on.board.lost_request(to_.id, held_.held().sent_at))
+                    connection.close();
+                else
+                    watch_first_event(connection);
+            });
     }
 
     time_point pause_limit() const
@@ -162,7 +184,9 @@
     asio::awaitable<relay_end> exchange(endpoints::http_connection& connection)
     {
         ++of_.sends;
-        auto request = make_exchange(of_, to_, first_limit());
+        auto request = make_exchange(of_, to_, first_event_limit(of_));
+        if (may_move(of_))
+            watch_first_event(connection);
         if (state_.last_event)
         {
             const auto& name = of_.on.dialect.headers.last_event;
@@ -239,7 +263,7 @@
         while (true)
         {
             auto part = co_await connection.read_some(
-                first ? first_limit() : pause_limit());
+                first ? first_event_limit(of_) : pause_limit());
             if (!part)
                 co_return failed(part.error());
             if (part->empty())
@@ -252,6 +276,9 @@
                 continue;
             if (first)
                 note_first_event();
+            else
+                of_.on.board.note_progress(
+                    to_.id, std::chrono::steady_clock::now());
             first = false;
             const bool written = co_await deliver(head, std::move(*events));
             if (!written)
@@ -279,6 +306,7 @@
 
     void note_first_event()
     {
+        watchdog_.cancel();
         if (of_.request.prompt)
             of_.on.board.first_event(held_.held(), of_.service->id,
                 of_.request.prompt->model, std::chrono::steady_clock::now());
@@ -324,6 +352,7 @@
     stream_state& state_;
     const dispatch::endpoint_choice to_;
     ticket_guard held_;
+    asio::steady_timer watchdog_;
 };
 
 // Waits for an engine that holds the model and the adapter.
@@ -336,7 +365,8 @@
     const auto& prompt = *of.request.prompt;
     const auto* model = of.routes->find_model(of.service->id, prompt.model);
     const auto began = std::chrono::steady_clock::now();
-    auto give_up_at = std::min(first_event_limit(of), began + adapter_wait);
+    auto give_up_at = std::min(first_event_limit(of),
+        began + milliseconds(of.route->target_latency_ms));
     if (prompt.adapter.empty() && model != nullptr)
     {
         // A load that takes longer than the caller waits is not waited for.
@@ -372,9 +402,10 @@
     const auto engine_ms =
         static_cast<double>(own) / dispatch::prefill_rate::initial;
     of.on.demand.add({of.service->id, prompt.model, {}}, engine_ms, now);
+    // For adapters, requests are counted: each needs the slot for a while.
     if (!prompt.adapter.empty())
         of.on.demand.add(
-            {of.service->id, prompt.model, prompt.adapter}, engine_ms, now);
+            {of.service->id, prompt.model, prompt.adapter}, 1, now);
 }
 
 // Ends a stream that can't go on.
