Load models from copies at hand without the weight store's limits

Loads from the memory or disk of an engine's host take nothing from the weight store, but were counted and made to wait. The planner prefers engines with a copy and lets such loads pass the rate.

--- a/src/gateway/call.hpp
+++ b/src/gateway/call.hpp
@@ -57,6 +57,9 @@
     endpoint_id endpoint;
     /// Typed reason of the outcome, for the log.
     std::string reason;
+    /// Expected wait at the chosen endpoint, for the log; negative when none
+    /// was chosen.
+    double expected_ms = -1;
 
     call(context& context, caller_request from, answer_sink& sink)
         : on(context), request(std::move(from)), out(sink)
@@ -68,6 +71,9 @@
 boost::asio::awaitable<void> refuse(
     call& of, int status, std::string reason, double retry_after_s = 0);
 
+/// What the decision about a request depended on, for its log line.
+nlohmann::ordered_json inputs_of(const call& of);
+
 /// Whether another send is allowed: attempts, time and the budget of repeats.
 /// Takes one repeat from the budget.
 bool take_attempt(call& of);
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -125,6 +125,19 @@
     return out;
 }
 
+nlohmann::ordered_json inputs_of(const call& of)
+{
+    nlohmann::ordered_json out = {
+        {"configuration_version", of.routes ? of.routes->version() : 0},
+        {"instances", of.on.roster.size()},
+        {"expected_ms", std::lround(of.expected_ms)}};
+    if (of.request.prompt)
+        out.update({{"model", of.request.prompt->model.str()},
+            {"adapter", of.request.prompt->adapter.str()},
+            {"prompt_tokens", of.request.prompt->prompt_tokens}});
+    return out;
+}
+
 asio::awaitable<void> refuse(
     call& of, int status, std::string reason, double retry_after_s)
 {
@@ -132,7 +145,7 @@
     of.on.log.info("request_refused",
         {{"request_id", of.request.id}, {"status", status},
             {"reason", of.reason}, {"retry_after_s", retry_after_s},
-            {"may_have_run", of.may_have_run}});
+            {"may_have_run", of.may_have_run}, {"inputs", inputs_of(of)}});
     co_await of.out.respond(refusal_answer(status, retry_after_s));
 }
 
--- a/src/gateway/placement_agent.cpp
+++ b/src/gateway/placement_agent.cpp
@@ -48,6 +48,8 @@
 constexpr double least_gain_ms_per_gigabyte = 0.5;
 constexpr double engine_ms_per_second = 1'000;
 constexpr std::int64_t replicas_coming = 6;
+/// One load at a time would leave the store idle between two.
+constexpr std::int64_t least_concurrent_loads = 2;
 /// Demand below this is taken as none.
 constexpr double least_demand_ms = 0.5;
 /// Settled time of a model that this holder has not changed.
@@ -220,8 +222,12 @@
             continue;
         view.engines.push_back(account.view(id, *service.engines,
             usable(id, now), !entry->leaving && !usable(id, now)));
-        if (account.pending())
-            ++(account.pending()->load ? view.loads_open : view.unloads_open);
+        if (!account.pending())
+            continue;
+        if (!account.pending()->load)
+            ++view.unloads_open;
+        else if (!account.at_hand(account.pending()->model))
+            ++view.loads_open;
     }
     view.models = make_models(service, wanted, now, view.engines);
     view.loads_allowed = loads_.allowed(service.engines->loads_per_second, now);
@@ -240,7 +246,7 @@
         load_s = std::max(load_s, model.load_s);
     // The weight store serves as many at once without slowing them down.
     limits.concurrent_loads = std::max<std::int64_t>(
-        1, std::llround(group.loads_per_second * load_s));
+        least_concurrent_loads, std::llround(group.loads_per_second * load_s));
     limits.replica_tokens_per_second = engine_ms_per_second;
     limits.add_above = add_above;
     limits.give_up_below = give_up_below;
@@ -248,10 +254,33 @@
     limits.replicas_coming = replicas_coming;
     limits.least_residence_s = 1.0;
     limits.residence_s_per_gigabyte = 0.02;
-    for (const auto& move : placement::plan(view, limits))
+    const auto moves = placement::plan(view, limits);
+    if (!moves.empty())
+        log_view(view);
+    for (const auto& move : moves)
         start(move, service, now);
 }
 
+void placement_agent::log_view(const placement::cluster_view& view)
+{
+    nlohmann::ordered_json models;
+    for (const auto& model : view.models)
+    {
+        int ready = 0;
+        int coming = 0;
+        for (const auto& engine : view.engines)
+            for (const auto& each : engine.replicas)
+                if (each.model == model.id)
+                    ++(each.ready ? ready : coming);
+        models[model.id.str()] = {
+            std::lround(model.tokens_per_second), ready, coming};
+    }
+    on_.log.info("placement_view", {{"engine_ms_per_s_ready_coming", models},
+                                       {"loads_open", view.loads_open},
+                                       {"unloads_open", view.unloads_open},
+                                       {"loads_allowed", view.loads_allowed}});
+}
+
 void placement_agent::start(
     const placement::move& move, const routes::service& service, time_point now)
 {
--- a/src/gateway/placement_agent.hpp
+++ b/src/gateway/placement_agent.hpp
@@ -69,6 +69,7 @@
     std::vector<placement::model_view> make_models(
         const routes::service& service, const rates& wanted, time_point now,
         const std::vector<placement::engine_view>& engines);
+    void log_view(const placement::cluster_view& view);
     void start(const placement::move& move, const routes::service& service,
         time_point now);
     bool usable(const endpoint_id& id, time_point now) const;
--- a/src/gateway/stream_call.cpp
+++ b/src/gateway/stream_call.cpp
@@ -474,6 +474,9 @@
             cause = to.error();
             break;
         }
+        of.expected_ms =
+            seconds_between(std::chrono::steady_clock::now(), to->expected_at) *
+            1000;
         const bool served_in_time = co_await in_time(of, *to, state);
         if (!served_in_time)
             co_return;
--- a/src/placement/plan_draft.cpp
+++ b/src/placement/plan_draft.cpp
@@ -107,18 +107,31 @@
            view_.loads_allowed > 0;
 }
 
+bool plan_draft::may_load(const model_view& model) const
+{
+    if (may_load())
+        return true;
+    const auto where = engine_with_room(model);
+    return where && view_.engines[*where].at_hand.contains(model.id);
+}
+
 std::optional<std::size_t> plan_draft::engine_with_room(
     const model_view& model) const
 {
     std::optional<std::size_t> best;
+    // A copy at hand goes first. Otherwise the tightest fit keeps large gaps
+    // for large models.
+    const auto cost = [&](std::size_t i)
+    {
+        const auto& engine = view_.engines[i];
+        return std::pair(!engine.at_hand.contains(model.id), engine.free_bytes);
+    };
     for (std::size_t i = 0; i < view_.engines.size(); ++i)
     {
         const auto& engine = view_.engines[i];
-        // The tightest fit keeps large gaps for large models.
         if (!engine.usable || !engine.accepts_command ||
             engine.free_bytes < model.bytes ||
-            (best && engine.free_bytes >= view_.engines[*best].free_bytes) ||
-            !may_use(i))
+            (best && cost(i) >= cost(*best)) || !may_use(i))
             continue;
         const bool present = std::any_of(engine.replicas.begin(),
             engine.replicas.end(),
@@ -146,8 +159,11 @@
     engine.replicas.push_back(std::move(replica));
     models_at_[*where].push_back(index_of(model));
     engine.accepts_command = !engine.one_command_at_a_time;
-    ++view_.loads_open;
-    --view_.loads_allowed;
+    if (!engine.at_hand.contains(model.id))
+    {
+        ++view_.loads_open;
+        --view_.loads_allowed;
+    }
     auto& of = counts_[index_of(model)];
     ++of.coming;
     of.settled += rotating_.contains(*where) ? 0 : 1;
--- a/src/placement/plan_draft.hpp
+++ b/src/placement/plan_draft.hpp
@@ -134,6 +134,7 @@
     bool may_swap(const model_view& model) const;
     const model_view& find(const model_id& model) const;
     bool may_load() const;
+    bool may_load(const model_view& model) const;
     std::optional<std::size_t> engine_with_room(const model_view& model) const;
     bool load(const model_view& model);
     void unload(const room& where);
--- a/src/placement/plan_models.cpp
+++ b/src/placement/plan_models.cpp
@@ -129,7 +129,7 @@
     {
         if (engine_with_room(*model))
         {
-            if (may_load())
+            if (may_load(*model))
                 load(*model);
             continue;
         }
@@ -179,7 +179,7 @@
         if (needs_more && engine_with_room(model))
         {
             // One at a time, so that models that wait get their loads.
-            if (may_load() && !rollout_under_way())
+            if (may_load(model) && !rollout_under_way())
                 load(model);
             continue;
         }
@@ -247,9 +247,8 @@
     {
         if (engine_with_room(*model))
         {
-            if (!may_load())
-                return;
-            load(*model);
+            if (may_load(*model))
+                load(*model);
             continue;
         }
         if (!make_room || being_freed-- > 0 ||
@@ -290,8 +289,8 @@
         [](const auto& a, const auto& b) { return a.first > b.first; });
     for (const auto& [gain_per_byte, model] : wishes)
     {
-        if (!may_load())
-            return;
+        if (!may_load(*model) && !may_load())
+            continue;
         if (load(*model) ||
             view_.loads_open + view_.unloads_open >= limits_.concurrent_loads)
             continue;
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -57,6 +57,9 @@
     bool blocked = false;
     /// Requests that run or wait there, as last reported.
     std::int64_t requests = 0;
+    /// Models whose weights have a copy beside the engine. Their loads take
+    /// nothing from the weight store, so its limits don't hold for them.
+    std::set<model_id> at_hand;
     std::vector<replica_view> replicas;
     /// Adapters whose load command is open.
     std::set<adapter_id> adapters_coming;
@@ -101,7 +104,7 @@
     std::int64_t loads_open = 0;
     std::int64_t unloads_open = 0;
     std::int64_t adapter_loads_open = 0;
-    /// Loads that the rate limit allows to start now.
+    /// Loads from the weight store that the rate limit allows to start now.
     std::int64_t loads_allowed = 0;
 
     auto operator<=>(const cluster_view&) const = default;
