--- a/src/gateway/placement_agent.cpp
+++ b/src/gateway/placement_agent.cpp
@@ -29,7 +29,7 @@
 /// Time for an adapter to arrive; most take 5 to 10 ms.
 constexpr milliseconds adapter_time{12};
 /// Between looks while a model is on its way.
-constexpr milliseconds model_poll{250};
+constexpr milliseconds model_poll{100};
 /// An adapter load that takes longer is asked for again.
 constexpr milliseconds adapter_patience{400};
 /// A model command that an engine's report never shows is forgotten after
@@ -45,7 +45,7 @@
 constexpr double add_above = 0.45;
 constexpr double give_up_below = 0.3;
 /// Engine time a second that a replica must bring for each gigabyte, in ms.
-constexpr double least_gain_ms_per_gigabyte = 0.5;
+constexpr double least_gain_ms_per_gigabyte = 1.0;
 constexpr double engine_ms_per_second = 1'000;
 constexpr std::int64_t replicas_coming = 6;
 /// One load at a time would leave the store idle between two.
@@ -146,6 +146,13 @@
         return;
     adopt_engines();
     read_unknown_engines(now);
+    plan_all(now);
+}
+
+void placement_agent::plan_all(time_point now)
+{
+    if (!active_ || !on_.routes || !may_command_())
+        return;
     const auto wanted = demand(now);
     for (const auto& service : on_.routes->document().services)
         if (service.engines)
@@ -420,9 +427,13 @@
         (report->started_unix_ms != 0 && report->started_unix_ms != started))
         co_return false;
     const bool first = !found->second.known();
-    if (found->second.take_report(*report, std::chrono::steady_clock::now()) ||
-        first)
+    const auto now = std::chrono::steady_clock::now();
+    const bool was_pending = found->second.pending().has_value();
+    if (found->second.take_report(*report, now) || first)
         publish(id);
+    // The next command to this engine need not wait for a tick.
+    if (was_pending && !found->second.pending())
+        plan_all(now);
     co_return true;
 }
 
--- a/src/gateway/placement_agent.hpp
+++ b/src/gateway/placement_agent.hpp
@@ -62,6 +62,7 @@
     void adopt_engines();
     void read_unknown_engines(time_point now);
     rates demand(time_point now);
+    void plan_all(time_point now);
     void plan_service(
         const routes::service& service, const rates& wanted, time_point now);
     placement::cluster_view make_view(
