Trust reports only once they can show the latest command

Engines refuse all commands while a model command runs, and a report is some hundred milliseconds old: an older report reset the number of accepted commands, and the next command got 409.

--- a/src/gateway/engine_accounts.cpp
+++ b/src/gateway/engine_accounts.cpp
@@ -23,8 +23,8 @@
 bool engine_account::take_report(
     const endpoints::engine_report& report, time_point now)
 {
-    // Reports are as old as some hundred milliseconds.
-    if (known_ && report.accepted_commands < accepted_commands_)
+    const bool outdated = report.accepted_commands < accepted_commands_;
+    if (outdated && (known_ || !settled(now)))
         return false;
     const auto before = models_;
     models_ = report.models;
@@ -61,9 +61,10 @@
 }
 
 void engine_account::accept_model(
-    const model_id& model, bool load, time_point expires_at)
+    const model_id& model, bool load, time_point now, time_point expires_at)
 {
     ++accepted_commands_;
+    accepted_at_ = now;
     pending_ = pending_model{model, load, expires_at};
     if (!load)
         std::erase_if(models_, [&](const endpoints::held_model& each)
@@ -71,9 +72,10 @@
 }
 
 void engine_account::accept_adapter(
-    const model_id& model, const adapter_id& adapter, bool load)
+    const model_id& model, const adapter_id& adapter, bool load, time_point now)
 {
     ++accepted_commands_;
+    accepted_at_ = now;
     if (load)
     {
         adapters_coming_.emplace(model, adapter);
@@ -82,10 +84,10 @@
     erase_adapter(model, adapter);
 }
 
-void engine_account::accept_late_unload(
-    const model_id& model, const adapter_id& adapter, time_point expires_at)
+void engine_account::accept_late_unload(const model_id& model,
+    const adapter_id& adapter, time_point now, time_point expires_at)
 {
-    accept_adapter(model, adapter, false);
+    accept_adapter(model, adapter, false, now);
     unloading_ = late_unload{model, adapter, expires_at};
 }
 
--- a/src/gateway/engine_accounts.hpp
+++ b/src/gateway/engine_accounts.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -53,14 +54,24 @@
     /// Takes a report; returns whether what the engine holds has changed.
     bool take_report(const endpoints::engine_report& report, time_point now);
 
+    /// Reports are at most this old. One that is read sooner after a command
+    /// may not show it.
+    static constexpr std::chrono::milliseconds report_lag{400};
+
     /// The engine has accepted a command.
-    void accept_model(const model_id& model, bool load, time_point expires_at);
-    void accept_adapter(
-        const model_id& model, const adapter_id& adapter, bool load);
+    void accept_model(const model_id& model, bool load, time_point now,
+        time_point expires_at);
+    void accept_adapter(const model_id& model, const adapter_id& adapter,
+        bool load, time_point now);
     /// The engine unloads an adapter once the requests that use it have ended,
     /// and accepts no other command before that.
     void accept_late_unload(const model_id& model, const adapter_id& adapter,
-        time_point expires_at);
+        time_point now, time_point expires_at);
+    /// Whether a report may show all accepted commands.
+    bool settled(time_point now) const
+    {
+        return now - accepted_at_ >= report_lag;
+    }
     /// An adapter had the time to arrive. Reports would tell it some hundred
     /// milliseconds later.
     void settle_adapter(const model_id& model, const adapter_id& adapter);
@@ -93,6 +104,7 @@
 
     std::int64_t started_unix_ms_ = 0;
     std::int64_t accepted_commands_ = 0;
+    time_point accepted_at_{};
     bool known_ = false;
     std::vector<endpoints::held_model> models_;
     std::set<std::pair<model_id, adapter_id>> adapters_coming_;
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -96,6 +96,17 @@
     co_return true;
 }
 
+void log_limit(
+    const call& of, std::int64_t cost, const limits::limit_state& limit)
+{
+    of.on.log.info("limit_reached",
+        {{"request_id", of.request.id}, {"workspace", of.workspace->id.str()},
+            {"cost", cost}, {"rate", limit.rate}, {"burst", limit.burst},
+            {"level", std::lround(limit.level)},
+            {"demand_of_all", std::lround(limit.demand_of_all)},
+            {"part", limit.part}});
+}
+
 // Takes the request's cost from the limit of its workspace.
 asio::awaitable<bool> admit(call& of)
 {
@@ -109,6 +120,8 @@
         of.on.limiter.admit(of.workspace->id, cost, now, retry_at);
     if (admitted)
         co_return true;
+    const auto limit = of.on.limiter.state(of.workspace->id, now);
+    log_limit(of, cost, limit);
     co_await refuse(of, 429, "rate_limited", ms_between(now, retry_at) / 1000);
     co_return false;
 }
--- a/src/gateway/placement_agent.cpp
+++ b/src/gateway/placement_agent.cpp
@@ -23,9 +23,6 @@
 namespace
 {
 
-/// Reports are at most this old. A report that is read sooner after the latest
-/// command of an earlier holder may not show it.
-constexpr milliseconds report_lag{600};
 /// Time for an adapter to arrive; most take 5 to 10 ms.
 constexpr milliseconds adapter_time{12};
 /// Between looks while a model is on its way.
@@ -75,7 +72,8 @@
     engines_.clear();
     loading_.clear();
     loads_.note_takeover(now);
-    read_from_ = now + report_lag;
+    // Reports show the commands of an earlier holder only after a while.
+    read_from_ = now + engine_account::report_lag;
 }
 
 void placement_agent::end()
@@ -345,7 +343,8 @@
     const bool holds = answer && *answer == engine_answer::holds_already;
     // An adapter is unloaded before the answer, and counts as a command.
     if (holds && what.kind == command_kind::unload_adapter)
-        again->second.accept_adapter(what.model, what.adapter, false);
+        again->second.accept_adapter(
+            what.model, what.adapter, false, std::chrono::steady_clock::now());
     else
         again->second.doubt();
     co_return holds;
@@ -356,10 +355,10 @@
     auto& account = engines_[what.engine];
     const auto now = std::chrono::steady_clock::now();
     if (what.kind == command_kind::load_adapter)
-        return account.accept_adapter(what.model, what.adapter, true);
+        return account.accept_adapter(what.model, what.adapter, true, now);
     if (what.kind == command_kind::unload_adapter)
         account.accept_late_unload(
-            what.model, what.adapter, now + unload_patience);
+            what.model, what.adapter, now, now + unload_patience);
     else
         accept_model(account, what, now);
     if (!std::exchange(account.polling, true))
@@ -372,7 +371,7 @@
     const auto* model = on_.routes->find_model(what.service, what.model);
     const auto usual =
         milliseconds(model == nullptr ? 0 : std::llround(model->load_s * 1000));
-    account.accept_model(what.model, is_load(what.kind),
+    account.accept_model(what.model, is_load(what.kind), now,
         now + std::max(least_model_patience, usual * patience_in_loads));
 }
 
@@ -465,7 +464,7 @@
         const auto* entry = on_.board.find(id);
         if (entry == nullptr || entry->service != wanted.service ||
             !usable(id, now) || !account.known() || account.calling ||
-            account.busy() || !account.holds(wanted.model))
+            account.busy() || account.pending() || !account.holds(wanted.model))
             continue;
         // A free slot costs nothing, else the demand for what gives way.
         double cost = -1;
@@ -506,7 +505,7 @@
         {
             // The asker has not heard of it, or the engine lacks it.
             publish(id);
-            if (account.known())
+            if (account.known() && account.settled(now))
                 account.doubt();
             return;
         }
--- a/src/limits/fleet_limiter.cpp
+++ b/src/limits/fleet_limiter.cpp
@@ -119,9 +119,7 @@
         return {};
     forget_lost_peers(now);
     refill(at, now);
-    const bool shared =
-        !cut_off() && demand_of_all(at, now) <=
-                          shared_account_load * static_cast<double>(at.rate);
+    const bool shared = shares_account(at, now);
     const auto fraction = shared ? 1.0 : part_of(at, now);
     // A request above the burst runs when the account is full.
     const auto needed =
@@ -132,8 +130,7 @@
         take(at, wanted);
         return {};
     }
-    const auto rate =
-        std::max(fraction * static_cast<double>(at.rate), 1e-3);
+    const auto rate = std::max(fraction * static_cast<double>(at.rate), 1e-3);
     constexpr double longest_wait_s = 60.0;
     retry_at = now + std::chrono::duration_cast<duration>(
                          std::chrono::duration<double>(std::min(
@@ -142,6 +139,24 @@
         fmt::format("workspace {} has used its limit", workspace.str()));
 }
 
+bool fleet_limiter::shares_account(const account& of, time_point now) const
+{
+    return !cut_off() && demand_of_all(of, now) <=
+                             shared_account_load * static_cast<double>(of.rate);
+}
+
+limit_state fleet_limiter::state(
+    const workspace_id& workspace, time_point now) const
+{
+    const auto found = accounts_.find(workspace);
+    if (found == accounts_.end())
+        return {};
+    const auto& of = found->second;
+    const bool shared = shares_account(of, now);
+    return {of.rate, of.burst, shared ? of.whole : of.part,
+        demand_of_all(of, now), shared ? 1.0 : part_of(of, now)};
+}
+
 void fleet_limiter::refund(
     const workspace_id& workspace, std::int64_t units, time_point now)
 {
@@ -152,8 +167,8 @@
     refill(found->second, now);
 }
 
-std::int64_t fleet_limiter::cost(const routes::workspace& workspace,
-    std::optional<std::int64_t> tokens)
+std::int64_t fleet_limiter::cost(
+    const routes::workspace& workspace, std::optional<std::int64_t> tokens)
 {
     if (!workspace.limit_in_tokens)
         return 1;
--- a/src/limits/fleet_limiter.hpp
+++ b/src/limits/fleet_limiter.hpp
@@ -27,6 +27,21 @@
     auto operator<=>(const workspace_demand&) const = default;
 };
 
+/// State of one limit, for the log of a decision.
+struct limit_state
+{
+    std::int64_t rate = 0;
+    std::int64_t burst = 0;
+    /// Of the account that decides.
+    double level = 0;
+    double demand_of_all = 0;
+    /// Part of the limit that this instance may use; 1 while all share one
+    /// account.
+    double part = 1;
+
+    auto operator<=>(const limit_state&) const = default;
+};
+
 /// Limits of workspaces over all instances, without a message for a request.
 /// The instances tell each other several times a second what they admit and
 /// what their callers ask for.
@@ -55,10 +70,13 @@
     void refund(
         const workspace_id& workspace, std::int64_t units, time_point now);
 
+    /// Zeros for a workspace without a limit.
+    limit_state state(const workspace_id& workspace, time_point now) const;
+
     /// What a request costs: the tokens that it names, or what the limit counts
     /// for a request without them.
-    static std::int64_t cost(const routes::workspace& workspace,
-        std::optional<std::int64_t> tokens);
+    static std::int64_t cost(
+        const routes::workspace& workspace, std::optional<std::int64_t> tokens);
 
     /// What another instance told. `incarnation` changes when its count of
     /// admitted units begins anew.
@@ -100,6 +118,8 @@
         std::optional<time_point> lost_at;
     };
 
+    /// Whether the account of the whole limit decides.
+    bool shares_account(const account& of, time_point now) const;
     double part_of(const account& of, time_point now) const;
     double demand_of_all(const account& of, time_point now) const;
     void refill(account& of, time_point now) const;
