--- a/src/limits/fleet_limiter.cpp
+++ b/src/limits/fleet_limiter.cpp
@@ -19,9 +19,6 @@
 /// Part of each limit that is split evenly, for instances whose demand has
 /// not been told yet.
 constexpr double even_part = 0.2;
-/// Demand above this part of the rate counts as too much for the common
-/// account.
-constexpr double shared_account_load = 1.0;
 /// An instance that restarts is back sooner.
 constexpr std::chrono::seconds lost_peer_memory{10};
 
@@ -119,32 +116,23 @@
         return {};
     forget_lost_peers(now);
     refill(at, now);
-    const bool shared = shares_account(at, now);
-    const auto fraction = shared ? 1.0 : part_of(at, now);
-    // A request above the burst runs when the account is full.
-    const auto needed =
-        std::min(wanted, fraction * static_cast<double>(at.burst));
+    const bool shared = !cut_off();
     const auto level = shared ? at.whole : at.part;
-    if (level >= needed)
+    if (level > 0)
     {
         take(at, wanted);
         return {};
     }
-    const auto rate = std::max(fraction * static_cast<double>(at.rate), 1e-3);
+    const auto rate = std::max(
+        (shared ? 1.0 : part_of(at, now)) * static_cast<double>(at.rate), 1e-3);
     constexpr double longest_wait_s = 60.0;
     retry_at = now + std::chrono::duration_cast<duration>(
-                         std::chrono::duration<double>(std::min(
-                             longest_wait_s, (needed - level) / rate)));
+                         std::chrono::duration<double>(
+                             std::min(longest_wait_s, -level / rate)));
     return fail(error_code::rate_limited,
         fmt::format("workspace {} has used its limit", workspace.str()));
 }
 
-bool fleet_limiter::shares_account(const account& of, time_point now) const
-{
-    return !cut_off() && demand_of_all(of, now) <=
-                             shared_account_load * static_cast<double>(of.rate);
-}
-
 limit_state fleet_limiter::state(
     const workspace_id& workspace, time_point now) const
 {
@@ -152,7 +140,7 @@
     if (found == accounts_.end())
         return {};
     const auto& of = found->second;
-    const bool shared = shares_account(of, now);
+    const bool shared = !cut_off();
     return {of.rate, of.burst, shared ? of.whole : of.part,
         demand_of_all(of, now), shared ? 1.0 : part_of(of, now)};
 }
--- a/src/limits/fleet_limiter.hpp
+++ b/src/limits/fleet_limiter.hpp
@@ -35,8 +35,7 @@
     /// Of the account that decides.
     double level = 0;
     double demand_of_all = 0;
-    /// Part of the limit that this instance may use; 1 while all share one
-    /// account.
+    /// Part of the limit that this instance may use; 1 unless it is cut off.
     double part = 1;
 
     auto operator<=>(const limit_state&) const = default;
@@ -46,14 +45,17 @@
 /// The instances tell each other several times a second what they admit and
 /// what their callers ask for.
 ///
-/// While the demand of all is below the rate, each instance keeps an account of
-/// the whole limit, which its own requests and the admitted units that others
-/// tell are taken from. What was admitted before it was told becomes a debt of
-/// the account, so the rate holds on average and an excess is bounded by the
-/// demand of one telling interval. When the demand is above the rate, or many
-/// instances are not heard of, each instance keeps to its part of the limit
+/// Each instance keeps an account of the whole limit, which its own requests
+/// and the admitted units that others tell are taken from. What was admitted
+/// before it was told becomes a debt of the account, so the rate holds on
+/// average and an excess is bounded by the demand of one telling interval. An
+/// instance that does not hear of most others keeps to its part of the limit
 /// instead: parts follow the demand and add up to the whole.
 ///
+/// A request is admitted while the account is above zero, whatever it costs.
+/// Otherwise small requests would leave nothing to large ones when a workspace
+/// asks for more than its rate.
+///
 /// Unlike basic_limiter it needs no epochs in the store.
 class fleet_limiter
 {
@@ -118,8 +120,6 @@
         std::optional<time_point> lost_at;
     };
 
-    /// Whether the account of the whole limit decides.
-    bool shares_account(const account& of, time_point now) const;
     double part_of(const account& of, time_point now) const;
     double demand_of_all(const account& of, time_point now) const;
     void refill(account& of, time_point now) const;
