--- a/src/dispatch/endpoint_board.cpp
+++ b/src/dispatch/endpoint_board.cpp
@@ -21,6 +21,10 @@
 constexpr milliseconds missing_lifetime{200};
 /// Requests that are sent this close together may start in any order.
 constexpr milliseconds overtaking_margin{300};
+/// A full endpoint ends some requests within this time.
+constexpr milliseconds full_pause{150};
+/// About the last twenty streams count.
+constexpr double newest_stream_weight = 0.05;
 /// Cost of another availability zone, in milliseconds of waiting: the way
 /// there and back.
 constexpr double zone_cost_ms = 3.0;
@@ -171,16 +175,17 @@
     std::vector<const record*> suspended;
     for (const auto& [id, each] : records_)
         if (usable(each, service, excluded, now))
-            (each.health.suspended(now) ? suspended : sound).push_back(&each);
+            (each.health.suspended(now) || now < each.full_until ? suspended
+                                                                 : sound)
+                .push_back(&each);
     return sound.empty() ? suspended : sound;
 }
 
-double endpoint_board::rate(
+endpoint_board::model_speed endpoint_board::speed(
     const service_id& service, const model_id& model) const
 {
-    const auto found = rates_.find({service, model});
-    return found == rates_.end() ? prefill_rate::initial
-                                 : found->second.tokens_per_ms();
+    const auto found = speeds_.find({service, model});
+    return found == speeds_.end() ? model_speed() : found->second;
 }
 
 endpoint_choice endpoint_board::assess(const record& of,
@@ -194,9 +199,15 @@
     if (home && !request.parts.empty())
         uncached = std::min(
             uncached, std::max<std::int64_t>(1, request.parts.back().tokens));
+    const auto measured = speed(service, request.model);
+    const auto slots = std::max<std::int64_t>(1, of.entry.slots);
+    // Beyond its slots, a request waits until streams have ended.
+    const auto beyond = std::max<std::int64_t>(0, load.requests + 1 - slots);
     const auto wait =
         static_cast<double>(load.waiting_tokens + uncached) /
-            rate(service, request.model) +
+            measured.prefill.tokens_per_ms() +
+        static_cast<double>(beyond) * measured.stream_ms /
+            static_cast<double>(slots) +
         running_cost_ms * static_cast<double>(load.requests) +
         failure_cost_ms * of.health.error_share() +
         (of.entry.availability_zone == zone_ ? 0.0 : zone_cost_ms);
@@ -291,7 +302,9 @@
         return;
     const std::chrono::duration<double, std::milli> elapsed =
         now - held.sent_at;
-    rates_[{service, model}].observe(held.tokens_to_read, elapsed.count());
+    speeds_[{service, model}].prefill.observe(
+        held.tokens_to_read, elapsed.count());
+    held.answered_at = now;
     const auto found = records_.find(held.endpoint);
     if (found != records_.end() &&
         found->second.entry.started_unix_ms == held.started_unix_ms)
@@ -304,6 +317,25 @@
     held.load.waiting_tokens = 0;
 }
 
+void endpoint_board::note_stream_end(const ticket& held,
+    const service_id& service, const model_id& model, time_point now)
+{
+    if (!held.answered_at)
+        return;
+    const std::chrono::duration<double, std::milli> taken =
+        now - *held.answered_at;
+    auto& measured = speeds_[{service, model}].stream_ms;
+    measured = measured == 0 ? taken.count()
+                             : measured + newest_stream_weight *
+                                              (taken.count() - measured);
+}
+
+void endpoint_board::mark_full(const endpoint_id& id, time_point now)
+{
+    if (const auto found = records_.find(id); found != records_.end())
+        found->second.full_until = now + full_pause;
+}
+
 void endpoint_board::finish(ticket& held)
 {
     const auto found = records_.find(held.endpoint);
--- a/src/dispatch/endpoint_board.hpp
+++ b/src/dispatch/endpoint_board.hpp
@@ -42,6 +42,8 @@
     /// Tokens ahead of the request when it was sent, and its own.
     std::int64_t tokens_to_read = 0;
     time_point sent_at;
+    /// Begin of the answer; none while the request waits.
+    std::optional<time_point> answered_at;
 
     auto operator<=>(const ticket&) const = default;
 };
@@ -103,7 +105,13 @@
     /// The prompt was read.
     void first_event(ticket& held, const service_id& service,
         const model_id& model, time_point now);
+    /// The whole stream was sent.
+    void note_stream_end(const ticket& held, const service_id& service,
+        const model_id& model, time_point now);
     void finish(ticket& held);
+    /// The endpoint rejected a request because it is full. It gets none for a
+    /// moment, as long as others can be used.
+    void mark_full(const endpoint_id& id, time_point now);
     /// The endpoint has sent a part of an answer.
     void note_progress(const endpoint_id& id, time_point now);
     /// Whether an endpoint has probably lost a request without an answer: it
@@ -136,6 +144,7 @@
         endpoint_load own;
         std::map<instance_id, peer_load> peers;
         prompt_cache_view cache;
+        time_point full_until{};
         time_point progress_at{};
         /// Send time of the latest request that it has begun to answer.
         time_point answered_sent_at{};
@@ -154,11 +163,19 @@
         const std::set<endpoint_id>& excluded, time_point now) const;
     endpoint_choice assess(const record& of, const service_id& service,
         const prompt& request, bool home, time_point now) const;
-    double rate(const service_id& service, const model_id& model) const;
+    /// What was measured for a model at the engines of a service.
+    struct model_speed
+    {
+        prefill_rate prefill;
+        /// Usual time from the first event of a stream to its end.
+        double stream_ms = 0;
+    };
+
+    model_speed speed(const service_id& service, const model_id& model) const;
 
     std::string zone_;
     std::map<endpoint_id, record> records_;
-    std::map<std::pair<service_id, model_id>, prefill_rate> rates_;
+    std::map<std::pair<service_id, model_id>, model_speed> speeds_;
 };
 
 } // namespace tarragonquay::dispatch
--- a/src/dispatch/endpoint_board_test.cpp
+++ b/src/dispatch/endpoint_board_test.cpp
@@ -49,6 +49,8 @@
     CPPUNIT_TEST_SUITE(endpoint_board_test);
     CPPUNIT_TEST(requests_of_one_prefix_meet_at_one_engine);
     CPPUNIT_TEST(a_long_queue_outweighs_a_kept_prefix);
+    CPPUNIT_TEST(streams_that_hold_all_slots_are_a_wait);
+    CPPUNIT_TEST(a_full_endpoint_is_left_alone_for_a_moment);
     CPPUNIT_TEST(loads_of_peers_count_until_they_are_old);
     CPPUNIT_TEST(a_missing_adapter_is_not_served_by_the_model_alone);
     CPPUNIT_TEST(leaving_and_tried_endpoints_are_not_chosen);
@@ -92,6 +94,40 @@
         CPPUNIT_ASSERT(choose(board, request).id == home.id);
     }
 
+    // Guards against a queue for slots that looks empty, since all prompts in
+    // it are read: a burst of short prompts with long answers.
+    void streams_that_hold_all_slots_are_a_wait()
+    {
+        auto board = make_board(2);
+        const auto request = make_prompt(10);
+        const auto home = choose(board, request);
+        std::vector<ticket> held;
+        for (int i = 0; i < 8; ++i)
+        {
+            held.push_back(board.begin(home, &request, cache_tokens, now_));
+            board.first_event(held.back(), engines, model_id("m"), now_);
+        }
+        board.note_stream_end(held[0], engines, model_id("m"), now_ + 2s);
+        const auto other = choose(board, request);
+        CPPUNIT_ASSERT(other.id != home.id);
+        const auto again =
+            board.choose_engine(engines, request, {other.id}, now_);
+        CPPUNIT_ASSERT(again->expected_at > now_ + 1s);
+    }
+
+    // Guards against sending again and again to an engine that rejects, which
+    // looks idle because its rejections end at once.
+    void a_full_endpoint_is_left_alone_for_a_moment()
+    {
+        auto board = make_board(2);
+        const auto request = make_prompt(500);
+        const auto home = choose(board, request);
+        board.mark_full(home.id, now_);
+        CPPUNIT_ASSERT(choose(board, request).id != home.id);
+        now_ += 1s;
+        CPPUNIT_ASSERT(choose(board, request).id == home.id);
+    }
+
     // Guards against herds: instances that see only their own requests all
     // choose the same engine.
     void loads_of_peers_count_until_they_are_old()
--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -98,6 +98,8 @@
     }
     if (judged == attempt_outcome::misdirected)
         of.on.board.mark_leaving(to.id);
+    else
+        of.on.board.mark_full(to.id, std::chrono::steady_clock::now());
     log_attempt(of, to.id, judged, std::to_string(head->status));
     co_return end;
 }
--- a/src/gateway/stream_call.cpp
+++ b/src/gateway/stream_call.cpp
@@ -234,6 +234,8 @@
         }
         if (judged == attempt_outcome::misdirected)
             note_misdirected(head);
+        else
+            of_.on.board.mark_full(to_.id, std::chrono::steady_clock::now());
         log_attempt(of_, to_.id, judged, std::to_string(head.status));
         end.outcome = relay_outcome::rejected;
         co_return end;
@@ -306,6 +308,9 @@
                 execution_state::unknown));
         keep(connection);
         of_.on.board.record_answer(to_.id, true);
+        if (of_.request.prompt)
+            of_.on.board.note_stream_end(held_.held(), of_.service->id,
+                of_.request.prompt->model, std::chrono::steady_clock::now());
         if (!state_.begun)
         {
             const auto begun = co_await of_.out.begin_stream(head);
--- a/src/limits/fleet_limiter.cpp
+++ b/src/limits/fleet_limiter.cpp
@@ -19,6 +19,11 @@
 /// Part of each limit that is split evenly, for instances whose demand has
 /// not been told yet.
 constexpr double even_part = 0.2;
+/// Requests up to this part of the burst may use a reserve that the others
+/// leave alone. They take little of the limit, and would otherwise be refused
+/// as often as requests that cost fifty times as much.
+constexpr double small_request = 0.01;
+constexpr double small_reserve = 0.2;
 /// An instance that restarts is back sooner.
 constexpr std::chrono::seconds lost_peer_memory{10};
 
@@ -118,7 +123,10 @@
     refill(at, now);
     const bool shared = !cut_off();
     const auto level = shared ? at.whole : at.part;
-    if (level > 0)
+    const auto burst =
+        (shared ? 1.0 : part_of(at, now)) * static_cast<double>(at.burst);
+    const bool small = wanted <= small_request * burst;
+    if (level > (small ? -small_reserve * burst : 0))
     {
         take(at, wanted);
         return {};
--- a/src/limits/fleet_limiter.hpp
+++ b/src/limits/fleet_limiter.hpp
@@ -54,7 +54,7 @@
 ///
 /// A request is admitted while the account is above zero, whatever it costs.
 /// Otherwise small requests would leave nothing to large ones when a workspace
-/// asks for more than its rate.
+/// asks for more than its rate. Very small ones have a reserve below zero.
 ///
 /// Unlike basic_limiter it needs no epochs in the store.
 class fleet_limiter
--- a/src/limits/fleet_limiter_test.cpp
+++ b/src/limits/fleet_limiter_test.cpp
@@ -90,6 +90,7 @@
     CPPUNIT_TEST(demand_below_the_rate_is_admitted_wherever_it_arrives);
     CPPUNIT_TEST(several_times_the_rate_is_cut_to_the_rate);
     CPPUNIT_TEST(large_requests_get_their_share_of_an_exceeded_limit);
+    CPPUNIT_TEST(very_small_requests_pass_while_large_ones_use_the_limit_up);
     CPPUNIT_TEST(an_instance_that_is_cut_off_keeps_to_its_part);
     CPPUNIT_TEST(a_lower_limit_binds_at_once);
     CPPUNIT_TEST(units_that_were_not_used_come_back);
@@ -152,6 +153,26 @@
         CPPUNIT_ASSERT(admitted <= (8 * 100'000 + 100'000) * 1.1 + 110'000);
     }
 
+    // Guards against status lookups that are refused as often as long prompts
+    // when a workspace asks for several times its rate.
+    void very_small_requests_pass_while_large_ones_use_the_limit_up()
+    {
+        fleet tested(1, 100'000, 100'000);
+        auto& limiter = tested.limiters.front();
+        int small = 0;
+        int large = 0;
+        time_point retry_at;
+        for (int i = 0; i < 1'000; ++i)
+        {
+            tested.now += 10ms;
+            large += limiter.admit(acme, 10'000, tested.now, retry_at) ? 1 : 0;
+            small += limiter.admit(acme, 200, tested.now, retry_at) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(1'000, small);
+        CPPUNIT_ASSERT((large * 10'000 + small * 200) <=
+                       (10 * 100'000 + 100'000) * 1.1 + 110'000);
+    }
+
     void a_lower_limit_binds_at_once()
     {
         fleet tested(3, 100'000, 100'000);
