--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -17,6 +17,10 @@
 /// milliseconds.
 constexpr milliseconds documents_request_interval{200};
 
+/// One request for an adapter is enough for all that wait for it; it takes some
+/// 20 ms to be there.
+constexpr milliseconds adapter_request_interval{60};
+
 void write(const fleet::member& from, peer::Fleet_member& to)
 {
     to.set_instance(from.id.str());
@@ -166,6 +170,12 @@
 
 void peer_link::request_adapter(const demanded_model& wanted)
 {
+    // Many requests may wait for one adapter.
+    const auto now = std::chrono::steady_clock::now();
+    std::erase_if(requested_adapters_, [now](const auto& each)
+        { return now - each.second >= adapter_request_interval; });
+    if (!requested_adapters_.emplace(wanted, now).second)
+        return;
     if (placement_fencing_ > 0)
     {
         if (on_adapter_request_)
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -106,6 +106,8 @@
     bool configuration_away_ = false;
     bool directory_away_ = false;
     time_point next_documents_request_{};
+    /// Adapters that were asked for lately.
+    std::map<demanded_model, time_point> requested_adapters_;
 };
 
 } // namespace tarragonquay::gateway
--- a/src/gateway/placement_agent.cpp
+++ b/src/gateway/placement_agent.cpp
@@ -94,7 +94,7 @@
     peer_demand_[peer] = {rates.begin(), rates.end()};
 }
 
-placement_agent::rates placement_agent::demand(time_point now)
+placement_agent::rates placement_agent::sum_demand(time_point now)
 {
     rates out;
     for (const auto& [of, rate] : on_.demand.rates(now))
@@ -151,16 +151,16 @@
 
 void placement_agent::follow_demand(time_point now)
 {
-    const auto wanted = demand(now);
+    demand_ = sum_demand(now);
     for (const auto& service : on_.routes->document().services)
     {
         if (!service.engines)
             continue;
         for (const auto& model : service.engines->models)
         {
-            const auto found = wanted.find({service.id, model.id, {}});
+            const auto found = demand_.find({service.id, model.id, {}});
             trends_[{service.id, model.id}].add(
-                found == wanted.end() ? 0 : found->second, now);
+                found == demand_.end() ? 0 : found->second, now);
         }
     }
 }
@@ -169,10 +169,9 @@
 {
     if (!active_ || !on_.routes || !may_command_())
         return;
-    const auto wanted = demand(now);
     for (const auto& service : on_.routes->document().services)
         if (service.engines)
-            plan_service(service, wanted, now);
+            plan_service(service, demand_, now);
 }
 
 // Adapters that are in use at once need slots, and each replica has only some.
@@ -491,7 +490,7 @@
         // A free slot costs nothing, else the demand for what gives way.
         double cost = -1;
         if (account.adapters_in_use() >= service->engines->adapter_slots)
-            cost = idle_adapter(account, wanted.service, now).rate;
+            cost = idle_adapter(account, wanted.service).rate;
         const std::pair full_cost(cost, fast_hash(id.str(), name));
         if (best.empty() || full_cost < best_cost)
         {
@@ -503,14 +502,13 @@
 }
 
 placement_agent::adapter_use placement_agent::idle_adapter(
-    const engine_account& account, const service_id& service, time_point now)
+    const engine_account& account, const service_id& service) const
 {
-    const auto wanted = demand(now);
     adapter_use out;
     for (const auto& [model, adapter] : account.loaded_adapters())
     {
-        const auto found = wanted.find({service, model, adapter});
-        const auto rate = found == wanted.end() ? 0 : found->second;
+        const auto found = demand_.find({service, model, adapter});
+        const auto rate = found == demand_.end() ? 0 : found->second;
         if (out.adapter.empty() || rate < out.rate)
             out = {model, adapter, rate};
     }
@@ -552,8 +550,7 @@
     bool room = engines_[engine].adapters_in_use() < slots;
     if (!room)
     {
-        const auto victim = idle_adapter(
-            engines_[engine], wanted.service, std::chrono::steady_clock::now());
+        const auto victim = idle_adapter(engines_[engine], wanted.service);
         // g++ 12 destroys a temporary aggregate in a co_await twice.
         const command unload{engine, command_kind::unload_adapter, victim.model,
             victim.adapter, wanted.service};
--- a/src/gateway/placement_agent.hpp
+++ b/src/gateway/placement_agent.hpp
@@ -62,7 +62,7 @@
 
     void adopt_engines();
     void read_unknown_engines(time_point now);
-    rates demand(time_point now);
+    rates sum_demand(time_point now);
     void follow_demand(time_point now);
     void plan_all(time_point now);
     void plan_service(
@@ -103,8 +103,8 @@
     };
 
     /// The adapter that gives its slot up; its id is empty for none.
-    adapter_use idle_adapter(const engine_account& account,
-        const service_id& service, time_point now);
+    adapter_use idle_adapter(
+        const engine_account& account, const service_id& service) const;
 
     context& on_;
     peer_link& peers_;
@@ -115,6 +115,8 @@
     int generation_ = 0;
     std::map<endpoint_id, engine_account> engines_;
     std::map<instance_id, rates> peer_demand_;
+    /// Sum over the instances as of the latest tick.
+    rates demand_;
     /// Adapters whose load is under way.
     std::map<demanded_model, time_point> loading_;
     std::map<std::pair<service_id, model_id>, time_point> changed_at_;
