--- a/src/common/json_log.cpp
+++ b/src/common/json_log.cpp
@@ -55,8 +55,7 @@
             if (::poll(&ready, 1, 0) != 1)
                 return;
             const auto size = std::min<std::size_t>(buffer_.size(), PIPE_BUF);
-            const auto written =
-                ::write(STDOUT_FILENO, buffer_.data(), size);
+            const auto written = ::write(STDOUT_FILENO, buffer_.data(), size);
             if (written <= 0)
                 return;
             buffer_.erase(0, static_cast<std::size_t>(written));
@@ -142,8 +141,7 @@
 
 void json_log::info(std::string_view kind, nlohmann::ordered_json fields)
 {
-    if (info_enabled_ &&
-        within_limit(kind, std::chrono::steady_clock::now()))
+    if (info_enabled_ && within_limit(kind, std::chrono::steady_clock::now()))
         write("info", kind, std::move(fields));
 }
 
--- a/src/gateway/application.hpp
+++ b/src/gateway/application.hpp
@@ -29,12 +29,17 @@
 class application
 {
 public:
-    /// Reads the settings anew after a change of their file.
-    using settings_reader = std::function<result<settings::gateway_settings>()>;
+    /// The settings file, read anew after a signal or a change.
+    struct settings_source
+    {
+        std::function<result<settings::gateway_settings>()> read;
+        /// Differs after a change of the file.
+        std::function<std::int64_t()> stamp;
+    };
 
     static result<std::unique_ptr<application>> create(
         settings::gateway_settings settings, dialect speech,
-        settings_reader reload);
+        settings_source source);
 
     /// Serves until a signal to stop, and ends the requests that are running.
     void run();
@@ -44,7 +49,7 @@
     using lease = placement::lease_keeper<store, suspend_aware_clock>;
 
     application(settings::gateway_settings settings, dialect speech,
-        log::json_log log, settings_reader reload);
+        log::json_log log, settings_source source);
 
     result<void> listen();
     void start_feeds();
@@ -53,6 +58,7 @@
     void schedule_tick();
     void tick();
     void tick_lease(time_point now);
+    void check_settings(time_point now);
     void reload();
     void begin_stop();
     void stop_later();
@@ -73,11 +79,12 @@
     peer_link peers_;
     std::optional<lease> lease_;
     std::optional<placement_agent> placement_;
-    settings_reader reload_;
+    settings_source source_;
+    std::int64_t settings_stamp_ = 0;
+    time_point next_settings_check_{};
     boost::asio::signal_set signals_;
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer stop_timer_;
-    time_point next_flush_{};
     std::unique_ptr<tcp_listener> callers_;
     std::unique_ptr<tcp_listener> entries_;
     std::unique_ptr<tcp_listener> readiness_;
--- a/src/gateway/application.ipp
+++ b/src/gateway/application.ipp
@@ -28,6 +28,8 @@
 /// After the others have heard of the stop, callers come no more; an idle
 /// process ends then.
 inline constexpr milliseconds least_stop{1'500};
+/// The settings file may change without a signal.
+inline constexpr milliseconds settings_interval{1'000};
 /// The holder renews this often and stops this long after its last renewal.
 inline constexpr milliseconds renewal_interval{1'000};
 inline constexpr milliseconds lease_validity{4'000};
@@ -49,7 +51,7 @@
 
 template <remote_store::store_codec Codec>
 application<Codec>::application(settings::gateway_settings settings,
-    dialect speech, log::json_log log, settings_reader reload)
+    dialect speech, log::json_log log, settings_source source)
     : on_(io_, settings, std::move(speech), std::move(log),
           application_detail::make_self(settings)),
       store_(io_, on_.settings.store_address),
@@ -57,7 +59,8 @@
       configuration_feed_(on_, store_, on_.dialect.operator_table),
       directory_feed_(on_, store_, on_.dialect.endpoints_table),
       peers_(on_, documents_),
-      reload_(std::move(reload)),
+      source_(std::move(source)),
+      settings_stamp_(source_.stamp()),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       timer_(io_),
       stop_timer_(io_)
@@ -73,7 +76,7 @@
     if (!log)
         return tl::unexpected<error>(log.error());
     std::unique_ptr<application> out(new application(std::move(settings),
-        std::move(speech), std::move(*log), std::move(reload)));
+        std::move(speech), std::move(*log), std::move(source)));
     if (auto listening = out->listen(); !listening)
         return tl::unexpected<error>(listening.error());
     out->start_feeds();
@@ -238,9 +241,20 @@
     tick_lease(now);
     peers_.tick(now, lease_->holds() ? lease_->fencing() : 0);
     placement_->tick(now);
+    check_settings(now);
     on_.log.flush();
 }
 
+template <remote_store::store_codec Codec>
+void application<Codec>::check_settings(time_point now)
+{
+    if (now < next_settings_check_)
+        return;
+    next_settings_check_ = now + application_detail::settings_interval;
+    if (source_.stamp() != settings_stamp_)
+        reload();
+}
+
 template <remote_store::store_codec Codec>
 void application<Codec>::tick_lease(time_point now)
 {
@@ -270,7 +284,8 @@
 template <remote_store::store_codec Codec>
 void application<Codec>::reload()
 {
-    auto fresh = reload_();
+    settings_stamp_ = source_.stamp();
+    auto fresh = source_.read();
     if (!fresh)
     {
         on_.log.warning(
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -1,5 +1,6 @@
 #include <utility>
 
+#include <filesystem>
 #include <iostream>
 #include <string>
 
@@ -26,6 +27,14 @@
     return code;
 }
 
+// Time of the last change; 0 when the file can't be read.
+std::int64_t file_stamp(const std::string& file)
+{
+    std::error_code ignored;
+    const auto time = std::filesystem::last_write_time(file, ignored);
+    return ignored ? 0 : time.time_since_epoch().count();
+}
+
 int serve(const std::string& settings_file)
 {
     const auto settings = tq::settings::load_gateway(settings_file);
@@ -34,8 +43,9 @@
     auto application =
         tq::gateway::application<tq::platform::store_codec>::create(*settings,
             tq::platform::make_dialect(),
-            [settings_file]
-            { return tq::settings::load_gateway(settings_file); });
+            {[settings_file]
+                { return tq::settings::load_gateway(settings_file); },
+                [settings_file] { return file_stamp(settings_file); }});
     if (!application)
         return report(application.error(), exit_failed);
     (*application)->run();
--- a/src/placement/controller.ipp
+++ b/src/placement/controller.ipp
@@ -161,8 +161,7 @@
 // one command would be concluded together.
 template <store::table_store S, clock_source C, command_transport T,
     placement_planner P>
-result<intent> controller<S, C, T, P>::read_intent(
-    const store::row& row) const
+result<intent> controller<S, C, T, P>::read_intent(const store::row& row) const
 {
     auto value = intent_from_row(row.value);
     if (value && row_key(*value) != row.key)
