--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 build=${TQ_BUILD_DIR:-build}
 jobs=${TQ_JOBS:-$(nproc)}
-folders=(src standins load experiment tests)
+folders=(src platform standins load experiment tests)
 if [ $# -gt 0 ]; then
     files=("$@")
 else
--- a/src/gateway/application.ipp
+++ b/src/gateway/application.ipp
@@ -69,7 +69,7 @@
 
 template <remote_store::store_codec Codec>
 result<std::unique_ptr<application<Codec>>> application<Codec>::create(
-    settings::gateway_settings settings, dialect speech, settings_reader reload)
+    settings::gateway_settings settings, dialect speech, settings_source source)
 {
     auto log =
         log::json_log::create(settings.log_level, settings.instance.str());
