--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -20,6 +20,7 @@
     tarragonquay::standins::add_platform(app);
     tarragonquay::standins::add_engine(app);
     tarragonquay::standins::add_service(app);
+    tarragonquay::standins::add_http_platform(app);
     tarragonquay::standins::add_proxy(app);
     tarragonquay::standins::add_exec(app);
     try
--- /dev/null
+++ b/tests/gateway_test.cpp
@@ -0,0 +1,278 @@
+#include <signal.h>
+
+#include <fstream>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+
+#include "support/http_client.hpp"
+#include "support/process.hpp"
+
+namespace tarragonquay::test_support
+{
+namespace
+{
+
+using nlohmann::json;
+
+json make_route(const std::string& prefix, const std::string& kind,
+    const std::string& service)
+{
+    return {{"name", prefix}, {"hostname", "h"}, {"prefix", prefix},
+        {"route_type", kind}, {"timeout_ms", 5000}, {"target_latency_ms", 500},
+        {"service", service}, {"max_attempts", 2}, {"resumable", true},
+        {"gap_aim_ms", 250}};
+}
+
+json make_configuration(int version)
+{
+    const json model = {{"name", "m"}, {"weights_mb", 100.0}, {"load_s", 0.1},
+        {"adapters", 2}, {"adapter_mb", 1.0}};
+    return {{"version", version},
+        {"routes", {make_route("/safe/", "safe", "orders"),
+                       make_route("/once/", "unsafe", "orders"),
+                       make_route("/stream/", "streaming", "llm")}},
+        {"services",
+            {{{"name", "orders"}, {"max_connections", 100}},
+                {{"name", "llm"}, {"max_connections", 100},
+                    {"engine",
+                        {{"slots", 4}, {"kv_capacity", 100000},
+                            {"weights_mb", 250.0}, {"adapter_slots", 2},
+                            {"loads_per_s", 5.0}, {"models", {model}}}}}}},
+        {"tenants", {{{"name", "acme"}, {"api_keys", {"k1", "k2"}},
+                        {"unit", "token_stream"}, {"plain_tokens", 10}}}}};
+}
+
+// A store, four endpoints and two gateways, as processes.
+class gateway_system
+{
+public:
+    gateway_system() : platform(process::start_standin("http-platform", {}))
+    {
+        configure(make_configuration(3));
+        for (int i = 0; i < 2; ++i)
+            start(i);
+        for (int i = 0; i < 2; ++i)
+            CPPUNIT_ASSERT(eventually([&] { return ready(i); }));
+    }
+
+    void configure(const json& document) const
+    {
+        put("op", "config", document);
+    }
+
+    void put(const std::string& table, const std::string& key,
+        const json& value) const
+    {
+        post(platform->address("store"), "/admin/put",
+            {{"table", table}, {"key", key}, {"value", value}});
+    }
+
+    void start(int i)
+    {
+        const auto& own = ports[i];
+        const auto file = fmt::format("/tmp/tq-gateway-{}.yaml", own[0]);
+        std::ofstream(file) << fmt::format(
+            "instance: i{}\n"
+            "availability_zone: z1\n"
+            "listen: {{callers: '127.0.0.1:{}', entries: '127.0.0.1:{}', "
+            "readiness: '127.0.0.1:{}', peers: '127.0.0.1:{}'}}\n"
+            "seeds: ['127.0.0.1:{}']\n"
+            "store: {{address: '{}'}}\n"
+            "bounds: {{stop_s: 4, placement_lease_ms: 500}}\n",
+            i, own[0], own[1], own[2], own[3], ports[1 - i][3],
+            platform->address("store"));
+        gateways[i] = process::start_bound(
+            "i" + std::to_string(i), "tqgatewayd", {"--settings", file});
+    }
+
+    bool ready(int i) const
+    {
+        return fetch(loopback(ports[i][2]), "/-/readyz").status == 200;
+    }
+
+    std::string entry(int i) const { return loopback(ports[i][0]); }
+
+    http_reply call(int i, const std::string& target,
+        const std::string& model = {}, const std::string& key = "k1")
+    {
+        http_call out;
+        out.method = "POST";
+        out.target = target;
+        out.headers = {{"Host", "h"}, {"Request-Id", next_id()},
+            {"Credential", key}, {"Deadline-Ms", "4000"}, {"Tenant", "other"}};
+        if (!model.empty())
+        {
+            out.headers["Model"] = model;
+            out.headers["Token-Counts"] = "100,20";
+            out.headers["Prompt-Prefix"] = "1:60,2:40";
+        }
+        out.body = "{}";
+        return send_once(entry(i), out);
+    }
+
+    // Runs at an endpoint, by request.
+    json runs(const std::string& endpoint) const
+    {
+        return fetch(platform->address(endpoint), "/admin/runs").json();
+    }
+
+    void fault(const std::string& endpoint, const json& value) const
+    {
+        post(platform->address(endpoint), "/admin/faults", value);
+    }
+
+    std::string next_id() { return fmt::format("r{}", ++requests); }
+
+    std::unique_ptr<process> platform;
+    // Callers, entries, readiness, peers.
+    int ports[2][4] = {{free_port(), free_port(), free_port(), free_port()},
+        {free_port(), free_port(), free_port(), free_port()}};
+    std::unique_ptr<process> gateways[2];
+    int requests = 0;
+};
+
+} // namespace
+
+class gateway_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(gateway_test);
+    CPPUNIT_TEST(requests_of_all_kinds_are_served);
+    CPPUNIT_TEST(a_new_configuration_is_in_force_everywhere);
+    CPPUNIT_TEST(lost_answers_and_cut_streams_keep_the_promises);
+    CPPUNIT_TEST(an_outage_of_the_store_stops_nothing);
+    CPPUNIT_TEST(a_planned_stop_cuts_no_request);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // The whole path: routes, keys, identity of endpoints, models and adapters
+    // that are loaded because requests ask for them.
+    void requests_of_all_kinds_are_served()
+    {
+        gateway_system system;
+        for (int i = 0; i < 2; ++i)
+        {
+            CPPUNIT_ASSERT_EQUAL(200, system.call(i, "/safe/x").status);
+            CPPUNIT_ASSERT_EQUAL(200, system.call(i, "/once/x").status);
+            for (const auto* model : {"m", "m/a1", "m/a2"})
+                CPPUNIT_ASSERT_MESSAGE(
+                    model, eventually([&] { return whole(system, i, model); },
+                               milliseconds(25'000)));
+            CPPUNIT_ASSERT_EQUAL(404, system.call(i, "/none/x").status);
+            CPPUNIT_ASSERT_EQUAL(
+                401, system.call(i, "/safe/x", "", "wrong").status);
+            const auto entries = fetch(loopback(system.ports[i][1]),
+                "/-/resolve?name=h&region=r&zone=z1");
+            CPPUNIT_ASSERT_EQUAL(
+                std::size_t(2), entries.json().at("addresses").size());
+        }
+        // Guards against keys, and workspaces of the callers' choice, that an
+        // endpoint sees.
+        for (const auto& seen : system.runs("s1").at("seen"))
+        {
+            CPPUNIT_ASSERT_MESSAGE(seen.dump(), !seen.contains("Credential"));
+            CPPUNIT_ASSERT_EQUAL(json("acme"), seen.at("Tenant"));
+        }
+    }
+
+    // Guards against a gateway that keeps an old route or a withdrawn key.
+    void a_new_configuration_is_in_force_everywhere()
+    {
+        gateway_system system;
+        auto next = make_configuration(9);
+        next["routes"][0]["prefix"] = "/moved/";
+        next["tenants"][0]["api_keys"] = {"k2"};
+        system.configure(next);
+        for (int i = 0; i < 2; ++i)
+        {
+            CPPUNIT_ASSERT(eventually(
+                [&] {
+                    return system.call(i, "/moved/x", "", "k2").status == 200;
+                }));
+            CPPUNIT_ASSERT_EQUAL(404, system.call(i, "/safe/x").status);
+            CPPUNIT_ASSERT_EQUAL(401, system.call(i, "/moved/x").status);
+        }
+        // Guards against an older version, and a broken one, that are taken.
+        system.configure(make_configuration(4));
+        system.configure({{"version", 12}, {"routes", 5}});
+        system.put("servers", "foreign", {{"service", 7}});
+        CPPUNIT_ASSERT_EQUAL(200, system.call(0, "/moved/x", "", "k2").status);
+        CPPUNIT_ASSERT_EQUAL(401, system.call(0, "/moved/x").status);
+    }
+
+    void lost_answers_and_cut_streams_keep_the_promises()
+    {
+        gateway_system system;
+        for (const auto* each : {"s1", "s2"})
+            system.fault(each, {{"lose_answers", 1}});
+        const auto lost = system.call(0, "/once/x");
+        CPPUNIT_ASSERT_EQUAL(502, lost.status);
+        int ran = 0;
+        for (const auto* each : {"s1", "s2"})
+            ran += static_cast<int>(system.runs(each).at("runs").size());
+        CPPUNIT_ASSERT_EQUAL(1, ran);
+
+        CPPUNIT_ASSERT(eventually(
+            [&] { return whole(system, 0, "m"); }, milliseconds(25'000)));
+        for (const auto* each : {"e1", "e2"})
+            system.fault(each, {{"cut_streams", 1}});
+        const auto cut = system.call(0, "/stream/x", "m");
+        // Only one engine may hold the model; then the stream is broken off.
+        if (cut.complete)
+            CPPUNIT_ASSERT_EQUAL(std::size_t(5), cut.events.size());
+        for (std::size_t i = 0; i < cut.events.size(); ++i)
+            CPPUNIT_ASSERT_EQUAL(std::to_string(i + 1), cut.events[i].id);
+    }
+
+    void an_outage_of_the_store_stops_nothing()
+    {
+        gateway_system system;
+        const auto store = system.platform->address("store");
+        post(store, "/admin/down", {{"down", true}});
+        for (int i = 0; i < 20; ++i)
+            CPPUNIT_ASSERT_EQUAL(200, system.call(i % 2, "/once/x").status);
+        // A gateway that starts now learns everything from the other one.
+        system.gateways[1]->send_signal(SIGKILL);
+        CPPUNIT_ASSERT(
+            eventually([&] { return !system.gateways[1]->running(); }));
+        system.start(1);
+        CPPUNIT_ASSERT(eventually([&] { return system.ready(1); }));
+        CPPUNIT_ASSERT_EQUAL(200, system.call(1, "/once/x").status);
+    }
+
+    void a_planned_stop_cuts_no_request()
+    {
+        gateway_system system;
+        CPPUNIT_ASSERT(eventually(
+            [&] { return whole(system, 0, "m"); }, milliseconds(25'000)));
+        http_client kept(system.entry(0));
+        http_call call;
+        call.target = "/safe/x";
+        call.headers = {{"Host", "h"}, {"Credential", "k1"}};
+        call.headers["Request-Id"] = system.next_id();
+        CPPUNIT_ASSERT_EQUAL(200, kept.send(call).status);
+        system.gateways[0]->send_signal(SIGTERM);
+        CPPUNIT_ASSERT(eventually([&] { return !system.ready(0); }));
+        // A connection that is open is still served, and then closed.
+        call.headers["Request-Id"] = system.next_id();
+        const auto last = kept.send(call);
+        CPPUNIT_ASSERT_EQUAL(200, last.status);
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("close"), last.headers.at("connection"));
+        CPPUNIT_ASSERT(
+            eventually([&] { return !system.gateways[0]->running(); }));
+        CPPUNIT_ASSERT_EQUAL(0, system.gateways[0]->exit_code());
+    }
+
+private:
+    static bool whole(gateway_system& system, int i, const std::string& model)
+    {
+        const auto reply = system.call(i, "/stream/x", model);
+        return reply.status == 200 && reply.complete &&
+               reply.events.size() == 5;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(gateway_test);
+
+} // namespace tarragonquay::test_support
