--- a/src/dispatch/endpoint_board_test.cpp
+++ b/src/dispatch/endpoint_board_test.cpp
@@ -86,6 +86,7 @@
         const auto request = make_prompt(500);
         const auto home = choose(board, request);
         std::vector<ticket> held;
+        held.reserve(40);
         for (int i = 0; i < 40; ++i)
             held.push_back(board.begin(home, &request, cache_tokens, now_));
         CPPUNIT_ASSERT(choose(board, request).id != home.id);
--- a/src/fleet/roster_test.cpp
+++ b/src/fleet/roster_test.cpp
@@ -76,6 +76,7 @@
         constexpr std::size_t fan_out = 8;
         std::mt19937_64 random(1);
         std::vector<roster> all;
+        all.reserve(count);
         for (int i = 0; i < count; ++i)
             all.emplace_back(make_member("i" + std::to_string(i), 1, 0));
         for (auto& each : all)
--- a/src/remote_store/http_table_store.hpp
+++ b/src/remote_store/http_table_store.hpp
@@ -185,7 +185,8 @@
     boost::asio::awaitable<void> run(
         call what, bool idempotent, time_point deadline, Handler on_done)
     {
-        auto got = co_await perform(std::move(what), idempotent, deadline);
+        // Copied: the linter takes a moved parameter of a coroutine as used.
+        auto got = co_await perform(what, idempotent, deadline);
         on_done(std::move(got));
     }
 
--- a/standins/http_platform.cpp
+++ b/standins/http_platform.cpp
@@ -5,6 +5,7 @@
 #include <set>
 
 #include <CLI/CLI.hpp>
+#include <fmt/format.h>
 
 #include "common/base64.hpp"
 #include "standins/http.hpp"
@@ -309,6 +310,11 @@
                    found->second.count(model.substr(slash + 1)) != 0);
     }
 
+    static std::string event_text(int id)
+    {
+        return fmt::format("id: {0}\ndata: {0}\n\n", id);
+    }
+
     asio::awaitable<void> stream(
         const http_request& request, http_connection& peer)
     {
@@ -325,9 +331,7 @@
                 peer.abort();
                 co_return;
             }
-            const auto text = std::to_string(id);
-            const bool sent = co_await peer.send_chunk(
-                "id: " + text + "\ndata: " + text + "\n\n");
+            const bool sent = co_await peer.send_chunk(event_text(id));
             if (!sent)
                 co_return;
             co_await sleep_ms(event_ms);
