Plan only once all engines were read

A new holder planned while reports came in, took the models of engines that it had not read yet as missing, and unloaded others to load them. A holder that gets its own lease back after an outage knows all loads and need not wait for the window of loads.

--- a/src/gateway/placement_agent.cpp
+++ b/src/gateway/placement_agent.cpp
@@ -29,6 +29,8 @@
 constexpr milliseconds model_poll{100};
 /// An adapter load that takes longer is asked for again.
 constexpr milliseconds adapter_patience{400};
+/// Engines that have not reported by then are planned without.
+constexpr milliseconds read_patience{1'500};
 /// A model command that an engine's report never shows is forgotten after
 /// this many times its usual duration.
 constexpr int patience_in_loads = 4;
@@ -72,7 +74,10 @@
     engines_.clear();
     loading_.clear();
     trends_.clear();
-    loads_.note_takeover(now);
+    // Without another holder in between, all loads are known here.
+    if (fencing_() != last_fencing_)
+        loads_.note_takeover(now);
+    last_fencing_ = fencing_();
     // Reports show the commands of an earlier holder only after a while.
     read_from_ = now + engine_account::report_lag;
 }
@@ -260,9 +265,26 @@
     return view;
 }
 
+bool placement_agent::engines_known(
+    const service_id& service, time_point now) const
+{
+    if (now >= read_from_ + read_patience)
+        return true;
+    return std::all_of(engines_.begin(), engines_.end(),
+        [&](const auto& each)
+        {
+            const auto* entry = on_.board.find(each.first);
+            return entry == nullptr || entry->service != service ||
+                   !usable(each.first, now) || each.second.known();
+        });
+}
+
 void placement_agent::plan_service(
     const routes::service& service, const rates& wanted, time_point now)
 {
+    // A model at an engine that was not read yet looks missing.
+    if (now < read_from_ || !engines_known(service.id, now))
+        return;
     const auto& group = *service.engines;
     const auto view = make_view(service, wanted, now);
     placement::planner_limits limits;
--- a/src/gateway/placement_agent.hpp
+++ b/src/gateway/placement_agent.hpp
@@ -76,6 +76,9 @@
     void start(const placement::move& move, const routes::service& service,
         time_point now);
     bool usable(const endpoint_id& id, time_point now) const;
+    /// Whether the state of each engine of the service was read, or there was
+    /// time for it.
+    bool engines_known(const service_id& service, time_point now) const;
 
     boost::asio::awaitable<void> send_command(command what);
     boost::asio::awaitable<void> load_adapter(
@@ -124,6 +127,7 @@
     std::map<std::pair<service_id, model_id>, demand_trend> trends_;
     load_window loads_;
     time_point read_from_{};
+    std::int64_t last_fencing_ = 0;
 };
 
 } // namespace tarragonquay::gateway
