--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -43,7 +43,7 @@
     app.footer("Exit codes: 0 stopped as planned, 1 could not start, "
                "2 wrong usage or settings.\n"
                "Signals: SIGTERM and SIGINT start a graceful stop.\n"
-               "Settings are described in docs/operating.md.");
+               "Settings are described in docs/OPERATIONS.md.");
     std::string settings_file;
     bool check_only = false;
     app.add_option("--settings", settings_file, "YAML settings file")
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -102,7 +102,7 @@
     of.on.log.info("limit_reached",
         {{"request_id", of.request.id}, {"workspace", of.workspace->id.str()},
             {"cost", cost}, {"rate", limit.rate}, {"burst", limit.burst},
-            {"level", std::lround(limit.level)},
+            {"account_units", std::lround(limit.level)},
             {"demand_of_all", std::lround(limit.demand_of_all)},
             {"part", limit.part}});
 }
