--- a/src/dispatch/endpoint_board.cpp
+++ b/src/dispatch/endpoint_board.cpp
@@ -76,7 +76,7 @@
     {
         // A residency that was told with as many commands is more recent.
         if (entry.accepted_commands < at.entry.accepted_commands ||
-            entry.accepted_commands == at.told_commands)
+            entry.accepted_commands == at.residency_commands)
         {
             entry.models = std::move(at.entry.models);
             entry.accepted_commands = at.entry.accepted_commands;
@@ -125,7 +125,7 @@
     if (at.entry.accepted_commands != accepted_commands ||
         at.entry.models != models)
         at.missing.clear();
-    at.told_commands = accepted_commands;
+    at.residency_commands = accepted_commands;
     at.entry.accepted_commands = accepted_commands;
     at.entry.models = std::move(models);
 }
@@ -141,7 +141,7 @@
 {
     auto out = of.own;
     for (const auto& [peer, told] : of.peers)
-        if (now - told.told_at < peer_load_lifetime)
+        if (now - told.received_at < peer_load_lifetime)
             out = out + told.load;
     return out;
 }
--- a/src/dispatch/endpoint_board.hpp
+++ b/src/dispatch/endpoint_board.hpp
@@ -134,7 +134,7 @@
     struct peer_load
     {
         endpoint_load load;
-        time_point told_at;
+        time_point received_at;
     };
     struct record
     {
@@ -149,7 +149,7 @@
         /// Send time of the latest request that it has begun to answer.
         time_point answered_sent_at{};
         /// Number of accepted commands that the residency was told with.
-        std::int64_t told_commands = -1;
+        std::int64_t residency_commands = -1;
         /// What the engine lacked, and until when that is believed.
         std::map<std::pair<model_id, adapter_id>, time_point> missing;
     };
--- a/src/endpoints/http_connection.cpp
+++ b/src/endpoints/http_connection.cpp
@@ -250,7 +250,7 @@
     co_return std::string();
 }
 
-bool http_connection::quiet()
+bool http_connection::is_idle()
 {
     auto& parts = *implementation_;
     if (parts.failed || parts.buffer.size() != 0)
--- a/src/endpoints/http_connection.hpp
+++ b/src/endpoints/http_connection.hpp
@@ -96,7 +96,7 @@
     bool answer_started() const;
     /// Whether the other end has neither closed the idle connection nor sent
     /// bytes that no request asked for.
-    bool quiet();
+    bool is_idle();
     /// How long the other end keeps the connection open while it is idle, as
     /// told with its latest answer.
     std::optional<std::chrono::seconds> idle_timeout() const;
--- a/src/endpoints/http_exchange.cpp
+++ b/src/endpoints/http_exchange.cpp
@@ -80,7 +80,7 @@
     std::optional<http_connection> out;
     while (!out && !connections.empty())
     {
-        if (connections.back().connection.quiet())
+        if (connections.back().connection.is_idle())
             out.emplace(std::move(connections.back().connection));
         connections.pop_back();
     }
--- a/src/gateway/application.hpp
+++ b/src/gateway/application.hpp
@@ -38,7 +38,7 @@
     };
 
     static result<std::unique_ptr<application>> create(
-        settings::gateway_settings settings, dialect speech,
+        settings::gateway_settings settings, dialect wire_dialect,
         settings_source source);
 
     /// Serves until a signal to stop, and ends the requests that are running.
@@ -48,7 +48,7 @@
     using store = remote_store::http_table_store<Codec>;
     using lease = placement::lease_keeper<store, suspend_aware_clock>;
 
-    application(settings::gateway_settings settings, dialect speech,
+    application(settings::gateway_settings settings, dialect wire_dialect,
         log::json_log log, settings_source source);
 
     result<void> listen();
--- a/src/gateway/application.ipp
+++ b/src/gateway/application.ipp
@@ -51,8 +51,8 @@
 
 template <remote_store::store_codec Codec>
 application<Codec>::application(settings::gateway_settings settings,
-    dialect speech, log::json_log log, settings_source source)
-    : on_(io_, settings, std::move(speech), std::move(log),
+    dialect wire_dialect, log::json_log log, settings_source source)
+    : on_(io_, settings, std::move(wire_dialect), std::move(log),
           application_detail::make_self(settings)),
       store_(io_, on_.settings.store_address),
       documents_(on_),
@@ -69,14 +69,15 @@
 
 template <remote_store::store_codec Codec>
 result<std::unique_ptr<application<Codec>>> application<Codec>::create(
-    settings::gateway_settings settings, dialect speech, settings_source source)
+    settings::gateway_settings settings, dialect wire_dialect,
+    settings_source source)
 {
     auto log =
         log::json_log::create(settings.log_level, settings.instance.str());
     if (!log)
         return tl::unexpected<error>(log.error());
     std::unique_ptr<application> out(new application(std::move(settings),
-        std::move(speech), std::move(*log), std::move(source)));
+        std::move(wire_dialect), std::move(*log), std::move(source)));
     if (auto listening = out->listen(); !listening)
         return tl::unexpected<error>(listening.error());
     out->start_feeds();
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -128,7 +128,8 @@
         to.address, std::min(deadline, now + connect_limit));
 }
 
-attempt_outcome judge_head(const call& of, const endpoints::answer_head& head)
+attempt_outcome classify_head(
+    const call& of, const endpoints::answer_head& head)
 {
     const auto& names = of.on.dialect.headers;
     if (head.status == status_misdirected)
--- a/src/gateway/call.hpp
+++ b/src/gateway/call.hpp
@@ -86,8 +86,9 @@
 boost::asio::awaitable<result<endpoints::http_connection>> connect(
     call& of, const dispatch::endpoint_choice& to, time_point deadline);
 
-/// Judges the head of an answer; `answered` when it is the endpoint's own.
-attempt_outcome judge_head(const call& of, const endpoints::answer_head& head);
+/// Classifies the head of an answer; `answered` when it is the endpoint's own.
+attempt_outcome classify_head(
+    const call& of, const endpoints::answer_head& head);
 
 /// The answer as it may go to the caller. A status that promises that the
 /// request has not run becomes 502 where the endpoint made no such promise.
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -167,12 +167,12 @@
         // A message that closes the connection ends with this code.
         if (!ec || ec == http::error::end_of_stream)
             return {};
-        note_gone();
+        handle_caller_gone();
         return fail(error_code::cancelled, "the caller has gone",
             execution_state::unknown);
     }
 
-    void note_gone()
+    void handle_caller_gone()
     {
         keep_alive_ = false;
         if (std::exchange(gone_, true))
@@ -310,7 +310,7 @@
                     count == 0 || (count < 0 && errno != EAGAIN &&
                                       errno != EWOULDBLOCK && errno != EINTR);
                 if (closed)
-                    note_gone();
+                    handle_caller_gone();
             });
     }
 
--- a/src/gateway/context.hpp
+++ b/src/gateway/context.hpp
@@ -34,11 +34,11 @@
 struct context
 {
     context(boost::asio::io_context& io_context,
-        settings::gateway_settings from, gateway::dialect speech,
+        settings::gateway_settings from, gateway::dialect wire_dialect,
         log::json_log lines, fleet::member self)
         : io(io_context),
           settings(std::move(from)),
-          dialect(std::move(speech)),
+          dialect(std::move(wire_dialect)),
           log(std::move(lines)),
           board(settings.availability_zone),
           roster(std::move(self)),
--- a/src/gateway/engine_accounts.hpp
+++ b/src/gateway/engine_accounts.hpp
@@ -44,7 +44,7 @@
     std::int64_t accepted_commands() const { return accepted_commands_; }
     /// Whether the state was read since the last doubt about it.
     bool known() const { return known_; }
-    void doubt() { known_ = false; }
+    void invalidate() { known_ = false; }
     const std::vector<endpoints::held_model>& models() const { return models_; }
     const std::optional<pending_model>& pending() const { return pending_; }
     /// A model command of an earlier holder is under way; which one is not
--- a/src/gateway/engine_accounts_test.cpp
+++ b/src/gateway/engine_accounts_test.cpp
@@ -92,7 +92,7 @@
         account.take_report(make_report(4, {{first, {}}}), now_);
         account.accept_adapter(first, adapter, true, now_);
         account.settle_adapter(first, adapter);
-        account.doubt();
+        account.invalidate();
         now_ += 200ms;
         account.take_report(make_report(4, {{first, {}}}), now_);
         CPPUNIT_ASSERT(account.holds(first, adapter));
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -125,10 +125,10 @@
     *message.mutable_gateway_heartbeat() = make_heartbeat(now);
     for (const auto& each : on_.roster.receivers(fan_out, on_.random))
         send(each, message);
-    greet_seeds(message);
+    send_to_seeds(message);
 }
 
-void peer_link::greet_seeds(const peer::Envelope& message)
+void peer_link::send_to_seeds(const peer::Envelope& message)
 {
     // Seeds may be gone; once others are known, news comes from them.
     if (!transport_ || on_.roster.size() > 1)
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -91,7 +91,7 @@
         const instance_id& from, const peer::Gateway_heartbeat& beat);
     peer::Gateway_heartbeat make_heartbeat(time_point now);
     void send(const fleet::member& to, peer::Envelope message);
-    void greet_seeds(const peer::Envelope& message);
+    void send_to_seeds(const peer::Envelope& message);
 
     context& on_;
     documents& documents_;
--- a/src/gateway/placement_commands.cpp
+++ b/src/gateway/placement_commands.cpp
@@ -89,7 +89,7 @@
         again->second.accept_adapter(
             what.model, what.adapter, false, std::chrono::steady_clock::now());
     else
-        again->second.doubt();
+        again->second.invalidate();
     co_return holds;
 }
 
@@ -248,7 +248,7 @@
             // The asker has not heard of it, or the engine lacks it.
             publish(id);
             if (account.known() && account.settled(now))
-                account.doubt();
+                account.invalidate();
             return;
         }
     const auto under_way = loading_.find(wanted);
--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -77,11 +77,11 @@
     auto head = co_await connection.send(make_exchange(of, to, deadline));
     if (!head)
         co_return failed(of, to, head.error());
-    const auto judged = judge_head(of, *head);
+    const auto kind = classify_head(of, *head);
     auto body = co_await read_body(of, connection, deadline);
     if (!body)
         co_return failed(of, to, body.error());
-    if (judged == attempt_outcome::unknown)
+    if (kind == attempt_outcome::unknown)
         co_return failed(of, to,
             error(error_code::wrong_answer, "not an answer of the endpoint",
                 execution_state::unknown));
@@ -89,18 +89,18 @@
         of.on.connections.put(to.address, std::move(connection),
             std::chrono::steady_clock::now());
     attempt_end end;
-    end.outcome = judged;
-    if (judged == attempt_outcome::answered)
+    end.outcome = kind;
+    if (kind == attempt_outcome::answered)
     {
         of.on.board.record_answer(to.id, head->status < first_server_error);
         end.answer = to_caller(of, std::move(*head), std::move(*body));
         co_return end;
     }
-    if (judged == attempt_outcome::misdirected)
+    if (kind == attempt_outcome::misdirected)
         of.on.board.mark_leaving(to.id);
     else
         of.on.board.mark_full(to.id, std::chrono::steady_clock::now());
-    log_attempt(of, to.id, judged, std::to_string(head->status));
+    log_attempt(of, to.id, kind, std::to_string(head->status));
     co_return end;
 }
 
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -69,7 +69,7 @@
             co_return failed(connection.error());
         of_.out.on_caller_gone([&] { connection->close(); });
         auto end = co_await exchange(*connection);
-        let_go();
+        detach();
         co_return end;
     }
 
@@ -151,15 +151,15 @@
         auto head = co_await connection.send(request);
         if (!head)
             co_return failed(head.error());
-        const auto judged = judge_head(of_, *head);
-        if (judged == attempt_outcome::answered && head->status == status_ok)
+        const auto kind = classify_head(of_, *head);
+        if (kind == attempt_outcome::answered && head->status == status_ok)
             co_return co_await relay_events(connection, std::move(*head));
-        co_return co_await whole(connection, judged, std::move(*head));
+        co_return co_await whole(connection, kind, std::move(*head));
     }
 
     // Reads an answer that is no stream.
     asio::awaitable<relay_end> whole(endpoints::http_connection& connection,
-        attempt_outcome judged, endpoints::answer_head head)
+        attempt_outcome kind, endpoints::answer_head head)
     {
         std::string body;
         while (true)
@@ -171,12 +171,12 @@
                 break;
             body += *part;
         }
-        if (judged == attempt_outcome::unknown)
+        if (kind == attempt_outcome::unknown)
             co_return failed(error(error_code::wrong_answer,
                 "not an answer of the endpoint", execution_state::unknown));
         keep(connection);
         relay_end end;
-        if (judged == attempt_outcome::answered)
+        if (kind == attempt_outcome::answered)
         {
             of_.on.board.record_answer(
                 to_.id, head.status < first_server_error);
@@ -184,11 +184,11 @@
             end.answer = to_caller(of_, std::move(head), std::move(body));
             co_return end;
         }
-        if (judged == attempt_outcome::misdirected)
+        if (kind == attempt_outcome::misdirected)
             note_misdirected(head);
         else
             of_.on.board.mark_full(to_.id, std::chrono::steady_clock::now());
-        log_attempt(of_, to_.id, judged, std::to_string(head.status));
+        log_attempt(of_, to_.id, kind, std::to_string(head.status));
         end.outcome = relay_outcome::rejected;
         co_return end;
     }
@@ -210,7 +210,7 @@
     }
 
     // Nothing closes the connection from outside any more.
-    void let_go()
+    void detach()
     {
         of_.out.on_caller_gone(nullptr);
         end_watch();
@@ -219,7 +219,7 @@
     void keep(endpoints::http_connection& connection)
     {
         // The caller may leave while the end of its stream is written.
-        let_go();
+        detach();
         if (connection.reusable())
             of_.on.connections.put(to_.address, std::move(connection),
                 std::chrono::steady_clock::now());
--- a/src/remote_store/http_table_store.hpp
+++ b/src/remote_store/http_table_store.hpp
@@ -107,7 +107,7 @@
                 wait_until - now)
                 .count();
         const auto deadline = wait_until + answer_time;
-        if (!connection || !connection->quiet())
+        if (!connection || !connection->is_idle())
         {
             auto opened = co_await endpoints::http_connection::open(
                 address_, now + answer_time);
