--- a/src/daemon/control_core.hpp
+++ b/src/daemon/control_core.hpp
@@ -27,9 +27,9 @@
 #include "operator.pb.h"
 #include "peering/transport.hpp"
 #include "placement/controller.hpp"
-#include "store/client.hpp"
 #include "routing/scheduler.hpp"
 #include "settings/settings.hpp"
+#include "store/client.hpp"
 
 namespace tarragonquay::daemon
 {
@@ -107,8 +107,7 @@
     void leave(time_point deadline, std::function<void()> on_left);
 
 private:
-    using replica_type =
-        catalog::replica<store::client, steady_clock_source>;
+    using replica_type = catalog::replica<store::client, steady_clock_source>;
     using scheduler_type = routing::scheduler<steady_clock_source>;
     using placement_type = placement::controller<control_store,
         steady_clock_source, engine_commands>;
--- a/src/orders/order_book.hpp
+++ b/src/orders/order_book.hpp
@@ -9,8 +9,8 @@
 
 #include "orders/order_types.hpp"
 #include "orders/outcome_writer.hpp"
-#include "store/client.hpp"
 #include "records.pb.h"
+#include "store/client.hpp"
 
 namespace tarragonquay::orders
 {
--- a/src/orders/outcome_writer.hpp
+++ b/src/orders/outcome_writer.hpp
@@ -5,8 +5,8 @@
 #include <utility>
 
 #include "orders/order_types.hpp"
-#include "store/client.hpp"
 #include "records.pb.h"
+#include "store/client.hpp"
 
 namespace tarragonquay::orders
 {
