Read socket addresses and open acceptors in one place

The address parser stood in four places and the opening of a listener in three, two of them written anew with the gateway. Both are in common/socket_address now, with a test.

--- a/standins/address.cpp
+++ b/src/common/socket_address.cpp
@@ -1,16 +1,16 @@
 #include <utility>
 
-#include "standins/address.hpp"
+#include "common/socket_address.hpp"
 
 #include <charconv>
 
-namespace tarragonquay::standins
+namespace tarragonquay
 {
 
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
-result<tcp::endpoint> parse_address(const std::string& text)
+result<tcp::endpoint> parse_socket_address(const std::string& text)
 {
     const auto colon = text.rfind(':');
     std::uint16_t port = 0;
@@ -27,19 +27,19 @@
         "\"" + text + "\" is not an address of the form ip:port");
 }
 
-std::string address_text(const tcp::endpoint& endpoint)
+std::string to_text(const tcp::endpoint& endpoint)
 {
     return endpoint.address().to_string() + ":" +
            std::to_string(endpoint.port());
 }
 
 result<tcp::acceptor> open_acceptor(
-    asio::io_context& io, const std::string& address)
+    const asio::any_io_executor& executor, const std::string& address)
 {
-    const auto endpoint = parse_address(address);
+    const auto endpoint = parse_socket_address(address);
     if (!endpoint)
         return tl::unexpected<error>(endpoint.error());
-    tcp::acceptor acceptor(io);
+    tcp::acceptor acceptor(executor);
     boost::system::error_code failure;
     acceptor.open(endpoint->protocol(), failure);
     if (!failure)
@@ -54,4 +54,4 @@
     return acceptor;
 }
 
-} // namespace tarragonquay::standins
+} // namespace tarragonquay
--- /dev/null
+++ b/src/common/socket_address_test.cpp
@@ -0,0 +1,49 @@
+#include "common/socket_address.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tarragonquay
+{
+
+class socket_address_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(socket_address_test);
+    CPPUNIT_TEST(an_address_is_read_and_written);
+    CPPUNIT_TEST(other_texts_are_refused);
+    CPPUNIT_TEST(an_address_in_use_is_refused);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void an_address_is_read_and_written()
+    {
+        const auto address = parse_socket_address("127.0.0.1:7000");
+        CPPUNIT_ASSERT(address.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:7000"), to_text(*address));
+    }
+
+    // Guards against a listener or a send at another address than the one that
+    // was meant.
+    void other_texts_are_refused()
+    {
+        for (const auto* text : {"", "127.0.0.1", "127.0.0.1:", ":7000",
+                 "127.0.0.1:70000", "127.0.0.1:7x", "host:7000"})
+            CPPUNIT_ASSERT_MESSAGE(text, !parse_socket_address(text));
+    }
+
+    // Guards against a listener that was never opened and accepts nothing.
+    void an_address_in_use_is_refused()
+    {
+        boost::asio::io_context io;
+        const auto first = open_acceptor(io.get_executor(), "127.0.0.1:0");
+        CPPUNIT_ASSERT(first.has_value());
+        const auto second =
+            open_acceptor(io.get_executor(), to_text(first->local_endpoint()));
+        CPPUNIT_ASSERT(!second.has_value());
+        CPPUNIT_ASSERT(second.error().code() == error_code::invalid_argument);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(socket_address_test);
+
+} // namespace tarragonquay
--- a/src/endpoints/http_connection.cpp
+++ b/src/endpoints/http_connection.cpp
@@ -14,6 +14,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "common/socket_address.hpp"
+
 namespace tarragonquay::endpoints
 {
 
@@ -28,21 +30,6 @@
 constexpr std::size_t header_limit_bytes = 16UL << 10U;
 constexpr std::size_t read_size_bytes = 16UL << 10U;
 
-result<tcp::endpoint> parse_address(const std::string& address)
-{
-    const auto colon = address.rfind(':');
-    if (colon == std::string::npos)
-        return fail(error_code::connect_failed, "address without a port");
-    unsigned short port = 0;
-    const char* end = address.data() + address.size();
-    const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
-    boost::system::error_code ec;
-    const auto ip = asio::ip::make_address(address.substr(0, colon), ec);
-    if (ec || parsed.ec != std::errc() || parsed.ptr != end)
-        return fail(error_code::connect_failed, "malformed address");
-    return tcp::endpoint(ip, port);
-}
-
 tl::unexpected<error> read_failure(const boost::system::error_code& ec)
 {
     if (ec == beast::error::timeout)
@@ -97,9 +84,9 @@
 asio::awaitable<result<http_connection>> http_connection::open(
     std::string address, time_point deadline)
 {
-    const auto target = parse_address(address);
+    const auto target = parse_socket_address(address);
     if (!target)
-        co_return tl::unexpected<error>(target.error());
+        co_return fail(error_code::connect_failed, target.error().message());
     const auto executor = co_await asio::this_coro::executor;
     auto parts = std::make_unique<implementation>(executor);
     parts->stream.expires_at(deadline);
--- a/src/gateway/listener.cpp
+++ b/src/gateway/listener.cpp
@@ -1,6 +1,5 @@
 #include "gateway/listener.hpp"
 
-#include <charconv>
 #include <chrono>
 #include <utility>
 
@@ -12,6 +11,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "common/socket_address.hpp"
+
 namespace tarragonquay::gateway
 {
 
@@ -28,23 +29,6 @@
 /// Connections of small services are idle for at most this long.
 constexpr std::chrono::seconds text_idle_limit{30};
 
-result<tcp::endpoint> parse_address(const std::string& text)
-{
-    const auto colon = text.rfind(':');
-    unsigned short port = 0;
-    if (colon != std::string::npos)
-    {
-        const char* end = text.data() + text.size();
-        const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-        boost::system::error_code ec;
-        const auto ip = asio::ip::make_address(text.substr(0, colon), ec);
-        if (!ec && parsed.ec == std::errc() && parsed.ptr == end)
-            return tcp::endpoint(ip, port);
-    }
-    return fail(error_code::invalid_settings,
-        "'" + text + "' does not have the form ip:port");
-}
-
 asio::awaitable<void> run_texts(
     tcp::socket socket, std::function<text_answer(std::string)> answer)
 {
@@ -83,25 +67,11 @@
 struct tcp_listener::implementation
     : std::enable_shared_from_this<tcp_listener::implementation>
 {
-    implementation(asio::io_context& io, connection_handler handler)
-        : acceptor(io), pause(io), on_connection(std::move(handler))
-    {
-    }
-
-    result<void> listen(const tcp::endpoint& address)
+    implementation(tcp::acceptor opened, connection_handler handler)
+        : acceptor(std::move(opened)),
+          pause(acceptor.get_executor()),
+          on_connection(std::move(handler))
     {
-        boost::system::error_code ec;
-        acceptor.open(address.protocol(), ec);
-        if (!ec)
-            acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-        if (!ec)
-            acceptor.bind(address, ec);
-        if (!ec)
-            acceptor.listen(asio::socket_base::max_listen_connections, ec);
-        if (ec)
-            return fail(error_code::invalid_settings,
-                "can't listen on the address: " + ec.message());
-        return {};
     }
 
     void accept()
@@ -146,12 +116,11 @@
 result<std::unique_ptr<tcp_listener>> tcp_listener::create(asio::io_context& io,
     const std::string& address, connection_handler on_connection)
 {
-    const auto where = parse_address(address);
-    if (!where)
-        return tl::unexpected<error>(where.error());
-    auto parts = std::make_shared<implementation>(io, std::move(on_connection));
-    if (auto listening = parts->listen(*where); !listening)
-        return tl::unexpected<error>(listening.error());
+    auto opened = open_acceptor(io.get_executor(), address);
+    if (!opened)
+        return fail(error_code::invalid_settings, opened.error().message());
+    auto parts = std::make_shared<implementation>(
+        std::move(*opened), std::move(on_connection));
     parts->accept();
     return std::unique_ptr<tcp_listener>(new tcp_listener(std::move(parts)));
 }
--- a/src/ingress/server.cpp
+++ b/src/ingress/server.cpp
@@ -2,13 +2,12 @@
 
 #include "ingress/server.hpp"
 
-#include <charconv>
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "common/socket_address.hpp"
 #include "ingress/connection.hpp"
 #include "ingress/worker.hpp"
 
@@ -29,23 +28,6 @@
 // Time for a request that was sent before the stop closes idle connections.
 constexpr std::chrono::seconds idle_grace{1};
 
-result<tcp::endpoint> parse_listen_address(const std::string& text)
-{
-    const auto colon = text.rfind(':');
-    unsigned short port = 0;
-    if (colon != std::string::npos)
-    {
-        const char* end = text.data() + text.size();
-        const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-        boost::system::error_code ec;
-        const auto ip = asio::ip::make_address(text.substr(0, colon), ec);
-        if (!ec && parsed.ec == std::errc() && parsed.ptr == end)
-            return tcp::endpoint(ip, port);
-    }
-    return fail(error_code::invalid_settings,
-        "the listen address must have the form ip:port");
-}
-
 } // namespace
 
 struct server::implementation
@@ -56,21 +38,14 @@
     {
     }
 
-    result<void> listen(const tcp::endpoint& address)
+    result<void> listen(const std::string& address)
     {
-        boost::system::error_code ec;
-        acceptor.open(address.protocol(), ec);
-        if (!ec)
-            acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-        if (!ec)
-            acceptor.bind(address, ec);
-        if (!ec)
-            acceptor.listen(asio::socket_base::max_listen_connections, ec);
-        if (!ec)
-            port = acceptor.local_endpoint(ec).port();
-        if (ec)
-            return fail(error_code::invalid_settings,
-                "can't listen on the address: " + ec.message());
+        auto opened = open_acceptor(acceptor.get_executor(), address);
+        if (!opened)
+            return fail(error_code::invalid_settings, opened.error().message());
+        acceptor = std::move(*opened);
+        boost::system::error_code ignored;
+        port = acceptor.local_endpoint(ignored).port();
         return {};
     }
 
@@ -162,9 +137,7 @@
     if (executors.empty())
         return fail(
             error_code::invalid_settings, "the server needs an executor");
-    const auto address = parse_listen_address(settings.listen_address);
-    if (!address)
-        return tl::unexpected<error>(address.error());
+    const auto address = settings.listen_address;
     auto parts = std::make_shared<implementation>(executors.front());
     parts->shared->settings = std::move(settings);
     parts->shared->services = std::move(services);
@@ -175,7 +148,7 @@
         next->executor = std::move(executor);
         parts->workers.push_back(std::move(next));
     }
-    if (auto listening = parts->listen(*address); !listening)
+    if (auto listening = parts->listen(address); !listening)
         return tl::unexpected<error>(listening.error());
     return std::unique_ptr<server>(new server(std::move(parts)));
 }
--- a/standins/http.cpp
+++ b/standins/http.cpp
@@ -24,7 +24,7 @@
 #include <boost/beast/http.hpp>
 #include <fmt/format.h>
 
-#include "standins/address.hpp"
+#include "common/socket_address.hpp"
 
 namespace tarragonquay::standins
 {
@@ -297,10 +297,10 @@
 result<std::string> serve_http(
     asio::io_context& io, const std::string& address, http_handler handler)
 {
-    auto acceptor = open_acceptor(io, address);
+    auto acceptor = open_acceptor(io.get_executor(), address);
     if (!acceptor)
         return tl::unexpected<error>(acceptor.error());
-    const std::string bound = address_text(acceptor->local_endpoint());
+    const std::string bound = to_text(acceptor->local_endpoint());
     asio::co_spawn(io,
         accept_connections(std::move(*acceptor), std::move(handler)),
         asio::detached);
@@ -309,7 +309,7 @@
 
 asio::awaitable<int> fetch_http(std::string address, std::string target)
 {
-    const auto endpoint = parse_address(address);
+    const auto endpoint = parse_socket_address(address);
     if (!endpoint)
         co_return 0;
     tcp::socket socket(co_await asio::this_coro::executor);
--- a/standins/proxy.cpp
+++ b/standins/proxy.cpp
@@ -12,7 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
-#include "standins/address.hpp"
+#include "common/socket_address.hpp"
 #include "standins/http.hpp"
 #include "standins/programs.hpp"
 
@@ -113,11 +113,11 @@
     void add(asio::io_context& io, const std::string& listen,
         const std::string& target)
     {
-        auto acceptor = open_acceptor(io, listen);
+        auto acceptor = open_acceptor(io.get_executor(), listen);
         if (!acceptor)
             throw std::runtime_error(acceptor.error().message());
         print_listening("proxy-" + std::to_string(routes_.size()),
-            address_text(acceptor->local_endpoint()));
+            to_text(acceptor->local_endpoint()));
         routes_.push_back(std::make_unique<route>());
         routes_.back()->target = target;
         asio::co_spawn(
@@ -162,7 +162,7 @@
     static asio::awaitable<void> serve(
         std::shared_ptr<link> connection, const route& faults)
     {
-        const auto target = parse_address(faults.target);
+        const auto target = parse_socket_address(faults.target);
         error_code failure = asio::error::invalid_argument;
         if (target)
             co_await connection->server.async_connect(
