--- a/src/dispatch/endpoint_board.cpp
+++ b/src/dispatch/endpoint_board.cpp
@@ -32,8 +32,6 @@
 constexpr double running_cost_ms = 0.5;
 /// Waiting that a failure share of 1 is worth.
 constexpr double failure_cost_ms = 2'000.0;
-/// Waiting for memory of other requests when the KV cache is full.
-constexpr double full_cache_cost_ms = 300.0;
 /// Load of a plain endpoint, in requests for each slot, that weighs as much as
 /// the way to another zone.
 constexpr double zone_load = 0.3;
@@ -41,8 +39,7 @@
 
 endpoint_load operator+(const endpoint_load& a, const endpoint_load& b)
 {
-    return {a.waiting_tokens + b.waiting_tokens, a.requests + b.requests,
-        a.held_tokens + b.held_tokens};
+    return {a.waiting_tokens + b.waiting_tokens, a.requests + b.requests};
 }
 
 // Rank of an endpoint for a prompt prefix in rendezvous hashing.
@@ -283,7 +280,6 @@
     if (request != nullptr)
     {
         out.load.waiting_tokens = choice.uncached_tokens;
-        out.load.held_tokens = choice.uncached_tokens + request->output_tokens;
         out.tokens_to_read = choice.tokens_ahead + choice.uncached_tokens;
         if (found != records_.end())
             found->second.cache.insert(*request, cache_tokens);
@@ -345,7 +341,6 @@
         auto& own = found->second.own;
         own.waiting_tokens -= held.load.waiting_tokens;
         own.requests -= held.load.requests;
-        own.held_tokens -= held.load.held_tokens;
     }
     held.load = {};
 }
--- a/src/dispatch/endpoint_board.hpp
+++ b/src/dispatch/endpoint_board.hpp
@@ -27,8 +27,6 @@
     std::int64_t waiting_tokens = 0;
     /// Requests that have not ended, waiting ones included.
     std::int64_t requests = 0;
-    /// Tokens of these requests that the KV cache holds for them alone.
-    std::int64_t held_tokens = 0;
 
     auto operator<=>(const endpoint_load&) const = default;
 };
--- a/src/dispatch/endpoint_board_test.cpp
+++ b/src/dispatch/endpoint_board_test.cpp
@@ -137,7 +137,7 @@
         const auto request = make_prompt(500);
         const auto home = choose(board, request);
         board.put_peer_loads(
-            instance_id("i2"), {{home.id, {60'000, 10, 60'000}}}, now_);
+            instance_id("i2"), {{home.id, {60'000, 10}}}, now_);
         CPPUNIT_ASSERT(choose(board, request).id != home.id);
         now_ += 5s;
         CPPUNIT_ASSERT(choose(board, request).id == home.id);
--- a/src/endpoints/directory_entry.hpp
+++ b/src/endpoints/directory_entry.hpp
@@ -57,8 +57,6 @@
     /// Whether a load or unload of a model is under way.
     bool busy = false;
     std::int64_t accepted_commands = 0;
-    std::int64_t running = 0;
-    std::int64_t waiting = 0;
 
     auto operator<=>(const engine_report&) const = default;
 };
--- a/src/gateway/application.ipp
+++ b/src/gateway/application.ipp
@@ -235,8 +235,7 @@
 {
     const auto now = std::chrono::steady_clock::now();
     documents_.tick(now);
-    peers_.set_store_away(
-        configuration_feed_.failing(), directory_feed_.failing());
+    peers_.set_directory_away(directory_feed_.failing());
     tick_lease(now);
     peers_.tick(now, lease_->holds() ? lease_->fencing() : 0);
     placement_->tick(now);
--- a/src/gateway/document_feed.hpp
+++ b/src/gateway/document_feed.hpp
@@ -46,7 +46,6 @@
     }
     /// Whether the latest call failed.
     bool failing() const { return failing_; }
-    time_point failing_since() const { return failing_since_; }
 
     boost::asio::awaitable<void> run()
     {
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -92,7 +92,6 @@
         told.set_endpoint(id.str());
         told.set_waiting_tokens(load.waiting_tokens);
         told.set_requests(load.requests);
-        told.set_held_tokens(load.held_tokens);
     }
     for (const auto& [of, rate] : on_.demand.rates(now))
     {
@@ -248,8 +247,7 @@
     std::vector<std::pair<endpoint_id, dispatch::endpoint_load>> loads;
     for (const auto& each : beat.loads())
         loads.emplace_back(endpoint_id(each.endpoint()),
-            dispatch::endpoint_load{
-                each.waiting_tokens(), each.requests(), each.held_tokens()});
+            dispatch::endpoint_load{each.waiting_tokens(), each.requests()});
     on_.board.put_peer_loads(from, loads, now);
     if (on_model_demand_)
     {
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -72,12 +72,8 @@
     }
     /// Asks the holder of the placement lease for an adapter.
     void request_adapter(const demanded_model& wanted);
-    /// Asks a gateway with newer documents for them while the store is away.
-    void set_store_away(bool configuration, bool directory)
-    {
-        configuration_away_ = configuration;
-        directory_away_ = directory;
-    }
+    /// While the store is away, the directory is taken from other gateways.
+    void set_directory_away(bool away) { directory_away_ = away; }
 
 private:
     void receive(const peer::Envelope& message);
@@ -103,7 +99,6 @@
     instance_id holder_;
     std::int64_t holder_fencing_ = 0;
     time_point holder_heard_at_{};
-    bool configuration_away_ = false;
     bool directory_away_ = false;
     time_point next_documents_request_{};
     /// Adapters that were asked for lately.
--- a/src/routes/configuration.hpp
+++ b/src/routes/configuration.hpp
@@ -99,7 +99,8 @@
 struct service
 {
     service_id id;
-    /// Connections that one endpoint accepts from all callers together.
+    /// Connections that one endpoint accepts from all callers together; it
+    /// resets those beyond. Not enforced here yet.
     std::int64_t max_connections = 0;
     std::optional<engine_group> engines;
 
