Look at the other end of a socket in one place

The same peek stood in the client connection, the daemon's and the gateway's connection of callers, with slightly different error codes.

--- a/src/endpoints/http_connection.cpp
+++ b/src/endpoints/http_connection.cpp
@@ -1,9 +1,6 @@
 #include "endpoints/http_connection.hpp"
 
-#include <sys/socket.h>
-
 #include <array>
-#include <cerrno>
 #include <charconv>
 #include <optional>
 
@@ -15,6 +12,7 @@
 #include <boost/beast/http.hpp>
 
 #include "common/socket_address.hpp"
+#include "common/socket_state.hpp"
 
 namespace tarragonquay::endpoints
 {
@@ -242,10 +240,8 @@
     auto& parts = *implementation_;
     if (parts.failed || parts.buffer.size() != 0)
         return false;
-    char byte = 0;
-    const auto count = ::recv(parts.stream.socket().native_handle(), &byte, 1,
-        MSG_PEEK | MSG_DONTWAIT);
-    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return peek_socket(parts.stream.socket().native_handle()) ==
+           socket_state::idle;
 }
 
 std::optional<std::chrono::seconds> http_connection::idle_timeout() const
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -1,8 +1,5 @@
 #include "gateway/caller_connection.hpp"
 
-#include <sys/socket.h>
-
-#include <cerrno>
 #include <chrono>
 #include <memory>
 #include <utility>
@@ -13,6 +10,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "common/socket_state.hpp"
 #include "gateway/answer_sink.hpp"
 #include "gateway/caller_request.hpp"
 #include "gateway/forwarder.hpp"
@@ -302,14 +300,9 @@
             {
                 if (failed || !*alive || !watching_)
                     return;
-                char byte = 0;
-                const auto count = ::recv(stream_.socket().native_handle(),
-                    &byte, 1, MSG_PEEK | MSG_DONTWAIT);
                 // Input is the caller's next request.
-                const bool closed =
-                    count == 0 || (count < 0 && errno != EAGAIN &&
-                                      errno != EWOULDBLOCK && errno != EINTR);
-                if (closed)
+                if (peek_socket(stream_.socket().native_handle()) ==
+                    socket_state::closed)
                     handle_caller_gone();
             });
     }
--- a/src/ingress/connection.cpp
+++ b/src/ingress/connection.cpp
@@ -1,7 +1,5 @@
 #include "ingress/connection.hpp"
 
-#include <sys/socket.h>
-
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -9,6 +7,7 @@
 #include <boost/beast/http.hpp>
 
 #include "common/random.hpp"
+#include "common/socket_state.hpp"
 #include "ingress/http_status.hpp"
 #include "ingress/routes.hpp"
 
@@ -151,11 +150,8 @@
     {
         if (write_failed_)
             return true;
-        char byte = 0;
-        const auto count = ::recv(stream_.socket().native_handle(), &byte, 1,
-            MSG_PEEK | MSG_DONTWAIT);
-        return count == 0 || (count < 0 && errno != EAGAIN &&
-                                 errno != EWOULDBLOCK && errno != EINTR);
+        return peek_socket(stream_.socket().native_handle()) ==
+               socket_state::closed;
     }
 
 private:
