--- a/src/fleet/roster.hpp
+++ b/src/fleet/roster.hpp
@@ -2,8 +2,10 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "common/clock.hpp"
@@ -26,10 +28,26 @@
     std::string entry_address;
     /// Takes new callers.
     bool ready = false;
+    /// Part of a core that the instance may use.
+    double processor_share = 1.0;
 
     auto operator<=>(const member&) const = default;
 };
 
+/// A newer heartbeat of a member whose other fields are known.
+struct member_progress
+{
+    /// Hash of id and incarnation.
+    std::uint64_t key = 0;
+    std::int64_t heartbeat = 0;
+    bool ready = false;
+
+    auto operator<=>(const member_progress&) const = default;
+};
+
+/// Identifies one process of a member in `member_progress`.
+std::uint64_t progress_key(const member& of);
+
 /// The instances that are known to be alive. A heartbeat spreads by gossip, so
 /// an instance needs to send to a few others only.
 class roster
@@ -39,6 +57,9 @@
     /// is six heartbeat intervals, so that lost packets that are sent again
     /// don't remove it.
     static constexpr std::chrono::milliseconds lifetime{1'500};
+    /// The same for heartbeats that come through relays: three more steps of
+    /// one interval, and the time in which a silent relay is replaced.
+    static constexpr std::chrono::milliseconds relayed_lifetime{3'000};
     /// Bounds what messages of unknown senders can add.
     static constexpr std::size_t max_members = 4'096;
 
@@ -53,12 +74,21 @@
     bool note_direct(const member& told, time_point now);
     /// News about a member that another one passed on.
     void note_passed_on(const member& told, time_point now);
-    /// Takes the members whose lifetime has passed as gone, and returns them.
-    std::vector<member> expire(time_point now);
+    /// News that a relay passed on about a member. Does nothing when the member
+    /// is not known.
+    void note_progress(const member_progress& told, time_point now);
+    /// Takes the members without a new heartbeat for `allowed` as gone, and
+    /// returns them.
+    std::vector<member> expire(time_point now, duration allowed = lifetime);
 
     /// Living members without this instance.
     std::vector<member> others() const;
     const member* find(const instance_id& id) const;
+    /// Progress of all living members, this instance included.
+    std::vector<member_progress> progress() const;
+    /// A member that was taken as gone lately, by turns; none if there is none.
+    /// Instances on both sides of a partition find each other again this way.
+    std::optional<member> next_lost();
     /// Number of living members, this instance included.
     std::int64_t size() const
     {
@@ -79,8 +109,14 @@
         bool alive = true;
     };
 
+    void put(const member& told, time_point now);
+
     member self_;
     std::map<instance_id, known> members_;
+    /// Members by the key of their process.
+    std::unordered_map<std::uint64_t, instance_id> keys_;
+    /// The lost member that was returned last.
+    instance_id last_lost_;
 };
 
 } // namespace tarragonquay::fleet
--- a/src/fleet/roster_test.cpp
+++ b/src/fleet/roster_test.cpp
@@ -29,9 +29,45 @@
     CPPUNIT_TEST(old_news_does_not_bring_a_member_back);
     CPPUNIT_TEST(a_restarted_member_is_known_at_once);
     CPPUNIT_TEST(each_heartbeat_reaches_all_within_a_few_rounds);
+    CPPUNIT_TEST(progress_through_a_relay_keeps_members_alive);
+    CPPUNIT_TEST(lost_members_are_looked_for_by_turns);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against members of a large fleet that are taken as gone between
+    // two whole records, and against progress of an earlier process.
+    void progress_through_a_relay_keeps_members_alive()
+    {
+        roster tested(make_member("i1", 1, 0));
+        tested.note_direct(make_member("i2", 7, 5), now_);
+        now_ += 1s;
+        const auto key = progress_key(make_member("i2", 7, 0));
+        tested.note_progress({key, 6, false}, now_);
+        now_ += 1s;
+        CPPUNIT_ASSERT(tested.expire(now_).empty());
+        CPPUNIT_ASSERT(!tested.find(instance_id("i2"))->ready);
+        const auto earlier = progress_key(make_member("i2", 6, 0));
+        tested.note_progress({earlier, 60, true}, now_);
+        now_ += 600ms;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), tested.expire(now_).size());
+    }
+
+    // Guards against two parts of a fleet that never hear of each other again
+    // after a partition that lasted longer than a member's lifetime.
+    void lost_members_are_looked_for_by_turns()
+    {
+        roster tested(make_member("i1", 1, 0));
+        CPPUNIT_ASSERT(!tested.next_lost());
+        for (const auto* id : {"i2", "i3", "i4"})
+            tested.note_direct(make_member(id, 1, 5), now_);
+        now_ += 2s;
+        tested.note_direct(make_member("i3", 1, 6), now_);
+        tested.expire(now_);
+        CPPUNIT_ASSERT(tested.next_lost()->id == instance_id("i2"));
+        CPPUNIT_ASSERT(tested.next_lost()->id == instance_id("i4"));
+        CPPUNIT_ASSERT(tested.next_lost()->id == instance_id("i2"));
+    }
+
     // Guards against entries for callers that lead to a dead instance.
     void members_without_new_heartbeats_are_gone()
     {
--- a/src/gateway/application.hpp
+++ b/src/gateway/application.hpp
@@ -58,6 +58,7 @@
     void schedule_tick();
     void tick();
     void tick_lease(time_point now);
+    void follow_documents(time_point now);
     void check_settings(time_point now);
     void reload();
     void begin_stop();
--- a/src/gateway/application.ipp
+++ b/src/gateway/application.ipp
@@ -18,6 +18,9 @@
 
 using std::chrono::milliseconds;
 
+/// Pause of a relay's feeds after changes. The entries of a large directory
+/// change many times a second, and each answer is a call of the store.
+inline constexpr milliseconds relay_feed_pause{200};
 /// Interval of the control loops.
 inline constexpr milliseconds tick_interval = peer_link::heartbeat_interval;
 /// Part of the time to stop in which new requests are still served. Those that
@@ -42,6 +45,7 @@
     out.availability_zone = from.availability_zone;
     out.peer_address = from.listen.peers;
     out.entry_address = from.listen.callers;
+    out.processor_share = from.processor_share;
     return out;
 }
 
@@ -153,6 +157,13 @@
         { documents_.take_directory_changes(rows, now); });
     directory_feed_.on_return(
         [this](time_point now) { documents_.note_store_return(now); });
+    const auto follows = [this]
+    {
+        return peers_.follows_store(std::chrono::steady_clock::now());
+    };
+    configuration_feed_.only_while(follows);
+    directory_feed_.only_while(follows);
+    peers_.on_feed_behind([this] { directory_feed_.restart(); });
     boost::asio::co_spawn(
         io_, configuration_feed_.run(), boost::asio::detached);
     boost::asio::co_spawn(io_, directory_feed_.run(), boost::asio::detached);
@@ -235,7 +246,7 @@
 {
     const auto now = std::chrono::steady_clock::now();
     documents_.tick(now);
-    peers_.set_directory_away(directory_feed_.failing());
+    follow_documents(now);
     tick_lease(now);
     peers_.tick(now, lease_->holds() ? lease_->fencing() : 0);
     placement_->tick(now);
@@ -243,6 +254,21 @@
     on_.log.flush();
 }
 
+template <remote_store::store_codec Codec>
+void application<Codec>::follow_documents(time_point now)
+{
+    const bool follows = peers_.follows_store(now);
+    peers_.set_directory_away(directory_feed_.failing());
+    peers_.set_feeds_working(follows && on_.endpoints_known &&
+                             !directory_feed_.failing() &&
+                             !configuration_feed_.failing());
+    directory_feed_.set_pause(peers_.relayed()
+                                  ? application_detail::relay_feed_pause
+                                  : application_detail::milliseconds(0));
+    if (!follows)
+        directory_feed_.advance_to(documents_.directory_version());
+}
+
 template <remote_store::store_codec Codec>
 void application<Codec>::check_settings(time_point now)
 {
@@ -257,9 +283,9 @@
 void application<Codec>::tick_lease(time_point now)
 {
     // Reads of the row cost calls of the store, so only a gateway that hears
-    // of no holder looks for a lease to take.
-    if (!on_.stopping &&
-        (lease_->holds() || lease_->busy() || !peers_.holder_alive(now)))
+    // of no holder looks for a lease to take, and in a large fleet only relays.
+    const bool vacant = !peers_.holder_alive(now) && peers_.may_place();
+    if (!on_.stopping && (lease_->holds() || lease_->busy() || vacant))
         lease_->tick();
 }
 
--- a/src/gateway/document_feed.hpp
+++ b/src/gateway/document_feed.hpp
@@ -32,6 +32,8 @@
     static constexpr std::chrono::milliseconds first_backoff{100};
     static constexpr std::chrono::milliseconds longest_backoff{1'000};
     static constexpr std::chrono::milliseconds read_limit{1'500};
+    /// How often a condition that is false is looked at again.
+    static constexpr std::chrono::milliseconds condition_interval{250};
 
     document_feed(context& on, Store& store, std::string table)
         : on_(on), store_(store), table_(std::move(table))
@@ -46,11 +48,35 @@
     }
     /// Whether the latest call failed.
     bool failing() const { return failing_; }
+    /// Makes no calls while the condition is false.
+    void only_while(std::function<bool()> condition)
+    {
+        only_while_ = std::move(condition);
+    }
+    /// Pause after each answer with changes, so that those that come close
+    /// together take one call.
+    void set_pause(std::chrono::milliseconds pause) { pause_ = pause; }
+    /// Changes up to this version came from elsewhere.
+    void advance_to(std::int64_t version)
+    {
+        version_ = std::max(version_, version);
+    }
+    /// Opens a new connection: the present one seems to be silent.
+    void restart()
+    {
+        if (connection_)
+            connection_->close();
+    }
 
     boost::asio::awaitable<void> run()
     {
         while (!on_.stopping)
         {
+            if (only_while_ && !only_while_())
+            {
+                co_await pause_for(condition_interval);
+                continue;
+            }
             if (!known_)
                 co_await read_whole();
             else
@@ -89,8 +115,11 @@
         if (!changes)
             co_return;
         version_ = std::max(version_, changes->version);
-        if (!changes->rows.empty())
-            on_changes_(*changes, std::chrono::steady_clock::now());
+        if (changes->rows.empty())
+            co_return;
+        on_changes_(*changes, std::chrono::steady_clock::now());
+        if (pause_.count() > 0)
+            co_await pause_for(pause_);
     }
 
     void note(const error* failure)
@@ -127,7 +156,12 @@
         const auto ms = std::uniform_int_distribution<std::int64_t>(
             backoff_.count() / 2, backoff_.count())(on_.random);
         backoff_ = std::min(backoff_ * 2, longest_backoff);
-        boost::asio::steady_timer pause(on_.io, std::chrono::milliseconds(ms));
+        co_await pause_for(std::chrono::milliseconds(ms));
+    }
+
+    boost::asio::awaitable<void> pause_for(std::chrono::milliseconds time)
+    {
+        boost::asio::steady_timer pause(on_.io, time);
         boost::system::error_code ignored;
         co_await pause.async_wait(
             boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
@@ -139,6 +173,8 @@
     rows_handler on_table_;
     rows_handler on_changes_;
     std::function<void(time_point)> on_return_;
+    std::function<bool()> only_while_;
+    std::chrono::milliseconds pause_{0};
     std::optional<endpoints::http_connection> connection_;
     std::int64_t version_ = 0;
     bool known_ = false;
--- a/src/gateway/documents.cpp
+++ b/src/gateway/documents.cpp
@@ -3,6 +3,8 @@
 #include <chrono>
 #include <utility>
 
+#include "common/digest.hpp"
+
 namespace tarragonquay::gateway
 {
 
@@ -35,7 +37,7 @@
 void documents::take_directory(
     const remote_store::table_changes& rows, const char* source, time_point now)
 {
-    if (on_.endpoints_known && rows.version <= directory_version_)
+    if (on_.endpoints_known && rows.version < directory_version_)
         return;
     std::map<std::string, std::string> next;
     for (const auto& each : rows.rows)
@@ -57,14 +59,36 @@
 void documents::take_directory_changes(
     const remote_store::table_changes& changes, time_point now)
 {
+    const auto after = directory_version_;
+    std::vector<remote_store::changed_row> told;
     for (const auto& each : changes.rows)
     {
+        bool in_force = true;
         if (each.value)
             put_entry(each.key, *each.value, now);
         else
-            erase_entry(each.key, now);
+            in_force = erase_entry(each.key, now);
+        if (in_force)
+            told.push_back(each);
     }
     directory_version_ = std::max(directory_version_, changes.version);
+    tell(after, std::move(told));
+}
+
+void documents::tell(
+    std::int64_t after, std::vector<remote_store::changed_row> rows)
+{
+    if (on_directory_changes_)
+        on_directory_changes_(
+            after, {std::move(rows), directory_version_, false});
+}
+
+std::uint64_t documents::directory_digest() const
+{
+    std::uint64_t out = 0;
+    for (const auto& [key, value] : directory_)
+        out ^= fast_hash(value, fast_hash(key));
+    return out;
 }
 
 void documents::note_store_return(time_point now)
@@ -75,6 +99,7 @@
 
 void documents::tick(time_point now)
 {
+    std::vector<remote_store::changed_row> gone;
     for (auto it = lapsed_.begin(); it != lapsed_.end();)
     {
         if (now < it->second)
@@ -83,8 +108,11 @@
             continue;
         }
         erase_now(it->first);
+        gone.push_back({it->first, std::nullopt, directory_version_});
         it = lapsed_.erase(it);
     }
+    if (!gone.empty())
+        tell(directory_version_, std::move(gone));
 }
 
 void documents::put_entry(
@@ -115,15 +143,16 @@
     on_.residency_changed.raise();
 }
 
-void documents::erase_entry(const std::string& key, time_point now)
+bool documents::erase_entry(const std::string& key, time_point now)
 {
     if (now < keep_lapsed_until_)
     {
         lapsed_.emplace(key, keep_lapsed_until_);
         on_.log.info("endpoint_lapsed", {{"endpoint", key}});
-        return;
+        return false;
     }
     erase_now(key);
+    return true;
 }
 
 void documents::erase_now(const std::string& key)
--- a/src/gateway/documents.hpp
+++ b/src/gateway/documents.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -29,6 +30,15 @@
     /// Changes of the directory.
     void take_directory_changes(
         const remote_store::table_changes& changes, time_point now);
+    /// Told when changes of the directory have been put in force: the version
+    /// before them, and the changes. Erased entries that may come back are told
+    /// once they are gone for good.
+    void on_directory_changes(std::function<void(
+            std::int64_t after, const remote_store::table_changes&)>
+            observer)
+    {
+        on_directory_changes_ = std::move(observer);
+    }
     /// The store answers again after a failure. Entries that lapsed meanwhile
     /// may come back, so that they are kept for a while.
     void note_store_return(time_point now);
@@ -41,15 +51,20 @@
     }
     const std::string& configuration() const { return configuration_; }
     std::int64_t directory_version() const { return directory_version_; }
+    /// Equal for equal directories.
+    std::uint64_t directory_digest() const;
     const std::map<std::string, std::string>& directory() const
     {
         return directory_;
     }
 
 private:
+    void tell(
+        std::int64_t after, std::vector<remote_store::changed_row> rows);
     void put_entry(
         const std::string& key, const std::string& value, time_point now);
-    void erase_entry(const std::string& key, time_point now);
+    /// Returns whether the entry is gone at once.
+    bool erase_entry(const std::string& key, time_point now);
     void erase_now(const std::string& key);
 
     context& on_;
@@ -57,6 +72,8 @@
     /// Rows by key.
     std::map<std::string, std::string> directory_;
     std::int64_t directory_version_ = 0;
+    std::function<void(std::int64_t, const remote_store::table_changes&)>
+        on_directory_changes_;
     time_point keep_lapsed_until_{};
     /// Lapsed entries and when they are erased.
     std::map<std::string, time_point> lapsed_;
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -1,5 +1,6 @@
 #include "gateway/peer_link.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -13,40 +14,27 @@
 namespace
 {
 
-/// Documents are asked for at most this often; an answer takes some
-/// milliseconds.
-constexpr milliseconds documents_request_interval{200};
-
 /// One request for an adapter is enough for all that wait for it; it takes some
 /// 20 ms to be there.
 constexpr milliseconds adapter_request_interval{60};
+/// How often a sender that does not use the relays is told all members.
+constexpr milliseconds introduction_interval{1'000};
+/// How often an instance that was lost is looked for.
+constexpr milliseconds search_interval{1'000};
+/// In a large fleet, what engines hold is collected for this long. Adapters
+/// come and go several times a second there, and each message goes to all.
+constexpr milliseconds residency_interval{50};
 
-void write(const fleet::member& from, peer::Fleet_member& to)
-{
-    to.set_instance(from.id.str());
-    to.set_incarnation(from.incarnation);
-    to.set_heartbeat(from.heartbeat);
-    to.set_availability_zone(from.availability_zone);
-    to.set_peer_address(from.peer_address);
-    to.set_entry_address(from.entry_address);
-    to.set_ready(from.ready);
-}
-
-fleet::member read(const peer::Fleet_member& from)
-{
-    return {instance_id(from.instance()), from.incarnation(), from.heartbeat(),
-        from.availability_zone(), from.peer_address(), from.entry_address(),
-        from.ready()};
-}
+} // namespace
 
-demanded_model read(const peer::Model_demand& from)
+peer_link::peer_link(context& on, documents& known)
+    : on_(on), documents_(known), residency_timer_(on.io)
 {
-    return {service_id(from.service()), model_id(from.model()),
-        adapter_id(from.adapter())};
+    documents_.on_directory_changes(
+        [this](std::int64_t after, const remote_store::table_changes& changes)
+        { push_changes(after, changes); });
 }
 
-} // namespace
-
 result<void> peer_link::start(std::int64_t incarnation)
 {
     auto made = peering::transport::create(on_.io, on_.settings.listen.peers,
@@ -58,48 +46,44 @@
     return {};
 }
 
-void peer_link::send(const fleet::member& to, peer::Envelope message)
+void peer_link::send(const instance_id& to, peer::Envelope message)
 {
-    if (!transport_)
+    const auto* peer = on_.roster.find(to);
+    if (!transport_ || peer == nullptr)
         return;
-    auto sent = transport_->set_peer(to.id, to.peer_address);
+    auto sent = transport_->set_peer(peer->id, peer->peer_address);
     if (sent)
-        sent = transport_->send(to.id, std::move(message));
+        sent = transport_->send(peer->id, std::move(message));
     if (!sent)
         on_.log.info("peer_send_failed",
-            {{"peer", to.id.str()}, {"reason", sent.error().message()}});
+            {{"peer", to.str()}, {"reason", sent.error().message()}});
 }
 
-peer::Gateway_heartbeat peer_link::make_heartbeat(time_point now)
+fleet_report peer_link::own_report(time_point now)
+{
+    return {on_.roster.self().incarnation, 1, on_.limiter.own_demands(now),
+        on_.board.own_loads(), on_.demand.rates(now)};
+}
+
+peer::Gateway_heartbeat peer_link::make_heartbeat(
+    peer::Report_scope scope, time_point now)
 {
     peer::Gateway_heartbeat out;
     write(on_.roster.self(), *out.mutable_self());
-    for (const auto& each : on_.roster.others())
-        write(each, *out.add_others());
+    out.set_scope(scope);
     out.set_configuration_version(documents_.configuration_version());
     out.set_endpoints_version(documents_.directory_version());
     out.set_placement_fencing(placement_fencing_);
-    for (const auto& each : on_.limiter.own_demands(now))
-    {
-        auto& demand = *out.add_demands();
-        demand.set_workspace(each.workspace.str());
-        demand.set_units_per_second(each.units_per_second);
-        demand.set_admitted_units(each.admitted_units);
-    }
-    for (const auto& [id, load] : on_.board.own_loads())
-    {
-        auto& told = *out.add_loads();
-        told.set_endpoint(id.str());
-        told.set_waiting_tokens(load.waiting_tokens);
-        told.set_requests(load.requests);
-    }
-    for (const auto& [of, rate] : on_.demand.rates(now))
+    out.set_store_reached(feeds_working_);
+    out.set_documents_current(
+        feeds_working_ || now - documents_heard_at_ < documents_patience);
+    if (router_.relayed() && !holder_.empty())
     {
-        auto& told = *out.add_model_demands();
-        told.set_service(of.service.str());
-        told.set_model(of.model.str());
-        told.set_adapter(of.adapter.str());
-        told.set_tokens_per_second(rate);
+        out.set_placement_holder(holder_.str());
+        out.set_holder_fencing(holder_fencing_);
+        out.set_holder_heard_ms_ago(
+            std::chrono::duration_cast<milliseconds>(now - holder_heard_at_)
+                .count());
     }
     return out;
 }
@@ -107,9 +91,22 @@
 void peer_link::tick(time_point now, std::int64_t placement_fencing)
 {
     placement_fencing_ = placement_fencing;
+    if (placement_fencing > 0)
+        note_holder(on_.roster.self().id, placement_fencing, now);
     on_.roster.set_ready(on_.ready());
     on_.roster.beat();
-    for (const auto& gone : on_.roster.expire(now))
+    lose_silent_members(now);
+    choose_route(now);
+    if (router_.relayed())
+        tell_through_relays(now);
+    else
+        tell_directly(now);
+    look_for_lost(now);
+}
+
+void peer_link::lose_silent_members(time_point now)
+{
+    for (const auto& gone : on_.roster.expire(now, member_lifetime()))
     {
         on_.log.warning("peer_lost",
             {{"peer", gone.id.str()}, {"address", gone.peer_address}});
@@ -120,13 +117,150 @@
         if (transport_)
             transport_->remove_peer(gone.id);
     }
+}
+
+void peer_link::choose_route(time_point now)
+{
+    const bool relayed = router_.relayed();
+    const auto relay = router_.relay();
+    router_.update(on_.roster, now);
+    if (relayed != router_.relayed())
+        forget_reports();
+    if (relay != router_.relay())
+        on_.log.info("relay_chosen",
+            {{"relay", router_.relay().str()}, {"previous", relay.str()},
+                {"instances", on_.roster.size()}});
+}
+
+// Reports of single instances and sums must not be used together.
+void peer_link::forget_reports()
+{
+    for (const auto& each : on_.roster.others())
+    {
+        on_.limiter.erase_peer(each.id);
+        on_.board.erase_peer(each.id);
+    }
+    on_.limiter.erase_peer(on_.roster.self().id);
+    on_.board.erase_peer(on_.roster.self().id);
+    sums_from_ = instance_id();
+}
+
+void peer_link::tell_directly(time_point now)
+{
     peer::Envelope message;
-    *message.mutable_gateway_heartbeat() = make_heartbeat(now);
+    auto& beat = *message.mutable_gateway_heartbeat();
+    beat = make_heartbeat(peer::REPORT_SCOPE_OWN, now);
+    for (const auto& each : on_.roster.others())
+        write(each, *beat.add_others());
+    write(own_report(now), beat);
     for (const auto& each : on_.roster.receivers(fan_out, on_.random))
-        send(each, message);
+        send(each.id, message);
     send_to_seeds(message);
 }
 
+void peer_link::tell_through_relays(time_point now)
+{
+    const auto& self = on_.roster.self().id;
+    auto& reports = router_.reports();
+    if (router_.relay() == self)
+    {
+        reports.put_member(self, own_report(now), now);
+        use_report(self, reports.sums_without(self), now);
+    }
+    else
+    {
+        peer::Envelope message;
+        auto& beat = *message.mutable_gateway_heartbeat();
+        beat = make_heartbeat(peer::REPORT_SCOPE_MEMBER, now);
+        write(own_report(now), beat);
+        send(router_.relay(), message);
+    }
+    if (!router_.acts_as_relay())
+        return;
+    tell_other_relays(now);
+    tell_members(now);
+}
+
+// Whole records by turns, the progress of all.
+void peer_link::add_members(peer::Gateway_heartbeat& to, std::size_t records)
+{
+    for (const auto& each : on_.roster.progress())
+    {
+        auto& out = *to.add_progress();
+        out.set_key(each.key);
+        out.set_heartbeat(each.heartbeat);
+        out.set_ready(each.ready);
+    }
+    const auto members = on_.roster.others();
+    records = std::min(records, members.size());
+    auto next = std::upper_bound(members.begin(), members.end(), last_record_,
+        [](const instance_id& id, const fleet::member& each)
+        { return id < each.id; });
+    for (std::size_t i = 0; i < records; ++i, ++next)
+    {
+        if (next == members.end())
+            next = members.begin();
+        write(*next, *to.add_others());
+        last_record_ = next->id;
+    }
+}
+
+void peer_link::tell_other_relays(time_point now)
+{
+    peer::Envelope message;
+    auto& beat = *message.mutable_gateway_heartbeat();
+    beat = make_heartbeat(peer::REPORT_SCOPE_GROUP, now);
+    add_members(beat, records_a_heartbeat);
+    auto sums = router_.reports().group_sums();
+    sums.incarnation = on_.roster.self().incarnation;
+    // Only the holder of the placement lease needs the demand for models.
+    const auto models = std::exchange(sums.models, {});
+    write(sums, beat);
+    auto receivers = router_.other_relays();
+    for (const auto& each : receivers)
+        if (each != holder_)
+            send(each, message);
+    if (holder_.empty() || holder_ == on_.roster.self().id)
+        return;
+    fleet_report demand;
+    demand.models = models;
+    demand.instances = sums.instances;
+    write(demand, beat);
+    send(holder_, message);
+}
+
+void peer_link::tell_members(time_point now)
+{
+    peer::Envelope message;
+    auto& beat = *message.mutable_gateway_heartbeat();
+    beat = make_heartbeat(peer::REPORT_SCOPE_FLEET, now);
+    beat.set_endpoints_digest(documents_.directory_digest());
+    add_members(beat, records_a_heartbeat);
+    for (const auto& each : router_.reports().members())
+    {
+        if (each == on_.roster.self().id)
+            continue;
+        beat.clear_demands();
+        beat.clear_loads();
+        write(router_.reports().sums_without(each), beat);
+        send(each, message);
+    }
+}
+
+// Tells a newcomer all members.
+void peer_link::introduce(const instance_id& to, time_point now)
+{
+    auto& last = introduced_at_[to];
+    if (now - last < introduction_interval)
+        return;
+    last = now;
+    peer::Envelope message;
+    auto& beat = *message.mutable_gateway_heartbeat();
+    beat = make_heartbeat(peer::REPORT_SCOPE_INTRODUCTION, now);
+    add_members(beat, on_.roster.others().size());
+    send(to, message);
+}
+
 void peer_link::send_to_seeds(const peer::Envelope& message)
 {
     // Seeds may be gone; once others are known, news comes from them.
@@ -140,30 +274,104 @@
                     {{"peer", address}, {"reason", sent.error().message()}});
 }
 
+void peer_link::look_for_lost(time_point now)
+{
+    if (now < next_search_ || !transport_)
+        return;
+    next_search_ = now + search_interval;
+    const auto lost = on_.roster.next_lost();
+    if (!lost)
+        return;
+    peer::Envelope message;
+    auto& beat = *message.mutable_gateway_heartbeat();
+    beat = make_heartbeat(peer::REPORT_SCOPE_OWN, now);
+    write(own_report(now), beat);
+    // A full queue means that it is still away.
+    const auto sent =
+        transport_->send_to_address(lost->peer_address, std::move(message));
+    on_.log.info("lost_peer_called", {{"peer", lost->id.str()},
+                                         {"sent", sent.has_value()}});
+}
+
 void peer_link::announce()
 {
     tick(std::chrono::steady_clock::now(), placement_fencing_);
 }
 
+bool peer_link::follows_store(time_point now) const
+{
+    return !router_.relayed() || router_.acts_as_relay() ||
+           now - documents_heard_at_ >= documents_patience;
+}
+
+void peer_link::push_changes(
+    std::int64_t after, const remote_store::table_changes& changes)
+{
+    if (!router_.acts_as_relay() || changes.rows.empty())
+        return;
+    peer::Envelope message;
+    auto& told = *message.mutable_directory_changes();
+    told.set_after_version(after);
+    told.set_version(changes.version);
+    for (const auto& each : changes.rows)
+    {
+        auto& row = *told.add_rows();
+        row.set_key(each.key);
+        row.set_value(each.value.value_or(""));
+        row.set_erased(!each.value);
+    }
+    for (const auto& each : router_.reports().members())
+        if (each != on_.roster.self().id)
+            send(each, message);
+}
+
 void peer_link::send_residency(const std::vector<engine_residency>& engines)
+{
+    if (!router_.relayed())
+        return send_residency_update(engines);
+    const bool waiting = !residency_queue_.empty();
+    for (const auto& each : engines)
+        residency_queue_[each.endpoint] = each;
+    if (waiting)
+        return;
+    residency_timer_.expires_after(residency_interval);
+    residency_timer_.async_wait(
+        [this](const boost::system::error_code& failed)
+        {
+            if (!failed)
+                flush_residency();
+        });
+}
+
+void peer_link::flush_residency()
+{
+    std::vector<engine_residency> engines;
+    for (auto& [id, each] : residency_queue_)
+        engines.push_back(std::move(each));
+    residency_queue_.clear();
+    send_residency_update(engines);
+}
+
+void peer_link::send_residency_update(
+    const std::vector<engine_residency>& engines)
 {
     peer::Envelope message;
     auto& update = *message.mutable_residency_update();
     for (const auto& each : engines)
+        write(each, *update.add_engines());
+    std::set<instance_id> receivers;
+    if (router_.relayed())
     {
-        auto& out = *update.add_engines();
-        out.set_endpoint(each.endpoint.str());
-        out.set_started_unix_ms(each.started_unix_ms);
-        out.set_accepted_commands(each.accepted_commands);
-        for (const auto& held : each.models)
-        {
-            auto& model = *out.add_models();
-            model.set_model(held.model.str());
-            for (const auto& adapter : held.adapters)
-                model.add_adapters(adapter.str());
-        }
+        for (const auto& each : router_.other_relays())
+            receivers.insert(each);
+        for (const auto& each : router_.reports().members())
+            receivers.insert(each);
     }
-    for (const auto& each : on_.roster.others())
+    else
+        for (const auto& each : on_.roster.others())
+            receivers.insert(each.id);
+    receivers.erase(on_.roster.self().id);
+    for (const auto& each : receivers)
         send(each, message);
 }
 
@@ -181,167 +389,12 @@
             on_adapter_request_(wanted);
         return;
     }
-    const auto* holder = on_.roster.find(holder_);
-    if (holder == nullptr)
-        return;
     peer::Envelope message;
     auto& request = *message.mutable_adapter_request();
     request.set_service(wanted.service.str());
     request.set_model(wanted.model.str());
     request.set_adapter(wanted.adapter.str());
-    send(*holder, message);
-}
-
-void peer_link::receive(const peer::Envelope& message)
-{
-    const instance_id from(message.from_instance());
-    switch (message.body_case())
-    {
-    case peer::Envelope::kGatewayHeartbeat:
-        return receive_heartbeat(from, message.gateway_heartbeat());
-    case peer::Envelope::kDocumentsRequest:
-        return receive_request(from, message);
-    case peer::Envelope::kDocumentsReply:
-        return receive_documents(message);
-    case peer::Envelope::kResidencyUpdate:
-        return receive_residency(message);
-    case peer::Envelope::kAdapterRequest:
-        if (on_adapter_request_)
-            on_adapter_request_(
-                {service_id(message.adapter_request().service()),
-                    model_id(message.adapter_request().model()),
-                    adapter_id(message.adapter_request().adapter())});
-        return;
-    default:
-        on_.log.warning("peer_message_unknown",
-            {{"peer", from.str()},
-                {"kind", static_cast<int>(message.body_case())}});
-    }
-}
-
-void peer_link::receive_heartbeat(
-    const instance_id& from, const peer::Gateway_heartbeat& beat)
-{
-    const auto now = std::chrono::steady_clock::now();
-    auto self = read(beat.self());
-    if (self.id != from)
-        return;
-    if (on_.roster.note_direct(self, now))
-        on_.log.info(
-            "peer_known", {{"peer", from.str()}, {"address", self.peer_address},
-                              {"incarnation", self.incarnation}});
-    for (const auto& each : beat.others())
-        on_.roster.note_passed_on(read(each), now);
-    if (beat.placement_fencing() > 0 &&
-        beat.placement_fencing() >= holder_fencing_)
-    {
-        holder_ = from;
-        holder_fencing_ = beat.placement_fencing();
-        holder_heard_at_ = now;
-    }
-    std::vector<limits::workspace_demand> demands;
-    for (const auto& each : beat.demands())
-        demands.push_back({workspace_id(each.workspace()),
-            each.units_per_second(), each.admitted_units()});
-    on_.limiter.put_peer_demands(from, self.incarnation, demands, now);
-    std::vector<std::pair<endpoint_id, dispatch::endpoint_load>> loads;
-    for (const auto& each : beat.loads())
-        loads.emplace_back(endpoint_id(each.endpoint()),
-            dispatch::endpoint_load{each.waiting_tokens(), each.requests()});
-    on_.board.put_peer_loads(from, loads, now);
-    if (on_model_demand_)
-    {
-        std::vector<std::pair<demanded_model, double>> wanted;
-        for (const auto& each : beat.model_demands())
-            wanted.emplace_back(read(each), each.tokens_per_second());
-        on_model_demand_(from, std::move(wanted));
-    }
-    ask_for_documents(from, beat);
-}
-
-void peer_link::ask_for_documents(
-    const instance_id& from, const peer::Gateway_heartbeat& beat)
-{
-    const auto now = std::chrono::steady_clock::now();
-    // A newer configuration is taken from anyone: its feed may be silent. The
-    // directory changes often, so it is only asked for without the store.
-    const bool configuration =
-        beat.configuration_version() > documents_.configuration_version();
-    const bool directory =
-        (directory_away_ || !on_.endpoints_known) &&
-        beat.endpoints_version() > documents_.directory_version();
-    if ((!configuration && !directory) || now < next_documents_request_)
-        return;
-    next_documents_request_ = now + documents_request_interval;
-    peer::Envelope message;
-    auto& request = *message.mutable_documents_request();
-    request.set_configuration_version(documents_.configuration_version());
-    // A version that is higher than any leaves the directory out.
-    request.set_endpoints_version(
-        directory ? documents_.directory_version() : beat.endpoints_version());
-    if (const auto* peer = on_.roster.find(from))
-        send(*peer, message);
-}
-
-void peer_link::receive_request(
-    const instance_id& from, const peer::Envelope& message)
-{
-    const auto& request = message.documents_request();
-    const auto* peer = on_.roster.find(from);
-    if (peer == nullptr)
-        return;
-    peer::Envelope answer;
-    auto& reply = *answer.mutable_documents_reply();
-    if (documents_.configuration_version() > request.configuration_version())
-    {
-        reply.set_configuration_version(documents_.configuration_version());
-        reply.set_configuration(documents_.configuration());
-    }
-    if (documents_.directory_version() > request.endpoints_version())
-    {
-        reply.set_endpoints_version(documents_.directory_version());
-        for (const auto& [key, value] : documents_.directory())
-        {
-            auto& entry = *reply.add_endpoints();
-            entry.set_key(key);
-            entry.set_value(value);
-        }
-    }
-    send(*peer, answer);
-}
-
-void peer_link::receive_documents(const peer::Envelope& message)
-{
-    const auto& reply = message.documents_reply();
-    if (reply.configuration_version() > documents_.configuration_version())
-        documents_.take_configuration(reply.configuration(), "peer");
-    if (reply.endpoints_version() <= documents_.directory_version())
-        return;
-    remote_store::table_changes rows;
-    rows.version = reply.endpoints_version();
-    for (const auto& each : reply.endpoints())
-        rows.rows.push_back({each.key(), each.value(), rows.version});
-    documents_.take_directory(rows, "peer", std::chrono::steady_clock::now());
-}
-
-void peer_link::receive_residency(const peer::Envelope& message)
-{
-    for (const auto& each : message.residency_update().engines())
-    {
-        std::vector<endpoints::held_model> models;
-        for (const auto& held : each.models())
-        {
-            endpoints::held_model model;
-            model.model = model_id(held.model());
-            for (const auto& adapter : held.adapters())
-                model.adapters.emplace(adapter);
-            models.push_back(std::move(model));
-        }
-        on_.board.put_residency(endpoint_id(each.endpoint()),
-            each.started_unix_ms(), each.accepted_commands(),
-            std::move(models));
-    }
-    on_.residency_changed.raise();
+    send(holder_, message);
 }
 
 } // namespace tarragonquay::gateway
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -2,50 +2,47 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include <boost/asio/steady_timer.hpp>
+
 #include "gateway/context.hpp"
 #include "gateway/documents.hpp"
+#include "gateway/peer_messages.hpp"
+#include "gateway/report_router.hpp"
 #include "peering/transport.hpp"
 
-namespace tarragonquay::peer
-{
-class Envelope;
-class Gateway_heartbeat;
-} // namespace tarragonquay::peer
-
 namespace tarragonquay::gateway
 {
 
-/// What one engine holds, for the other gateways.
-struct engine_residency
-{
-    endpoint_id endpoint;
-    std::int64_t started_unix_ms = 0;
-    std::int64_t accepted_commands = 0;
-    std::vector<endpoints::held_model> models;
-
-    auto operator<=>(const engine_residency&) const = default;
-};
-
 /// Messages between gateways: heartbeats with loads and demands, documents for
-/// gateways that lack them, and what engines hold.
+/// gateways that lack them, and what engines hold. In a large fleet they go
+/// through relays, see report_router.
 class peer_link
 {
 public:
     static constexpr std::chrono::milliseconds heartbeat_interval{250};
-    /// Others that get each heartbeat. It is constant, so that the cost of an
-    /// instance does not grow with their number.
+    /// Others that get each heartbeat of a fleet without relays.
     static constexpr std::size_t fan_out = 8;
+    /// Members whose whole record a relay adds to each heartbeat, by turns.
+    static constexpr std::size_t records_a_heartbeat = 12;
+    /// Without news from working change feeds for this long, an instance
+    /// follows the store itself.
+    static constexpr std::chrono::milliseconds documents_patience{1'000};
+    /// A directory version that others have for this long and this instance
+    /// lacks means that its own feed is silent.
+    static constexpr std::chrono::milliseconds behind_patience{1'000};
 
     /// Demand for models at another gateway.
     using demand_handler = std::function<void(
         const instance_id&, std::vector<std::pair<demanded_model, double>>)>;
 
-    peer_link(context& on, documents& known) : on_(on), documents_(known) {}
+    peer_link(context& on, documents& known);
 
     result<void> start(std::int64_t incarnation);
     void stop() { transport_.reset(); }
@@ -68,41 +65,111 @@
     /// Whether a holder of the placement lease was heard of lately.
     bool holder_alive(time_point now) const
     {
-        return now - holder_heard_at_ < fleet::roster::lifetime;
+        return now - holder_heard_at_ < member_lifetime();
     }
+    /// Whether this instance reads the store: all do in a small fleet, in a
+    /// large one the relays and those that hear of no working feed.
+    bool follows_store(time_point now) const;
+    /// Whether this instance may take the placement lease.
+    bool may_place() const
+    {
+        return !router_.relayed() || router_.acts_as_relay();
+    }
+    bool relayed() const { return router_.relayed(); }
+    /// Called when the own feed of the directory seems to be silent.
+    void on_feed_behind(std::function<void()> handler)
+    {
+        on_feed_behind_ = std::move(handler);
+    }
+    /// Whether the change feeds of this instance work.
+    void set_feeds_working(bool working) { feeds_working_ = working; }
     /// Asks the holder of the placement lease for an adapter.
     void request_adapter(const demanded_model& wanted);
     /// While the store is away, the directory is taken from other gateways.
     void set_directory_away(bool away) { directory_away_ = away; }
 
 private:
+    duration member_lifetime() const
+    {
+        return router_.relayed() ? fleet::roster::relayed_lifetime
+                                 : fleet::roster::lifetime;
+    }
+
+    // Sending.
+    void send(const instance_id& to, peer::Envelope message);
+    void send_to_seeds(const peer::Envelope& message);
+    void lose_silent_members(time_point now);
+    void choose_route(time_point now);
+    void forget_reports();
+    fleet_report own_report(time_point now);
+    /// A heartbeat without reports.
+    peer::Gateway_heartbeat make_heartbeat(
+        peer::Report_scope scope, time_point now);
+    void add_members(peer::Gateway_heartbeat& to, std::size_t records);
+    void tell_directly(time_point now);
+    void tell_through_relays(time_point now);
+    void tell_other_relays(time_point now);
+    void tell_members(time_point now);
+    void introduce(const instance_id& to, time_point now);
+    void look_for_lost(time_point now);
+    void push_changes(
+        std::int64_t after, const remote_store::table_changes& changes);
+    void send_residency_update(const std::vector<engine_residency>& engines);
+    void flush_residency();
+
+    // Receiving.
     void receive(const peer::Envelope& message);
     void receive_heartbeat(
         const instance_id& from, const peer::Gateway_heartbeat& beat);
+    void take_report(const instance_id& from,
+        const peer::Gateway_heartbeat& beat, time_point now);
+    void use_report(const instance_id& from, const fleet_report& told,
+        time_point now);
+    void note_holder(const instance_id& holder, std::int64_t fencing,
+        time_point heard_at);
+    void note_documents(const instance_id& from,
+        const peer::Gateway_heartbeat& beat, time_point now);
+    void ask_for_documents(const instance_id& from,
+        const peer::Gateway_heartbeat& beat, time_point now);
     void receive_request(
         const instance_id& from, const peer::Envelope& message);
     void receive_documents(const peer::Envelope& message);
-    void receive_residency(const peer::Envelope& message);
-    void ask_for_documents(
-        const instance_id& from, const peer::Gateway_heartbeat& beat);
-    peer::Gateway_heartbeat make_heartbeat(time_point now);
-    void send(const fleet::member& to, peer::Envelope message);
-    void send_to_seeds(const peer::Envelope& message);
+    void receive_changes(const peer::Directory_changes& told);
+    void receive_residency(
+        const instance_id& from, const peer::Envelope& message);
 
     context& on_;
     documents& documents_;
+    report_router router_;
     std::unique_ptr<peering::transport> transport_;
     demand_handler on_model_demand_;
     std::function<void(const demanded_model&)> on_adapter_request_;
+    std::function<void()> on_feed_behind_;
     std::int64_t placement_fencing_ = 0;
     /// Latest holder of the placement lease that was heard of.
     instance_id holder_;
     std::int64_t holder_fencing_ = 0;
     time_point holder_heard_at_{};
     bool directory_away_ = false;
+    bool feeds_working_ = false;
+    /// Last news from working change feeds, of the own relay or another one.
+    time_point documents_heard_at_{};
+    /// Since when others have a newer directory.
+    std::optional<time_point> behind_since_;
     time_point next_documents_request_{};
+    /// Instance whose report stands for all others, in a large fleet.
+    instance_id sums_from_;
+    /// The member whose whole record was told last.
+    instance_id last_record_;
+    /// When a sender was told all members last.
+    std::map<instance_id, time_point> introduced_at_;
+    /// When lost members are looked for next.
+    time_point next_search_{};
     /// Adapters that were asked for lately.
     std::map<demanded_model, time_point> requested_adapters_;
+    /// Engines whose state is told together.
+    std::map<endpoint_id, engine_residency> residency_queue_;
+    boost::asio::steady_timer residency_timer_;
 };
 
 } // namespace tarragonquay::gateway
--- /dev/null
+++ b/src/gateway/peer_messages.cpp
@@ -0,0 +1,102 @@
+#include "gateway/peer_messages.hpp"
+
+#include <algorithm>
+
+namespace tarragonquay::gateway
+{
+
+void write(const fleet::member& from, peer::Fleet_member& to)
+{
+    to.set_instance(from.id.str());
+    to.set_incarnation(from.incarnation);
+    to.set_heartbeat(from.heartbeat);
+    to.set_availability_zone(from.availability_zone);
+    to.set_peer_address(from.peer_address);
+    to.set_entry_address(from.entry_address);
+    to.set_ready(from.ready);
+    to.set_processor_share(from.processor_share);
+}
+
+fleet::member read(const peer::Fleet_member& from)
+{
+    return {instance_id(from.instance()), from.incarnation(), from.heartbeat(),
+        from.availability_zone(), from.peer_address(), from.entry_address(),
+        from.ready(), from.processor_share()};
+}
+
+void write(const fleet_report& from, peer::Gateway_heartbeat& to)
+{
+    to.set_instances(from.instances);
+    for (const auto& each : from.demands)
+    {
+        auto& demand = *to.add_demands();
+        demand.set_workspace(each.workspace.str());
+        demand.set_units_per_second(each.units_per_second);
+        demand.set_admitted_units(each.admitted_units);
+    }
+    for (const auto& [id, load] : from.loads)
+    {
+        auto& told = *to.add_loads();
+        told.set_endpoint(id.str());
+        told.set_waiting_tokens(load.waiting_tokens);
+        told.set_requests(load.requests);
+    }
+    for (const auto& [of, rate] : from.models)
+    {
+        auto& told = *to.add_model_demands();
+        told.set_service(of.service.str());
+        told.set_model(of.model.str());
+        told.set_adapter(of.adapter.str());
+        told.set_tokens_per_second(rate);
+    }
+}
+
+fleet_report read_report(const peer::Gateway_heartbeat& from)
+{
+    fleet_report out;
+    out.incarnation = from.self().incarnation();
+    out.instances = std::max<std::int64_t>(1, from.instances());
+    for (const auto& each : from.demands())
+        out.demands.push_back({workspace_id(each.workspace()),
+            each.units_per_second(), each.admitted_units()});
+    for (const auto& each : from.loads())
+        out.loads.emplace_back(endpoint_id(each.endpoint()),
+            dispatch::endpoint_load{each.waiting_tokens(), each.requests()});
+    for (const auto& each : from.model_demands())
+        out.models.emplace_back(
+            demanded_model{service_id(each.service()), model_id(each.model()),
+                adapter_id(each.adapter())},
+            each.tokens_per_second());
+    return out;
+}
+
+void write(const engine_residency& from, peer::Engine_residency& to)
+{
+    to.set_endpoint(from.endpoint.str());
+    to.set_started_unix_ms(from.started_unix_ms);
+    to.set_accepted_commands(from.accepted_commands);
+    for (const auto& held : from.models)
+    {
+        auto& model = *to.add_models();
+        model.set_model(held.model.str());
+        for (const auto& adapter : held.adapters)
+            model.add_adapters(adapter.str());
+    }
+}
+
+engine_residency read(const peer::Engine_residency& from)
+{
+    engine_residency out{endpoint_id(from.endpoint()), from.started_unix_ms(),
+        from.accepted_commands(), {}};
+    for (const auto& held : from.models())
+    {
+        endpoints::held_model model;
+        model.model = model_id(held.model());
+        for (const auto& adapter : held.adapters())
+            model.adapters.emplace(adapter);
+        out.models.push_back(std::move(model));
+    }
+    return out;
+}
+
+} // namespace tarragonquay::gateway
--- /dev/null
+++ b/src/gateway/peer_messages.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "fleet/roster.hpp"
+#include "gateway/fleet_reports.hpp"
+#include "gateway/model_demand.hpp"
+#include "peer.pb.h"
+
+namespace tarragonquay::gateway
+{
+
+/// What one engine holds, for the other gateways.
+struct engine_residency
+{
+    endpoint_id endpoint;
+    std::int64_t started_unix_ms = 0;
+    std::int64_t accepted_commands = 0;
+    std::vector<endpoints::held_model> models;
+
+    auto operator<=>(const engine_residency&) const = default;
+};
+
+/// Conversions between messages of gateways and the product's types.
+void write(const fleet::member& from, peer::Fleet_member& to);
+fleet::member read(const peer::Fleet_member& from);
+
+/// Writes the demands, loads and models of a report.
+void write(const fleet_report& from, peer::Gateway_heartbeat& to);
+fleet_report read_report(const peer::Gateway_heartbeat& from);
+
+void write(const engine_residency& from, peer::Engine_residency& to);
+engine_residency read(const peer::Engine_residency& from);
+
+} // namespace tarragonquay::gateway
--- /dev/null
+++ b/src/gateway/peer_receive.cpp
@@ -0,0 +1,260 @@
+#include <chrono>
+
+#include "gateway/peer_link.hpp"
+#include "peer.pb.h"
+
+namespace tarragonquay::gateway
+{
+
+using std::chrono::milliseconds;
+
+namespace
+{
+
+/// Documents are asked for at most this often; an answer takes some
+/// milliseconds.
+constexpr milliseconds documents_request_interval{200};
+
+} // namespace
+
+void peer_link::receive(const peer::Envelope& message)
+{
+    const instance_id from(message.from_instance());
+    switch (message.body_case())
+    {
+    case peer::Envelope::kGatewayHeartbeat:
+        return receive_heartbeat(from, message.gateway_heartbeat());
+    case peer::Envelope::kDocumentsRequest:
+        return receive_request(from, message);
+    case peer::Envelope::kDocumentsReply:
+        return receive_documents(message);
+    case peer::Envelope::kDirectoryChanges:
+        return receive_changes(message.directory_changes());
+    case peer::Envelope::kResidencyUpdate:
+        return receive_residency(from, message);
+    case peer::Envelope::kAdapterRequest:
+        if (on_adapter_request_)
+            on_adapter_request_(
+                {service_id(message.adapter_request().service()),
+                    model_id(message.adapter_request().model()),
+                    adapter_id(message.adapter_request().adapter())});
+        return;
+    default:
+        on_.log.warning("peer_message_unknown",
+            {{"peer", from.str()},
+                {"kind", static_cast<int>(message.body_case())}});
+    }
+}
+
+void peer_link::receive_heartbeat(
+    const instance_id& from, const peer::Gateway_heartbeat& beat)
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto self = read(beat.self());
+    if (self.id != from)
+        return;
+    const bool unknown = on_.roster.note_direct(self, now);
+    if (unknown)
+        on_.log.info(
+            "peer_known", {{"peer", from.str()}, {"address", self.peer_address},
+                              {"incarnation", self.incarnation}});
+    for (const auto& each : beat.others())
+        on_.roster.note_passed_on(read(each), now);
+    for (const auto& each : beat.progress())
+        on_.roster.note_progress(
+            {each.key(), each.heartbeat(), each.ready()}, now);
+    if (beat.placement_fencing() > 0)
+        note_holder(from, beat.placement_fencing(), now);
+    if (!beat.placement_holder().empty())
+        note_holder(instance_id(beat.placement_holder()), beat.holder_fencing(),
+            now - milliseconds(beat.holder_heard_ms_ago()));
+    take_report(from, beat, now);
+    note_documents(from, beat, now);
+    // A sender without a relay does not know the others yet.
+    const bool alone = beat.scope() == peer::REPORT_SCOPE_OWN;
+    if (router_.relayed() && (alone || unknown))
+        introduce(from, now);
+}
+
+void peer_link::note_holder(
+    const instance_id& holder, std::int64_t fencing, time_point heard_at)
+{
+    if (fencing < holder_fencing_)
+        return;
+    if (holder != holder_ || fencing > holder_fencing_)
+        holder_heard_at_ = heard_at;
+    holder_ = holder;
+    holder_fencing_ = fencing;
+    holder_heard_at_ = std::max(holder_heard_at_, heard_at);
+}
+
+void peer_link::take_report(const instance_id& from,
+    const peer::Gateway_heartbeat& beat, time_point now)
+{
+    auto told = read_report(beat);
+    const bool has_demand = beat.scope() != peer::REPORT_SCOPE_FLEET &&
+                            beat.scope() != peer::REPORT_SCOPE_INTRODUCTION;
+    if (on_model_demand_ && has_demand)
+        on_model_demand_(from, told.models);
+    switch (beat.scope())
+    {
+    case peer::REPORT_SCOPE_MEMBER:
+        return router_.reports().put_member(from, std::move(told), now);
+    case peer::REPORT_SCOPE_GROUP:
+        return router_.reports().put_group(from, std::move(told), now);
+    case peer::REPORT_SCOPE_FLEET:
+        // An earlier relay may not know yet that it was replaced.
+        if (from != router_.relay())
+            return;
+        router_.note_relay_heard(now);
+        return use_report(from, told, now);
+    case peer::REPORT_SCOPE_OWN:
+        if (!router_.relayed())
+            use_report(from, told, now);
+        return;
+    default:
+        return;
+    }
+}
+
+void peer_link::use_report(
+    const instance_id& from, const fleet_report& told, time_point now)
+{
+    if (router_.relayed() && sums_from_ != from)
+    {
+        on_.limiter.erase_peer(sums_from_);
+        on_.board.erase_peer(sums_from_);
+        sums_from_ = from;
+    }
+    on_.limiter.put_peer_demands(
+        from, told.incarnation, told.demands, now, told.instances);
+    on_.board.put_peer_loads(from, told.loads, now);
+}
+
+void peer_link::note_documents(const instance_id& from,
+    const peer::Gateway_heartbeat& beat, time_point now)
+{
+    const bool from_relay = from == router_.relay();
+    const bool from_group = beat.scope() == peer::REPORT_SCOPE_GROUP;
+    if ((from_relay && beat.documents_current()) ||
+        (from_group && beat.store_reached()))
+        documents_heard_at_ = now;
+    if (beat.endpoints_version() <= documents_.directory_version())
+        behind_since_.reset();
+    else if (beat.store_reached() && !behind_since_)
+        behind_since_ = now;
+    const bool behind =
+        behind_since_ && now - *behind_since_ >= behind_patience;
+    if (behind && on_feed_behind_ && follows_store(now))
+    {
+        behind_since_.reset();
+        on_.log.warning("feed_silent",
+            {{"peer", from.str()}, {"version", documents_.directory_version()},
+                {"version_of_peer", beat.endpoints_version()}});
+        on_feed_behind_();
+    }
+    ask_for_documents(from, beat, now);
+}
+
+void peer_link::ask_for_documents(const instance_id& from,
+    const peer::Gateway_heartbeat& beat, time_point now)
+{
+    // A newer configuration is taken from anyone: its feed may be silent. The
+    // directory changes often, so it is asked for only by those that do not
+    // get its changes.
+    const bool configuration =
+        beat.configuration_version() > documents_.configuration_version();
+    const bool from_relay =
+        from == router_.relay() && from != on_.roster.self().id;
+    const bool newer =
+        beat.endpoints_version() > documents_.directory_version();
+    const bool differs =
+        from_relay && beat.endpoints_digest() != 0 &&
+        beat.endpoints_version() == documents_.directory_version() &&
+        beat.endpoints_digest() != documents_.directory_digest();
+    const bool directory =
+        differs ||
+        (newer && (from_relay || directory_away_ || !on_.endpoints_known));
+    if ((!configuration && !directory) || now < next_documents_request_)
+        return;
+    next_documents_request_ = now + documents_request_interval;
+    peer::Envelope message;
+    auto& request = *message.mutable_documents_request();
+    request.set_configuration_version(documents_.configuration_version());
+    // A version that is as high as the sender's leaves the directory out.
+    request.set_endpoints_version(directory ? 0 : beat.endpoints_version());
+    send(from, message);
+}
+
+void peer_link::receive_request(
+    const instance_id& from, const peer::Envelope& message)
+{
+    const auto& request = message.documents_request();
+    peer::Envelope answer;
+    auto& reply = *answer.mutable_documents_reply();
+    if (documents_.configuration_version() > request.configuration_version())
+    {
+        reply.set_configuration_version(documents_.configuration_version());
+        reply.set_configuration(documents_.configuration());
+    }
+    if (documents_.directory_version() > request.endpoints_version())
+    {
+        reply.set_endpoints_version(documents_.directory_version());
+        for (const auto& [key, value] : documents_.directory())
+        {
+            auto& entry = *reply.add_endpoints();
+            entry.set_key(key);
+            entry.set_value(value);
+        }
+    }
+    send(from, answer);
+}
+
+void peer_link::receive_documents(const peer::Envelope& message)
+{
+    const auto& reply = message.documents_reply();
+    if (reply.configuration_version() > documents_.configuration_version())
+        documents_.take_configuration(reply.configuration(), "peer");
+    if (reply.endpoints().empty())
+        return;
+    remote_store::table_changes rows;
+    rows.version = reply.endpoints_version();
+    for (const auto& each : reply.endpoints())
+        rows.rows.push_back({each.key(), each.value(), rows.version});
+    documents_.take_directory(rows, "peer", std::chrono::steady_clock::now());
+}
+
+void peer_link::receive_changes(const peer::Directory_changes& told)
+{
+    // After a gap, the whole directory is asked for at the next heartbeat.
+    if (!on_.endpoints_known ||
+        told.after_version() > documents_.directory_version())
+        return;
+    remote_store::table_changes changes;
+    changes.version = told.version();
+    for (const auto& each : told.rows())
+        changes.rows.push_back({each.key(),
+            each.erased() ? std::nullopt : std::optional(each.value()),
+            told.version()});
+    documents_.take_directory_changes(
+        changes, std::chrono::steady_clock::now());
+}
+
+void peer_link::receive_residency(
+    const instance_id& from, const peer::Envelope& message)
+{
+    for (const auto& each : message.residency_update().engines())
+    {
+        auto told = read(each);
+        on_.board.put_residency(told.endpoint, told.started_unix_ms,
+            told.accepted_commands, std::move(told.models));
+    }
+    on_.residency_changed.raise();
+    if (!router_.acts_as_relay() || from != holder_)
+        return;
+    for (const auto& each : router_.reports().members())
+        if (each != from && each != on_.roster.self().id)
+            send(each, message);
+}
+
+} // namespace tarragonquay::gateway
--- a/src/gateway/placement_agent.cpp
+++ b/src/gateway/placement_agent.cpp
@@ -19,6 +19,9 @@
 
 /// Engines that have not reported by then are planned without.
 constexpr milliseconds read_patience{1'500};
+/// Demand that a peer told is out of date after this; in a large fleet, the
+/// same demand may then be told by another relay.
+constexpr milliseconds peer_demand_lifetime{1'500};
 /// A request uses its adapter for about this long.
 constexpr double adapter_use_s = 2.0;
 /// Part of an engine's time that requests may use before a model gets another
@@ -72,7 +75,8 @@
         peer_demand_.erase(peer);
         return;
     }
-    peer_demand_[peer] = {rates.begin(), rates.end()};
+    peer_demand_[peer] = {{rates.begin(), rates.end()},
+        std::chrono::steady_clock::now() + peer_demand_lifetime};
 }
 
 placement_agent::rates placement_agent::sum_demand(time_point now)
@@ -80,8 +84,10 @@
     rates out;
     for (const auto& [of, rate] : on_.demand.rates(now))
         out[of] += rate;
+    std::erase_if(peer_demand_,
+        [now](const auto& each) { return now >= each.second.expires_at; });
     for (const auto& [peer, told] : peer_demand_)
-        for (const auto& [of, rate] : told)
+        for (const auto& [of, rate] : told.demand)
             out[of] += rate;
     return out;
 }
--- a/src/gateway/placement_agent.hpp
+++ b/src/gateway/placement_agent.hpp
@@ -49,6 +49,11 @@
 
 private:
     using rates = std::map<demanded_model, double>;
+    struct told_demand
+    {
+        rates demand;
+        time_point expires_at;
+    };
 
     /// A command on its way to an engine.
     struct command
@@ -117,7 +122,7 @@
     /// Coroutines of an earlier lease stop.
     int generation_ = 0;
     std::map<endpoint_id, engine_account> engines_;
-    std::map<instance_id, rates> peer_demand_;
+    std::map<instance_id, told_demand> peer_demand_;
     /// Sum over the instances as of the latest tick.
     rates demand_;
     /// Adapters whose load is under way.
--- a/src/limits/fleet_limiter.cpp
+++ b/src/limits/fleet_limiter.cpp
@@ -73,17 +73,26 @@
 
 double fleet_limiter::part_of(const account& of, time_point now) const
 {
-    const auto count = static_cast<double>(peers_.size() + 1);
+    const auto count = static_cast<double>(other_instances() + 1);
     const auto all = demand_of_all(of, now);
     const auto by_demand = all > 0 ? decayed_demand(of, now) / all : 1 / count;
     return even_part / count + (1 - even_part) * by_demand;
 }
 
+std::int64_t fleet_limiter::other_instances() const
+{
+    std::int64_t out = 0;
+    for (const auto& [id, each] : peers_)
+        out += each.instances;
+    return out;
+}
+
 bool fleet_limiter::cut_off() const
 {
-    const auto lost = std::count_if(peers_.begin(), peers_.end(),
-        [](const auto& each) { return each.second.lost_at.has_value(); });
-    return 2 * static_cast<std::size_t>(lost) > peers_.size();
+    std::int64_t lost = 0;
+    for (const auto& [id, each] : peers_)
+        lost += each.lost_at ? each.instances : 0;
+    return 2 * lost > other_instances();
 }
 
 void fleet_limiter::refill(account& of, time_point now) const
@@ -173,11 +182,11 @@
 
 void fleet_limiter::put_peer_demands(const instance_id& from,
     std::int64_t incarnation, const std::vector<workspace_demand>& demands,
-    time_point now)
+    time_point now, std::int64_t instances)
 {
     auto& sender = peers_[from];
     const bool same_process = sender.incarnation == incarnation;
-    sender = {incarnation, std::nullopt};
+    sender = {incarnation, instances, std::nullopt};
     for (auto& [workspace, each] : accounts_)
         if (const auto told = each.peers.find(from); told != each.peers.end())
             told->second.units_per_second = 0;
@@ -200,6 +209,13 @@
     }
 }
 
+void fleet_limiter::erase_peer(const instance_id& peer)
+{
+    peers_.erase(peer);
+    for (auto& [workspace, each] : accounts_)
+        each.peers.erase(peer);
+}
+
 void fleet_limiter::lose_peer(const instance_id& from, time_point now)
 {
     if (const auto found = peers_.find(from); found != peers_.end())
@@ -218,9 +234,9 @@
             ++it;
             continue;
         }
-        for (auto& [workspace, each] : accounts_)
-            each.peers.erase(it->first);
-        it = peers_.erase(it);
+        const auto gone = it->first;
+        ++it;
+        erase_peer(gone);
     }
 }
 
--- a/src/limits/fleet_limiter.hpp
+++ b/src/limits/fleet_limiter.hpp
@@ -80,10 +80,13 @@
     static std::int64_t cost(
         const routes::workspace& workspace, std::optional<std::int64_t> tokens);
 
-    /// What another instance told. `incarnation` changes when its count of
-    /// admitted units begins anew.
+    /// What another instance told, or a relay about `instances` others.
+    /// `incarnation` changes when its count of admitted units begins anew.
     void put_peer_demands(const instance_id& peer, std::int64_t incarnation,
-        const std::vector<workspace_demand>& demands, time_point now);
+        const std::vector<workspace_demand>& demands, time_point now,
+        std::int64_t instances = 1);
+    /// Forgets a peer whose demand is told by another one from now on.
+    void erase_peer(const instance_id& peer);
     /// Nothing is heard of an instance any more. Its demand still counts for a
     /// while, and for as long as most instances are not heard of: then it is
     /// rather this one that is cut off.
@@ -116,6 +119,7 @@
     struct peer
     {
         std::int64_t incarnation = 0;
+        std::int64_t instances = 1;
         /// None while it is heard of.
         std::optional<time_point> lost_at;
     };
@@ -124,6 +128,8 @@
     double demand_of_all(const account& of, time_point now) const;
     void refill(account& of, time_point now) const;
     bool cut_off() const;
+    /// Instances of the fleet without this one.
+    std::int64_t other_instances() const;
     void forget_lost_peers(time_point now);
     static double decayed_demand(const account& of, time_point now);
     static void take(account& from, double units);
--- a/src/limits/fleet_limiter_test.cpp
+++ b/src/limits/fleet_limiter_test.cpp
@@ -93,6 +93,7 @@
     CPPUNIT_TEST(very_small_requests_pass_while_large_ones_use_the_limit_up);
     CPPUNIT_TEST(an_instance_that_is_cut_off_keeps_to_its_part);
     CPPUNIT_TEST(a_lower_limit_binds_at_once);
+    CPPUNIT_TEST(sums_of_a_relay_count_as_all_their_instances);
     CPPUNIT_TEST(units_that_were_not_used_come_back);
     CPPUNIT_TEST(a_limit_without_tokens_counts_requests);
     CPPUNIT_TEST_SUITE_END();
@@ -182,6 +183,25 @@
         CPPUNIT_ASSERT(admitted <= (8 * 10'000 + 10'000) * 1.1 + 110'000);
     }
 
+    // Guards against an instance of ninety that spends half of the limit when
+    // its relay falls silent.
+    void sums_of_a_relay_count_as_all_their_instances()
+    {
+        fleet tested(1, 100'000, 100'000);
+        auto& limiter = tested.limiters.front();
+        const instance_id relay("r1");
+        for (int i = 0; i < 40; ++i)
+        {
+            tested.now += 250ms;
+            limiter.put_peer_demands(
+                relay, 1, {{acme, 200'000, 0}}, tested.now, 89);
+        }
+        limiter.lose_peer(relay, tested.now);
+        const auto admitted = tested.run_for(8s, {1}, 10'000);
+        // Its part by demand, and the burst's.
+        CPPUNIT_ASSERT(admitted <= 9 * 100'000 * 0.1);
+    }
+
     void units_that_were_not_used_come_back()
     {
         fleet tested(1, 1'000, 1'000);
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -75,6 +75,7 @@
     root.read_addresses("seeds", values.seeds);
     root.read("feed_wait_ms", values.feed_wait_ms, 100, 30'000);
     root.read("max_connections", values.max_connections, 1, 1'000'000);
+    root.read("processor_share", values.processor_share, 0.001, 1'024);
     read_log(root.nested("log"), values.log_level);
     read_bounds(root.nested("bounds"), values.bounds);
 }
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -61,6 +61,9 @@
     /// Longest time that a call of the change feeds waits at the store.
     std::int64_t feed_wait_ms = 8'000;
     std::int64_t max_connections = 3'000;
+    /// Part of a core that the process may use. Instances with more of it relay
+    /// messages for others.
+    double processor_share = 1.0;
     gateway_bounds bounds;
 
     auto operator<=>(const gateway_settings&) const = default;
