Count what other models do to an engine when replicas are placed

Cause: models that share an engine share its time, but the planner judged each model by its own replicas alone and chose engines by the tightest room.

A replica's capacity is now what the others at its engine leave, new replicas go to the least busy engine, and room is made there first.

--- a/src/placement/plan_draft.cpp
+++ b/src/placement/plan_draft.cpp
@@ -1,18 +1,80 @@
 #include "placement/plan_draft.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
 namespace tarragonquay::placement
 {
 
+namespace
+{
+
+/// Part of an engine's capacity that a load from the weight store is worth: a
+/// copy at hand is taken on an engine that is busier by this much.
+constexpr double store_load_cost = 0.25;
+/// Engines whose costs differ by less are equal, so that the tightest fit
+/// decides between them.
+constexpr double cost_step = 0.125;
+/// A replica always serves this part of an engine, however busy the engine.
+constexpr double least_capacity = 0.1;
+
+} // namespace
+
 plan_draft::plan_draft(const cluster_view& view, const planner_limits& limits)
     : view_(view), limits_(limits)
 {
     for (std::size_t i = 0; i < view_.models.size(); ++i)
         index_[view_.models[i].id] = i;
     count_replicas();
+    measure_loads();
+}
+
+// Models that share an engine share its time, so a replica beside a busy one
+// brings less.
+void plan_draft::measure_loads()
+{
+    const auto counts = [](const replica_view& each)
+    {
+        return !each.going && (each.ready || each.coming);
+    };
+    engine_loads_.assign(view_.engines.size(), 0);
+    capacities_.assign(view_.models.size(), 0);
+    for (std::size_t i = 0; i < view_.engines.size(); ++i)
+        for (std::size_t k = 0; k < models_at_[i].size(); ++k)
+            if (models_at_[i][k] != unknown_model &&
+                counts(view_.engines[i].replicas[k]))
+                engine_loads_[i] += replica_load(models_at_[i][k]);
+    for (std::size_t i = 0; i < view_.engines.size(); ++i)
+        for (std::size_t k = 0; k < models_at_[i].size(); ++k)
+            if (models_at_[i][k] != unknown_model && view_.engines[i].usable &&
+                counts(view_.engines[i].replicas[k]))
+                capacities_[models_at_[i][k]] +=
+                    capacity_at(i, models_at_[i][k]);
+}
+
+double plan_draft::replica_load(std::size_t model) const
+{
+    const auto& of = counts_[model];
+    return view_.models[model].tokens_per_second /
+           std::max(1, of.ready + of.coming);
+}
+
+double plan_draft::load_of_others(std::size_t engine, std::size_t model) const
+{
+    const auto& held = models_at_[engine];
+    const bool holds =
+        std::find(held.begin(), held.end(), model) != held.end();
+    return std::max(
+        0.0, engine_loads_[engine] - (holds ? replica_load(model) : 0.0));
+}
+
+double plan_draft::capacity_at(std::size_t engine, std::size_t model) const
+{
+    const auto whole = limits_.replica_tokens_per_second;
+    return std::max(least_capacity * whole,
+        limits_.add_above * whole - load_of_others(engine, model));
 }
 
 void plan_draft::count_replicas()
@@ -119,12 +181,16 @@
     const model_view& model) const
 {
     std::optional<std::size_t> best;
-    // A copy at hand goes first. Otherwise the tightest fit keeps large gaps
-    // for large models.
+    // The least busy engine, and a copy at hand before a load from the store.
+    // Otherwise the tightest fit keeps large gaps for large models.
     const auto cost = [&](std::size_t i)
     {
         const auto& engine = view_.engines[i];
-        return std::pair(!engine.at_hand.contains(model.id), engine.free_bytes);
+        const auto load = load_of_others(i, index_of(model)) /
+                          limits_.replica_tokens_per_second;
+        const auto whole =
+            load + (engine.at_hand.contains(model.id) ? 0 : store_load_cost);
+        return std::pair(std::floor(whole / cost_step), engine.free_bytes);
     };
     for (std::size_t i = 0; i < view_.engines.size(); ++i)
     {
@@ -158,6 +224,8 @@
     replica.coming = true;
     engine.replicas.push_back(std::move(replica));
     models_at_[*where].push_back(index_of(model));
+    capacities_[index_of(model)] += capacity_at(*where, index_of(model));
+    engine_loads_[*where] += replica_load(index_of(model));
     engine.accepts_command = !engine.one_command_at_a_time;
     if (!engine.at_hand.contains(model.id))
     {
@@ -233,15 +301,17 @@
         return served(owner, rest + 1) - served(owner, rest);
     if (scarce_)
         return loss_when_scarce(owner, wanted, allow_swap);
-    const auto capacity = rest * limits_.replica_tokens_per_second;
     if (rest > 0)
     {
-        const bool idle =
-            owner.tokens_per_second <= limits_.give_up_below * capacity;
+        const auto capacity = capacities_[model];
+        const auto without = capacity - capacity_at(engine, model);
+        const bool idle = owner.tokens_per_second <=
+                          limits_.give_up_below / limits_.add_above * without;
         // A model that has no replica outweighs one that has several.
         if (!idle && count(wanted.id).ready > 0)
             return std::nullopt;
-        return served(owner, rest + 1) - served(owner, rest);
+        return std::min(owner.tokens_per_second, capacity) -
+               std::min(owner.tokens_per_second, without);
     }
     // Last replica: only for a model that waits longer than its own callers.
     if (!allow_swap || owner.waiting_s >= wanted.waiting_s)
@@ -303,11 +373,19 @@
     const model_view& model, bool allow_swap) const
 {
     std::optional<room> best;
+    double best_load = 0;
     for (std::size_t i = 0; i < view_.engines.size(); ++i)
     {
         auto option = room_at(i, model, allow_swap);
-        if (option && (!best || option->loss < best->loss))
+        if (!option)
+            continue;
+        const auto load = load_of_others(i, index_of(model));
+        if (!best || std::tie(option->loss, load) <
+                         std::tie(best->loss, best_load))
+        {
             best = std::move(option);
+            best_load = load;
+        }
     }
     return best;
 }
--- a/src/placement/plan_draft.hpp
+++ b/src/placement/plan_draft.hpp
@@ -149,6 +149,14 @@
     std::size_t index_of(const model_view& model) const;
     double gain_of_replica(const model_view& model) const;
     double served(const model_view& model, int replicas) const;
+    void measure_loads();
+    /// Tokens per second that each replica of the model serves.
+    double replica_load(std::size_t model) const;
+    /// Tokens per second of the other models at the engine.
+    double load_of_others(std::size_t engine, std::size_t model) const;
+    /// Tokens per second that a replica of the model at this engine may serve
+    /// beside the others there.
+    double capacity_at(std::size_t engine, std::size_t model) const;
     std::vector<const model_view*> missing() const;
 
     cluster_view view_;
@@ -160,6 +168,10 @@
     // the names up for each pair of a waiting model and an engine takes most
     // of the time of a plan for 1,580 engines.
     std::vector<std::vector<std::size_t>> models_at_;
+    // By engine: tokens per second of all models that it holds.
+    std::vector<double> engine_loads_;
+    // By the index of the model: capacity of its replicas.
+    std::vector<double> capacities_;
     // By engine: memory of the adapters that may be unloaded.
     std::vector<std::int64_t> idle_adapter_bytes_;
     // Whether not all models fit at once.
--- a/src/placement/plan_models.cpp
+++ b/src/placement/plan_models.cpp
@@ -265,11 +265,13 @@
 double plan_draft::gain_of_replica(const model_view& model) const
 {
     const auto have = count(model.id);
-    const auto replicas = have.ready + have.coming;
     // A replica that is on its way first shows what it brings.
     if (have.ready == 0 || have.coming >= limits_.replicas_coming)
         return 0;
-    return served(model, replicas + 1) - served(model, replicas);
+    const auto capacity = capacities_[index_of(model)];
+    const auto more = limits_.add_above * limits_.replica_tokens_per_second;
+    return std::min(model.tokens_per_second, capacity + more) -
+           std::min(model.tokens_per_second, capacity);
 }
 
 void plan_draft::add_replicas()
--- a/src/placement/planner_test.cpp
+++ b/src/placement/planner_test.cpp
@@ -67,6 +67,8 @@
     CPPUNIT_TEST(each_model_gets_its_first_replica_before_any_second);
     CPPUNIT_TEST(longest_wait_is_served_first);
     CPPUNIT_TEST(busy_model_takes_the_surplus_replica_of_an_idle_one);
+    CPPUNIT_TEST(busy_models_that_share_an_engine_get_replicas_elsewhere);
+    CPPUNIT_TEST(new_replica_goes_to_the_least_busy_engine);
     CPPUNIT_TEST(last_replica_stays_when_nobody_waits);
     CPPUNIT_TEST(waiting_model_swaps_with_the_least_asked_for);
     CPPUNIT_TEST(unload_under_way_is_not_repeated);
@@ -123,6 +125,27 @@
                 {model("hot", 5000), model("idle", 10)}}));
     }
 
+    // Guards against demand that moves to two models of one engine while other
+    // engines are idle: each model alone is below its bound there.
+    void busy_models_that_share_an_engine_get_replicas_elsewhere()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("load_model a e2;"),
+            planned({{engine("e1", 0, {ready("a"), ready("b")}),
+                         engine("e2", 10, {ready("idle")})},
+                {model("a", 1000), model("b", 1100), model("idle", 0)}}));
+    }
+
+    // Guards against a second replica beside another busy model, where the
+    // room is tightest.
+    void new_replica_goes_to_the_least_busy_engine()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("load_model hot e3;"),
+            planned({{engine("e1", 0, {ready("hot")}),
+                         engine("e2", 10, {ready("busy")}),
+                         engine("e3", 20, {ready("idle")})},
+                {model("hot", 2000), model("busy", 1000), model("idle", 0)}}));
+    }
+
     void last_replica_stays_when_nobody_waits()
     {
         CPPUNIT_ASSERT_EQUAL(std::string(),
