End the process without destroying what suspended requests refer to

Cause: a stop ends after its time even when streams are still running.

The process now ends after its last log line without destructors. A test stops a gateway beside streams that outlast the stop. The test's gateways overwrite freed memory; a range-for over a part of a temporary in the test itself is mended.

--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -1,5 +1,6 @@
 #include <utility>
 
+#include <cstdlib>
 #include <filesystem>
 #include <string>
 
@@ -38,7 +39,9 @@
         return report_failure(
             program, application.error(), tq::settings::exit_failed);
     (*application)->run();
-    return 0;
+    // Requests that outlast the stop are suspended and refer to the state of
+    // the application. Destroying it first let them follow freed memory.
+    std::quick_exit(0);
 }
 
 } // namespace
--- a/standins/http_platform.cpp
+++ b/standins/http_platform.cpp
@@ -16,8 +16,8 @@
 namespace
 {
 
-/// Time between two events of a stream.
-constexpr double event_ms = 10;
+/// Usual time between two events of a stream.
+constexpr double usual_event_ms = 10;
 constexpr int events_of_a_stream = 5;
 /// Time between two looks for changes while a feed waits.
 constexpr double feed_poll_ms = 10;
@@ -196,6 +196,7 @@
         {
             cut_streams_ = request.body_json().value("cut_streams", 0);
             lose_answers_ = request.body_json().value("lose_answers", 0);
+            event_ms_ = request.body_json().value("event_ms", usual_event_ms);
             co_await peer.answer(json_answer(json::object()));
         }
         else if (request.path == "/-/report")
@@ -334,7 +335,7 @@
             const bool sent = co_await peer.send_chunk(event_text(id));
             if (!sent)
                 co_return;
-            co_await sleep_ms(event_ms);
+            co_await sleep_ms(event_ms_);
         }
         co_await peer.finish_stream();
     }
@@ -348,6 +349,7 @@
     json seen_ = json::array();
     int cut_streams_ = 0;
     int lose_answers_ = 0;
+    double event_ms_ = usual_event_ms;
 };
 
 // The rest of a configuration comes from the tests.
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -1,6 +1,7 @@
 #include <signal.h>
 
 #include <fstream>
+#include <thread>
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
@@ -49,6 +50,9 @@
 public:
     gateway_system() : platform(process::start_standin("http-platform", {}))
     {
+        // Gateways overwrite the memory that they free, so that a use of it
+        // shows as a failure.
+        setenv("MALLOC_PERTURB_", "165", 1);
         configure(make_configuration(3));
         for (int i = 0; i < 2; ++i)
             start(i);
@@ -95,6 +99,23 @@
 
     http_reply call(int i, const std::string& target,
         const std::string& model = {}, const std::string& key = "k1")
+    {
+        return send_once(entry(i), make_call(target, model, key));
+    }
+
+    http_call stream_call(const std::string& model)
+    {
+        return make_call("/stream/x", model, "k1");
+    }
+
+    // Streams that engines have begun.
+    std::size_t streams_seen() const
+    {
+        return runs("e1").at("runs").size() + runs("e2").at("runs").size();
+    }
+
+    http_call make_call(const std::string& target, const std::string& model,
+        const std::string& key)
     {
         http_call out;
         out.method = "POST";
@@ -108,7 +129,7 @@
             out.headers["Prompt-Prefix"] = "1:60,2:40";
         }
         out.body = "{}";
-        return send_once(entry(i), out);
+        return out;
     }
 
     // Runs at an endpoint, by request.
@@ -142,6 +163,7 @@
     CPPUNIT_TEST(lost_answers_and_cut_streams_keep_the_promises);
     CPPUNIT_TEST(an_outage_of_the_store_stops_nothing);
     CPPUNIT_TEST(a_planned_stop_cuts_no_request);
+    CPPUNIT_TEST(a_stop_ends_in_time_beside_streams_that_outlast_it);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -168,7 +190,8 @@
         }
         // Guards against keys, and workspaces of the callers' choice, that an
         // endpoint sees.
-        for (const auto& seen : system.runs("s1").at("seen"))
+        const auto ran = system.runs("s1");
+        for (const auto& seen : ran.at("seen"))
         {
             CPPUNIT_ASSERT_MESSAGE(seen.dump(), !seen.contains("Credential"));
             CPPUNIT_ASSERT_EQUAL(json("acme"), seen.at("Tenant"));
@@ -264,6 +287,40 @@
         CPPUNIT_ASSERT_EQUAL(0, system.gateways[0]->exit_code());
     }
 
+    // Guards against a process that ends with requests under way and then
+    // destroys what these still refer to: it was seen to loop for ever.
+    void a_stop_ends_in_time_beside_streams_that_outlast_it()
+    {
+        gateway_system system;
+        CPPUNIT_ASSERT(eventually(
+            [&] { return whole(system, 0, "m"); }, milliseconds(25'000)));
+        // Five events take longer than the time to stop.
+        for (const auto* each : {"e1", "e2"})
+            system.fault(each, {{"event_ms", 900}});
+        std::vector<std::thread> callers;
+        for (int i = 0; i < 4; ++i)
+        {
+            const auto call = system.stream_call("m");
+            callers.emplace_back([entry = system.entry(0), call]
+                { send_once(entry, call); });
+        }
+        CPPUNIT_ASSERT(
+            eventually([&] { return system.streams_seen() >= 5; }));
+        system.gateways[0]->send_signal(SIGTERM);
+        const bool ended =
+            eventually([&] { return !system.gateways[0]->running(); });
+        if (!ended)
+            system.gateways[0]->send_signal(SIGKILL);
+        for (auto& each : callers)
+            each.join();
+        CPPUNIT_ASSERT(ended);
+        CPPUNIT_ASSERT_EQUAL(0, system.gateways[0]->exit_code());
+        const auto log = system.gateways[0]->output();
+        CPPUNIT_ASSERT_MESSAGE(
+            log, log.find("\"process_ended\",\"running\":0") ==
+                     std::string::npos);
+    }
+
 private:
     static bool whole(gateway_system& system, int i, const std::string& model)
     {
