Pause the directory's feed longer while a process starts, and on relays

Ruled out: calls of the placement lease (one a second) and feeds of instances that have a relay.

The feed pauses for a second after changes in the first five seconds of a process, and for 400 ms on relays.

--- a/src/gateway/application.hpp
+++ b/src/gateway/application.hpp
@@ -59,6 +59,7 @@
     void tick();
     void tick_lease(time_point now);
     void follow_documents(time_point now);
+    std::chrono::milliseconds feed_pause(time_point now) const;
     void check_settings(time_point now);
     void reload();
     void begin_stop();
@@ -83,6 +84,7 @@
     settings_source source_;
     std::int64_t settings_stamp_ = 0;
     time_point next_settings_check_{};
+    const time_point started_at_ = std::chrono::steady_clock::now();
     boost::asio::signal_set signals_;
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer stop_timer_;
--- a/src/gateway/application.ipp
+++ b/src/gateway/application.ipp
@@ -18,9 +18,15 @@
 
 using std::chrono::milliseconds;
 
-/// Pause of a relay's feeds after changes. The entries of a large directory
-/// change many times a second, and each answer is a call of the store.
-inline constexpr milliseconds relay_feed_pause{200};
+/// Pause of a relay's directory feed after changes. The entries of a large
+/// directory change many times a second, and each answer is a call of the
+/// store. Changes must be in force everywhere within two seconds.
+inline constexpr milliseconds relay_feed_pause{400};
+/// The same for a process that has just started: all of a large fleet start
+/// together and follow the store until they have found their relays.
+inline constexpr milliseconds start_feed_pause{1'000};
+/// A fleet of ninety has found its relays by then.
+inline constexpr milliseconds start_time{5'000};
 /// Interval of the control loops.
 inline constexpr milliseconds tick_interval = peer_link::heartbeat_interval;
 /// Part of the time to stop in which new requests are still served. Those that
@@ -262,13 +268,20 @@
     peers_.set_feeds_working(follows && on_.endpoints_known &&
                              !directory_feed_.failing() &&
                              !configuration_feed_.failing());
-    directory_feed_.set_pause(peers_.relayed()
-                                  ? application_detail::relay_feed_pause
-                                  : application_detail::milliseconds(0));
+    directory_feed_.set_pause(feed_pause(now));
     if (!follows)
         directory_feed_.advance_to(documents_.directory_version());
 }
 
+template <remote_store::store_codec Codec>
+std::chrono::milliseconds application<Codec>::feed_pause(time_point now) const
+{
+    using namespace application_detail;
+    if (now - started_at_ < start_time)
+        return start_feed_pause;
+    return peers_.relayed() ? relay_feed_pause : milliseconds(0);
+}
+
 template <remote_store::store_codec Codec>
 void application<Codec>::check_settings(time_point now)
 {
