--- a/src/fleet/relay_choice.cpp
+++ b/src/fleet/relay_choice.cpp
@@ -30,8 +30,8 @@
     };
     std::partial_sort(candidates.begin(),
         candidates.begin() + static_cast<std::ptrdiff_t>(wanted),
-        candidates.end(), [&](const member* a, const member* b)
-        { return rank(a) < rank(b); });
+        candidates.end(),
+        [&](const member* a, const member* b) { return rank(a) < rank(b); });
     std::vector<instance_id> out;
     for (std::size_t i = 0; i < wanted; ++i)
         out.push_back(candidates[i]->id);
@@ -45,9 +45,7 @@
     if (std::find(relays.begin(), relays.end(), instance) != relays.end())
         return instance;
     const auto rank = [&](const instance_id& relay)
-    {
-        return fast_hash(instance.str(), fast_hash(relay.str()));
-    };
+    { return fast_hash(instance.str(), fast_hash(relay.str())); };
     const auto best = std::max_element(relays.begin(), relays.end(),
         [&](const instance_id& a, const instance_id& b)
         { return rank(a) < rank(b); });
--- a/src/fleet/roster.cpp
+++ b/src/fleet/roster.cpp
@@ -18,8 +18,7 @@
 
 std::uint64_t progress_key(const member& of)
 {
-    return fast_hash(
-        of.id.str(), static_cast<std::uint64_t>(of.incarnation));
+    return fast_hash(of.id.str(), static_cast<std::uint64_t>(of.incarnation));
 }
 
 void roster::put(const member& told, time_point now)
@@ -111,8 +110,7 @@
 std::vector<member_progress> roster::progress() const
 {
     std::vector<member_progress> out;
-    const auto add = [&](const member& of)
-    {
+    const auto add = [&](const member& of) {
         out.push_back({progress_key(of), of.heartbeat, of.ready});
     };
     add(self_);
@@ -125,8 +123,8 @@
 std::optional<member> roster::next_lost()
 {
     const auto is_lost = [](const auto& each) { return !each.second.alive; };
-    auto found = std::find_if(
-        members_.upper_bound(last_lost_), members_.end(), is_lost);
+    auto found =
+        std::find_if(members_.upper_bound(last_lost_), members_.end(), is_lost);
     if (found == members_.end())
         found = std::find_if(members_.begin(), members_.end(), is_lost);
     if (found == members_.end())
--- a/src/gateway/documents.hpp
+++ b/src/gateway/documents.hpp
@@ -59,8 +59,7 @@
     }
 
 private:
-    void tell(
-        std::int64_t after, std::vector<remote_store::changed_row> rows);
+    void tell(std::int64_t after, std::vector<remote_store::changed_row> rows);
     void put_entry(
         const std::string& key, const std::string& value, time_point now);
     /// Returns whether the entry is gone at once.
--- a/src/gateway/fleet_reports.cpp
+++ b/src/gateway/fleet_reports.cpp
@@ -37,10 +37,10 @@
 {
     for (const auto& each : told.demands)
     {
-        const auto before = std::find_if(to.told.demands.begin(),
-            to.told.demands.end(),
-            [&](const limits::workspace_demand& earlier)
-            { return earlier.workspace == each.workspace; });
+        const auto before =
+            std::find_if(to.told.demands.begin(), to.told.demands.end(),
+                [&](const limits::workspace_demand& earlier)
+                { return earlier.workspace == each.workspace; });
         if (before != to.told.demands.end())
             to.credited[each.workspace] +=
                 std::max(0.0, each.admitted_units - before->admitted_units);
--- a/src/gateway/fleet_reports.hpp
+++ b/src/gateway/fleet_reports.hpp
@@ -42,8 +42,7 @@
     static constexpr std::chrono::milliseconds lifetime{1'500};
 
     /// The report of a member of this relay's group.
-    void put_member(
-        const instance_id& from, fleet_report told, time_point now);
+    void put_member(const instance_id& from, fleet_report told, time_point now);
     /// The sums of another relay over its group.
     void put_group(const instance_id& relay, fleet_report told, time_point now);
     /// Drops reports whose lifetime has passed. Their units stay counted.
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -289,8 +289,8 @@
     // A full queue means that it is still away.
     const auto sent =
         transport_->send_to_address(lost->peer_address, std::move(message));
-    on_.log.info("lost_peer_called", {{"peer", lost->id.str()},
-                                         {"sent", sent.has_value()}});
+    on_.log.info("lost_peer_called",
+        {{"peer", lost->id.str()}, {"sent", sent.has_value()}});
 }
 
 void peer_link::announce()
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -123,10 +123,10 @@
         const instance_id& from, const peer::Gateway_heartbeat& beat);
     void take_report(const instance_id& from,
         const peer::Gateway_heartbeat& beat, time_point now);
-    void use_report(const instance_id& from, const fleet_report& told,
-        time_point now);
-    void note_holder(const instance_id& holder, std::int64_t fencing,
-        time_point heard_at);
+    void use_report(
+        const instance_id& from, const fleet_report& told, time_point now);
+    void note_holder(
+        const instance_id& holder, std::int64_t fencing, time_point heard_at);
     void note_documents(const instance_id& from,
         const peer::Gateway_heartbeat& beat, time_point now);
     void ask_for_documents(const instance_id& from,
--- a/src/gateway/report_router.cpp
+++ b/src/gateway/report_router.cpp
@@ -20,9 +20,8 @@
     const auto& self = known.self();
     members.push_back(self);
     self_ = self.id;
-    const auto limit = relayed_
-                           ? fleet::largest_direct_fleet - mode_hysteresis
-                           : fleet::largest_direct_fleet;
+    const auto limit = relayed_ ? fleet::largest_direct_fleet - mode_hysteresis
+                                : fleet::largest_direct_fleet;
     relayed_ = members.size() > limit;
     reports_.expire(now);
     chosen_relays_.clear();
@@ -52,8 +51,8 @@
     if (silent)
         avoided_until_[relay_] = now + relay_avoidance;
     std::set<instance_id> avoided;
-    std::erase_if(avoided_until_,
-        [now](const auto& each) { return now >= each.second; });
+    std::erase_if(
+        avoided_until_, [now](const auto& each) { return now >= each.second; });
     for (const auto& [id, until] : avoided_until_)
         avoided.insert(id);
     const auto relays =
--- a/src/placement/plan_draft.cpp
+++ b/src/placement/plan_draft.cpp
@@ -36,9 +36,7 @@
 void plan_draft::measure_loads()
 {
     const auto counts = [](const replica_view& each)
-    {
-        return !each.going && (each.ready || each.coming);
-    };
+    { return !each.going && (each.ready || each.coming); };
     engine_loads_.assign(view_.engines.size(), 0);
     capacities_.assign(view_.models.size(), 0);
     for (std::size_t i = 0; i < view_.engines.size(); ++i)
@@ -64,8 +62,7 @@
 double plan_draft::load_of_others(std::size_t engine, std::size_t model) const
 {
     const auto& held = models_at_[engine];
-    const bool holds =
-        std::find(held.begin(), held.end(), model) != held.end();
+    const bool holds = std::find(held.begin(), held.end(), model) != held.end();
     return std::max(
         0.0, engine_loads_[engine] - (holds ? replica_load(model) : 0.0));
 }
@@ -380,8 +377,8 @@
         if (!option)
             continue;
         const auto load = load_of_others(i, index_of(model));
-        if (!best || std::tie(option->loss, load) <
-                         std::tie(best->loss, best_load))
+        if (!best ||
+            std::tie(option->loss, load) < std::tie(best->loss, best_load))
         {
             best = std::move(option);
             best_load = load;
