--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -13,6 +13,10 @@
 
 using nlohmann::json;
 
+/// No request may reach an endpoint this long after its end was written, by the
+/// bounds of the largest deployments.
+constexpr milliseconds drain_bound{3'000};
+
 } // namespace
 
 class gateway_test : public CppUnit::TestFixture
@@ -24,6 +28,7 @@
     CPPUNIT_TEST(an_outage_of_the_store_stops_nothing);
     CPPUNIT_TEST(a_planned_stop_cuts_no_request);
     CPPUNIT_TEST(a_stop_ends_in_time_beside_streams_that_outlast_it);
+    CPPUNIT_TEST(a_large_fleet_learns_of_changes_although_its_relay_dies);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -179,7 +184,54 @@
             log.find("\"process_ended\",\"running\":0") == std::string::npos);
     }
 
+    // Guards against instances that keep an old route, a withdrawn key or an
+    // endpoint that has left when the relay that tells them dies.
+    void a_large_fleet_learns_of_changes_although_its_relay_dies()
+    {
+        constexpr int size = 12;
+        gateway_system system(size);
+        const auto relay = [&](int i) { return latest_relay(system, i); };
+        CPPUNIT_ASSERT(eventually(
+            [&]
+            {
+                for (int i = 0; i < size; ++i)
+                    if (relay(i) < 0 || relay(i) != relay(0))
+                        return false;
+                return true;
+            },
+            milliseconds(30'000)));
+        const auto dead = relay(0);
+        system.gateways.at(static_cast<std::size_t>(dead))->kill();
+        auto next = make_configuration(9);
+        next["tenants"][0]["api_keys"] = {"k2"};
+        system.configure(next);
+        system.put("servers", "s1", nullptr);
+        for (int i = 0; i < size; ++i)
+            if (i != dead)
+                CPPUNIT_ASSERT(eventually(
+                    [&] { return system.call(i, "/safe/x").status == 401; }));
+        std::this_thread::sleep_for(drain_bound);
+        const auto before = system.runs("s1").at("runs").size();
+        for (int i = 0; i < size; ++i)
+            if (i != dead)
+                CPPUNIT_ASSERT_EQUAL(
+                    200, system.call(i, "/safe/x", "", "k2").status);
+        CPPUNIT_ASSERT_EQUAL(before, system.runs("s1").at("runs").size());
+    }
+
 private:
+    // Number of the gateway that this one reports to; -1 for none.
+    static int latest_relay(const gateway_system& system, int i)
+    {
+        const auto log =
+            system.gateways.at(static_cast<std::size_t>(i))->output();
+        const std::string begin = "\"relay_chosen\",\"relay\":\"i";
+        const auto found = log.rfind(begin);
+        return found == std::string::npos
+                   ? -1
+                   : std::atoi(log.c_str() + found + begin.size());
+    }
+
     static bool whole(gateway_system& system, int i, const std::string& model)
     {
         const auto reply = system.call(i, "/stream/x", model);
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -204,7 +204,8 @@
 }
 
 // Seeds of the cases. TQ_SOAK_FIRST and TQ_SOAK_COUNT choose others than those
-// that every run plays.
+// that every run plays. Seed 1 failed once, when the soak did not wait for a
+// gateway that was still stopping.
 std::vector<std::uint32_t> seeds()
 {
     const auto* first = std::getenv("TQ_SOAK_FIRST");
