Do not use the control core after its end in handlers of the store

Cause: handlers of store calls run on threads of gRPC and reached the io_context through the control core or its control store. The client of the store outlives both, and cancels its calls when it is destroyed, so a handler could read freed memory; the first member of the core is the reference to the io_context. The daemon destroys its parts in the same order, so a planned stop could crash the same way.

Ruled out: the damaged messages themselves.

--- a/src/daemon/control_core.cpp
+++ b/src/daemon/control_core.cpp
@@ -117,10 +117,11 @@
     { on_store_contact(sent_at, head); };
     observer.on_store_failure = [this](const error& reason)
     { on_store_failure(reason); };
+    // Threads of the client may post after the core was destroyed.
     replica_ = std::make_unique<replica_type>(
         process_.store, clock_, process_.published, std::move(objects),
-        [this](std::function<void()> task)
-        { boost::asio::post(control_, std::move(task)); },
+        [&control = control_](std::function<void()> task)
+        { boost::asio::post(control, std::move(task)); },
         std::move(observer));
 }
 
--- a/src/daemon/control_core_fuzz_test.cpp
+++ b/src/daemon/control_core_fuzz_test.cpp
@@ -3,11 +3,11 @@
 #include "daemon/control_core.hpp"
 
 #include <array>
-#include <memory>
 #include <string>
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "daemon/core_fixture.hpp"
 #include "support/message_mutation.hpp"
 
 namespace tarragonquay::daemon
@@ -33,34 +33,10 @@
 
     using random_source = test_support::message_mutator;
 
-    /// A core without a store, with a configuration of three members.
-    struct node
+    /// A core without a store.
+    struct node : core_fixture
     {
-        node()
-        {
-            settings.instance = instance_id("a");
-            settings.availability_zone = "z";
-            settings.region = "r";
-            settings.listen.peer = settings.advertise.peer = "127.0.0.1:0";
-            settings.events_kept = events_kept;
-            auto made_store = store::client::create(nowhere);
-            CPPUNIT_ASSERT(made_store.has_value());
-            store = std::move(*made_store);
-            auto made = control_core::create(
-                io, {settings, *store, published, events, metrics}, nowhere);
-            CPPUNIT_ASSERT_MESSAGE(
-                made ? "" : made.error().message(), made.has_value());
-            core = std::move(*made);
-            core->start();
-        }
-
-        settings::daemon_settings settings;
-        boost::asio::io_context io;
-        std::unique_ptr<store::client> store;
-        catalog::published_state published;
-        events::recorder events{"a", events_kept};
-        metrics::registry metrics;
-        std::unique_ptr<control_core> core;
+        node() : core_fixture(nowhere, events_kept) { core->start(); }
     };
 
     static config::Snapshot whole_snapshot(const control_core& core)
--- a/src/daemon/control_endpoints.cpp
+++ b/src/daemon/control_endpoints.cpp
@@ -62,9 +62,11 @@
     if (std::exchange(listing_, true))
         return;
     process_.store.list_instances(clock_.now() + list_call_limit,
-        [this](result<store::instance_list> listed)
+        [this, &control = control_](result<store::instance_list> listed)
         {
-            boost::asio::post(control_,
+            // A thread of the client may run this after the core was
+            // destroyed; the control thread does not.
+            boost::asio::post(control,
                 [this, listed = std::move(listed)]
                 {
                     listing_ = false;
--- a/src/daemon/control_store.hpp
+++ b/src/daemon/control_store.hpp
@@ -13,7 +13,9 @@
 namespace tarragonquay::daemon
 {
 
-/// The platform's table with handlers that run on the control thread.
+/// The platform's table with handlers that run on the control thread. The
+/// client may end its calls after this object was destroyed; the io_context
+/// has to outlive them.
 class control_store
 {
 public:
@@ -47,9 +49,10 @@
     template <class T>
     store::handler<T> on_control(store::handler<T> on_done)
     {
-        return [this, on_done = std::move(on_done)](result<T> value)
+        return [&control = control_, on_done = std::move(on_done)](
+                   result<T> value)
         {
-            boost::asio::post(control_,
+            boost::asio::post(control,
                 [on_done, value = std::move(value)]() mutable
                 { on_done(std::move(value)); });
         };
