--- a/src/daemon/control_store.hpp
+++ b/src/daemon/control_store.hpp
@@ -49,8 +49,8 @@
     template <class T>
     store::handler<T> on_control(store::handler<T> on_done)
     {
-        return [&control = control_, on_done = std::move(on_done)](
-                   result<T> value)
+        return
+            [&control = control_, on_done = std::move(on_done)](result<T> value)
         {
             boost::asio::post(control,
                 [on_done, value = std::move(value)]() mutable
