Let the holder of the placement lease confirm it after a lost answer

A gateway looked for the lease only while it held it or heard of no holder. A holder whose renewal had an unknown outcome did not hold it for the moment, but heard of itself as the holder, so it gave no commands until the lease had lapsed and 3 s more had passed. The keeper now decides itself whether it has a lease to confirm. Writes that are not confirmed are logged.

Ruled out: a takeover by another instance; the fencing number stayed 1.

--- a/src/gateway/application.ipp
+++ b/src/gateway/application.ipp
@@ -164,9 +164,7 @@
     directory_feed_.on_return(
         [this](time_point now) { documents_.note_store_return(now); });
     const auto follows = [this]
-    {
-        return peers_.follows_store(std::chrono::steady_clock::now());
-    };
+    { return peers_.follows_store(std::chrono::steady_clock::now()); };
     configuration_feed_.only_while(follows);
     directory_feed_.only_while(follows);
     peers_.on_feed_behind([this] { directory_feed_.restart(); });
@@ -201,6 +199,12 @@
                 "placement_lease_obtained", {{"fencing", lease_->fencing()}});
             placement_->begin(std::chrono::steady_clock::now());
         });
+    lease_->on_unconfirmed(
+        [this](const error& reason)
+        {
+            on_.log.warning(
+                "placement_lease_unconfirmed", {{"reason", reason.message()}});
+        });
     lease_->on_lost(
         [this]
         {
@@ -298,8 +302,8 @@
     // Reads of the row cost calls of the store, so only a gateway that hears
     // of no holder looks for a lease to take, and in a large fleet only relays.
     const bool vacant = !peers_.holder_alive(now) && peers_.may_place();
-    if (!on_.stopping && (lease_->holds() || lease_->busy() || vacant))
-        lease_->tick();
+    if (!on_.stopping)
+        lease_->tick(vacant);
 }
 
 template <remote_store::store_codec Codec>
--- a/src/placement/controller.ipp
+++ b/src/placement/controller.ipp
@@ -103,7 +103,7 @@
     placement_planner P>
 void controller<S, C, T, P>::tick()
 {
-    lease_.tick();
+    lease_.tick(true);
     refill_loads();
     if (!lease_.holds())
         return;
--- a/src/placement/lease_keeper.hpp
+++ b/src/placement/lease_keeper.hpp
@@ -68,6 +68,12 @@
     {
         on_lost_ = std::move(observer);
     }
+    /// Called with the reason when a write was not confirmed; commands stop
+    /// until the row was read and written again.
+    void on_unconfirmed(std::function<void(const error&)> observer)
+    {
+        on_unconfirmed_ = std::move(observer);
+    }
 
     /// Whether this instance holds the lease and knows the row's version.
     bool holds() const
@@ -83,7 +89,9 @@
     void commit(const row_writer& rows, std::int64_t numbers,
         store::handler<std::int64_t> on_done);
 
-    void tick();
+    /// Renews the lease; after a write whose outcome is unknown, reads the row
+    /// and obtains it again. Looks for a lease of others only if `may_take`.
+    void tick(bool may_take);
 
     /// Gives the lease up, so that another instance may take it soon. The
     /// keeper must not be used afterwards but for its destruction.
@@ -120,6 +128,7 @@
     const Clock& clock_;
     std::function<void()> on_settled_;
     std::function<void()> on_lost_;
+    std::function<void(const error&)> on_unconfirmed_;
     lease state_;
     std::int64_t version_ = 0;
     bool holder_ = false;
@@ -179,6 +188,10 @@
                     outcome.error().code() == error_code::store_unavailable;
                 if (!untouched)
                     settled_ = false;
+                if (on_unconfirmed_)
+                    on_unconfirmed_(outcome ? error(error_code::conflict,
+                                                  "the row has another version")
+                                            : outcome.error());
                 next_read_ = clock_.now();
                 next_renewal_ = clock_.now() + settings_.timing.read_interval;
                 on_done(fail(error_code::store_outcome_unknown,
@@ -212,12 +225,12 @@
 }
 
 template <store::table_store Store, clock_source Clock>
-void lease_keeper<Store, Clock>::tick()
+void lease_keeper<Store, Clock>::tick(bool may_take)
 {
     const auto now = clock_.now();
     if (holder_ && now >= valid_until_)
         lose();
-    if (busy_)
+    if (busy_ || (!holder_ && !may_take))
         return;
     if (holder_ && settled_)
     {
