Repeat renewals of the placement lease and regain a lapsed one

A call of the store for the lease had 2 s, and a renewal that failed was repeated after 1 s more, so two of them used up the validity of 4 s. Calls of a gateway now have 1 s, a holder repeats at once, and a holder whose lease lapsed reads the row by itself until it sees another holder, without waiting until nobody hears of a holder any more. A release waits for a renewal in progress; before, that renewal changed the row and the release was refused. An instance that lost the race for the lease reads again after a second instead of at once, and one that waits for the distance reads when it ends.

--- a/src/gateway/application.ipp
+++ b/src/gateway/application.ipp
@@ -40,6 +40,8 @@
 /// The holder renews this often and stops this long after its last renewal.
 inline constexpr milliseconds renewal_interval{1'000};
 inline constexpr milliseconds lease_validity{4'000};
+/// A renewal that gets no answer can be repeated twice while the lease holds.
+inline constexpr milliseconds lease_call_limit{1'000};
 /// Beyond the validity and the deployment's distance between two holders.
 inline constexpr milliseconds takeover_margin{500};
 
@@ -185,6 +187,7 @@
     lease_settings.timing.renewal_interval = renewal_interval;
     lease_settings.timing.read_interval = renewal_interval;
     lease_settings.timing.valid_for = lease_validity;
+    lease_settings.timing.call_limit = lease_call_limit;
     lease_settings.timing.takeover_after =
         lease_validity + distance + takeover_margin;
     lease_settings.timing.takeover_after_release = distance + takeover_margin;
--- a/src/placement/controller.ipp
+++ b/src/placement/controller.ipp
@@ -129,7 +129,7 @@
     std::string after, commands found, int generation)
 {
     constexpr std::int32_t page_size = 500;
-    const auto deadline = clock_.now() + lease_keeper<S, C>::call_deadline;
+    const auto deadline = clock_.now() + lease_timing().call_limit;
     store_.scan(intent_prefix(), std::move(after), page_size, deadline,
         [this, alive = std::weak_ptr<int>(alive_), found = std::move(found),
             generation](result<store::scan_page> page) mutable
--- a/src/placement/lease_keeper.hpp
+++ b/src/placement/lease_keeper.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -27,6 +28,9 @@
     std::chrono::milliseconds valid_for{8'000};
     /// Wait of the next holder after a release.
     std::chrono::milliseconds takeover_after_release{0};
+    /// Longest time of one call of the store, so that a renewal that gets no
+    /// answer can be repeated while the lease is valid.
+    std::chrono::milliseconds call_limit{2'000};
 
     auto operator<=>(const lease_timing&) const = default;
 };
@@ -46,8 +50,6 @@
 class lease_keeper
 {
 public:
-    static constexpr std::chrono::seconds call_deadline{2};
-
     /// Rows to write, given the first fencing number of the transaction.
     using row_writer =
         std::function<std::vector<store::write>(std::int64_t first_fencing)>;
@@ -78,7 +80,7 @@
     /// Whether this instance holds the lease and knows the row's version.
     bool holds() const
     {
-        return holder_ && settled_ && clock_.now() < valid_until_;
+        return holder_ && settled_ && !released_ && clock_.now() < valid_until_;
     }
     bool busy() const { return busy_; }
     /// Number of the lease; it grows with each holder and each commit.
@@ -89,8 +91,9 @@
     void commit(const row_writer& rows, std::int64_t numbers,
         store::handler<std::int64_t> on_done);
 
-    /// Renews the lease; after a write whose outcome is unknown, reads the row
-    /// and obtains it again. Looks for a lease of others only if `may_take`.
+    /// Renews the lease. After a write whose outcome is unknown, and after the
+    /// lease has lapsed, reads the row and obtains the lease again unless
+    /// another instance has it. Looks for a lease of others only if `may_take`.
     void tick(bool may_take);
 
     /// Gives the lease up, so that another instance may take it soon. The
@@ -99,6 +102,7 @@
 
 private:
     void lose();
+    void write_release();
     void read_row();
     void consider(const std::optional<store::row>& found);
     void write_lease(lease next, std::vector<store::write> rows,
@@ -109,7 +113,10 @@
         return value.instance == settings_.instance &&
                value.incarnation == settings_.incarnation;
     }
-    time_point call_end() const { return clock_.now() + call_deadline; }
+    time_point call_end() const
+    {
+        return clock_.now() + settings_.timing.call_limit;
+    }
 
     // Wraps a handler so that it does nothing once this object is gone.
     template <class Function>
@@ -134,6 +141,9 @@
     bool holder_ = false;
     bool settled_ = false;
     bool busy_ = false;
+    bool released_ = false;
+    // The lease lapsed here, and no other holder was seen since.
+    bool regaining_ = false;
     time_point valid_until_{};
     time_point next_renewal_{};
     time_point next_read_{};
@@ -179,6 +189,8 @@
                     next_renewal_ = started + settings_.timing.renewal_interval;
                     if (!std::exchange(settled_, true) && on_settled_)
                         on_settled_();
+                    if (released_)
+                        write_release();
                     return on_done(first);
                 }
                 // Another version may mean that an earlier write of this
@@ -192,8 +204,11 @@
                     on_unconfirmed_(outcome ? error(error_code::conflict,
                                                   "the row has another version")
                                             : outcome.error());
+                // The holder tries again at once; others have lost a race.
+                next_renewal_ = clock_.now();
                 next_read_ = clock_.now();
-                next_renewal_ = clock_.now() + settings_.timing.read_interval;
+                if (!holder_)
+                    next_read_ += settings_.timing.read_interval;
                 on_done(fail(error_code::store_outcome_unknown,
                     "The write with the placement lease was not confirmed."));
             }));
@@ -205,6 +220,7 @@
     if (!std::exchange(holder_, false))
         return;
     settled_ = false;
+    regaining_ = true;
     next_read_ = clock_.now();
     if (on_lost_)
         on_lost_();
@@ -213,7 +229,15 @@
 template <store::table_store Store, clock_source Clock>
 void lease_keeper<Store, Clock>::release()
 {
-    if (!holds())
+    released_ = true;
+    if (!busy_)
+        write_release();
+}
+
+template <store::table_store Store, clock_source Clock>
+void lease_keeper<Store, Clock>::write_release()
+{
+    if (!holder_ || !settled_ || clock_.now() >= valid_until_)
         return;
     auto next = state_;
     next.released = true;
@@ -230,7 +254,8 @@
     const auto now = clock_.now();
     if (holder_ && now >= valid_until_)
         lose();
-    if (busy_ || (!holder_ && !may_take))
+    const bool concerned = holder_ || regaining_ || may_take;
+    if (busy_ || released_ || !concerned)
         return;
     if (holder_ && settled_)
     {
@@ -280,16 +305,21 @@
     if (found && current.instance != settings_.instance)
     {
         lose();
+        regaining_ = false;
         if (seen_version_ != version)
         {
             seen_version_ = version;
             seen_since_ = now;
         }
         const auto& timing = settings_.timing;
-        if (now - seen_since_ < (current.released
-                                        ? timing.takeover_after_release
-                                        : timing.takeover_after))
+        const auto free_at =
+            seen_since_ + (current.released ? timing.takeover_after_release
+                                            : timing.takeover_after);
+        if (now < free_at)
+        {
+            next_read_ = std::min(next_read_, free_at);
             return;
+        }
     }
     seen_version_.reset();
     state_ = current;
