Look for the placement lease as soon as its holder gives it up

A gateway that stops releases the lease, but the others waited until they had heard of no holder for 1.5 s (3 s in a large fleet) before they looked at the row. Its heartbeats say that it has no lease; this now counts, also against older news that is passed on.

--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -77,12 +77,12 @@
     out.set_store_reached(feeds_working_);
     out.set_documents_current(
         feeds_working_ || now - documents_heard_at_ < documents_patience);
-    if (router_.relayed() && !holder_.empty())
+    if (router_.relayed() && holder_.alive(now, member_lifetime()))
     {
-        out.set_placement_holder(holder_.str());
-        out.set_holder_fencing(holder_fencing_);
+        out.set_placement_holder(holder_.id().str());
+        out.set_holder_fencing(holder_.fencing());
         out.set_holder_heard_ms_ago(
-            std::chrono::duration_cast<milliseconds>(now - holder_heard_at_)
+            std::chrono::duration_cast<milliseconds>(now - holder_.heard_at())
                 .count());
     }
     return out;
@@ -92,7 +92,9 @@
 {
     placement_fencing_ = placement_fencing;
     if (placement_fencing > 0)
-        note_holder(on_.roster.self().id, placement_fencing, now);
+        holder_.note(on_.roster.self().id, placement_fencing, now);
+    else
+        holder_.note_without_lease(on_.roster.self().id, now);
     on_.roster.set_ready(on_.ready());
     on_.roster.beat();
     lose_silent_members(now);
@@ -218,15 +220,15 @@
     write(sums, beat);
     auto receivers = router_.other_relays();
     for (const auto& each : receivers)
-        if (each != holder_)
+        if (each != holder_.id())
             send(each, message);
-    if (holder_.empty() || holder_ == on_.roster.self().id)
+    if (holder_.id().empty() || holder_.id() == on_.roster.self().id)
         return;
     fleet_report demand;
     demand.models = models;
     demand.instances = sums.instances;
     write(demand, beat);
-    send(holder_, message);
+    send(holder_.id(), message);
 }
 
 void peer_link::tell_members(time_point now)
@@ -394,7 +396,7 @@
     request.set_service(wanted.service.str());
     request.set_model(wanted.model.str());
     request.set_adapter(wanted.adapter.str());
-    send(holder_, message);
+    send(holder_.id(), message);
 }
 
 } // namespace tarragonquay::gateway
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -13,6 +13,7 @@
 
 #include "gateway/context.hpp"
 #include "gateway/documents.hpp"
+#include "gateway/known_holder.hpp"
 #include "gateway/peer_messages.hpp"
 #include "gateway/report_router.hpp"
 #include "peering/transport.hpp"
@@ -65,7 +66,7 @@
     /// Whether a holder of the placement lease was heard of lately.
     bool holder_alive(time_point now) const
     {
-        return now - holder_heard_at_ < member_lifetime();
+        return holder_.alive(now, member_lifetime());
     }
     /// Whether this instance reads the store: all do in a small fleet, in a
     /// large one the relays and those that hear of no working feed.
@@ -125,8 +126,6 @@
         const peer::Gateway_heartbeat& beat, time_point now);
     void use_report(
         const instance_id& from, const fleet_report& told, time_point now);
-    void note_holder(
-        const instance_id& holder, std::int64_t fencing, time_point heard_at);
     void note_documents(const instance_id& from,
         const peer::Gateway_heartbeat& beat, time_point now);
     void ask_for_documents(const instance_id& from,
@@ -146,10 +145,7 @@
     std::function<void(const demanded_model&)> on_adapter_request_;
     std::function<void()> on_feed_behind_;
     std::int64_t placement_fencing_ = 0;
-    /// Latest holder of the placement lease that was heard of.
-    instance_id holder_;
-    std::int64_t holder_fencing_ = 0;
-    time_point holder_heard_at_{};
+    known_holder holder_;
     bool directory_away_ = false;
     bool feeds_working_ = false;
     /// Last news from working change feeds, of the own relay or another one.
--- a/src/gateway/peer_receive.cpp
+++ b/src/gateway/peer_receive.cpp
@@ -64,9 +64,12 @@
         on_.roster.note_progress(
             {each.key(), each.heartbeat(), each.ready()}, now);
     if (beat.placement_fencing() > 0)
-        note_holder(from, beat.placement_fencing(), now);
+        holder_.note(from, beat.placement_fencing(), now);
+    else
+        holder_.note_without_lease(from, now);
     if (!beat.placement_holder().empty())
-        note_holder(instance_id(beat.placement_holder()), beat.holder_fencing(),
+        holder_.note(instance_id(beat.placement_holder()),
+            beat.holder_fencing(),
             now - milliseconds(beat.holder_heard_ms_ago()));
     take_report(from, beat, now);
     note_documents(from, beat, now);
@@ -76,18 +79,6 @@
         introduce(from, now);
 }
 
-void peer_link::note_holder(
-    const instance_id& holder, std::int64_t fencing, time_point heard_at)
-{
-    if (fencing < holder_fencing_)
-        return;
-    if (holder != holder_ || fencing > holder_fencing_)
-        holder_heard_at_ = heard_at;
-    holder_ = holder;
-    holder_fencing_ = fencing;
-    holder_heard_at_ = std::max(holder_heard_at_, heard_at);
-}
-
 void peer_link::take_report(const instance_id& from,
     const peer::Gateway_heartbeat& beat, time_point now)
 {
@@ -250,7 +241,7 @@
             told.accepted_commands, std::move(told.models));
     }
     on_.residency_changed.raise();
-    if (!router_.acts_as_relay() || from != holder_)
+    if (!router_.acts_as_relay() || from != holder_.id())
         return;
     for (const auto& each : router_.reports().members())
         if (each != from && each != on_.roster.self().id)
