Do not take a late confirmation for the placement lease

A process that was suspended during a renewal got the confirmation after its lease had lapsed, reported the lease as obtained, lost it at the next tick and looked at the row one tick later. It now looks at the row at once, and a lost lease is looked for in the same tick.

--- a/src/placement/lease_keeper.hpp
+++ b/src/placement/lease_keeper.hpp
@@ -102,6 +102,7 @@
 
 private:
     void lose();
+    void look_again();
     void write_release();
     void read_row();
     void consider(const std::optional<store::row>& found);
@@ -184,8 +185,15 @@
                 {
                     state_ = next;
                     version_ = outcome->revision;
-                    holder_ = true;
                     valid_until_ = started + settings_.timing.valid_for;
+                    // A process that was suspended gets its answer too late.
+                    if (clock_.now() >= valid_until_)
+                    {
+                        look_again();
+                        return on_done(fail(error_code::conflict,
+                            "The placement lease was confirmed too late."));
+                    }
+                    holder_ = true;
                     next_renewal_ = started + settings_.timing.renewal_interval;
                     if (!std::exchange(settled_, true) && on_settled_)
                         on_settled_();
@@ -219,11 +227,17 @@
 {
     if (!std::exchange(holder_, false))
         return;
+    look_again();
+    if (on_lost_)
+        on_lost_();
+}
+
+template <store::table_store Store, clock_source Clock>
+void lease_keeper<Store, Clock>::look_again()
+{
     settled_ = false;
     regaining_ = true;
     next_read_ = clock_.now();
-    if (on_lost_)
-        on_lost_();
 }
 
 template <store::table_store Store, clock_source Clock>
@@ -251,9 +265,9 @@
 template <store::table_store Store, clock_source Clock>
 void lease_keeper<Store, Clock>::tick(bool may_take)
 {
-    const auto now = clock_.now();
-    if (holder_ && now >= valid_until_)
+    if (holder_ && clock_.now() >= valid_until_)
         lose();
+    const auto now = clock_.now();
     const bool concerned = holder_ || regaining_ || may_take;
     if (busy_ || released_ || !concerned)
         return;
--- a/src/placement/lease_keeper_test.cpp
+++ b/src/placement/lease_keeper_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(failed_renewal_is_repeated_at_once);
     CPPUNIT_TEST(former_holder_that_sees_another_is_one_of_the_others);
     CPPUNIT_TEST(release_waits_for_a_renewal_in_progress);
+    CPPUNIT_TEST(confirmation_after_a_suspension_is_no_lease);
     CPPUNIT_TEST(others_read_the_row_only_when_they_may_take_it);
     CPPUNIT_TEST(released_lease_is_taken_after_its_distance);
     CPPUNIT_TEST_SUITE_END();
@@ -176,6 +177,31 @@
         CPPUNIT_ASSERT(tested.holds());
     }
 
+    // Guards against a lease that is reported as obtained although it lapsed
+    // while the process was suspended, and against the wait that followed.
+    void confirmation_after_a_suspension_is_no_lease()
+    {
+        delayed_store delayed{store_, {}};
+        lease_keeper<delayed_store, fake_clock> tested(
+            settings_of("a"), delayed, clock_);
+        int obtained = 0;
+        tested.on_settled([&] { ++obtained; });
+        tested.tick(true);
+        delayed.answer_all();
+        clock_.advance(std::chrono::seconds(1));
+        tested.tick(false);
+        clock_.advance(std::chrono::seconds(8));
+        tested.tick(false);
+        delayed.answer_all();
+        CPPUNIT_ASSERT_EQUAL(1, obtained);
+        CPPUNIT_ASSERT(!tested.holds());
+        clock_.advance(tick_interval);
+        tested.tick(false);
+        delayed.answer_all();
+        CPPUNIT_ASSERT_EQUAL(2, obtained);
+        CPPUNIT_ASSERT(tested.holds());
+    }
+
     // Guards against calls of the store by each instance of a fleet.
     void others_read_the_row_only_when_they_may_take_it()
     {
