Count calls of the store, engine commands and the placement lease

On-call engineers could not see from metrics whether a gateway has the lease or reaches the store. The client of the store tells each ended call; it has unit tests now, which it lacked.

--- a/src/gateway/application.hpp
+++ b/src/gateway/application.hpp
@@ -53,6 +53,7 @@
 
     result<void> listen();
     void start_feeds();
+    void count_store_calls();
     void start_lease();
     void wait_for_signal();
     void schedule_tick();
--- a/src/gateway/application.ipp
+++ b/src/gateway/application.ipp
@@ -91,6 +91,7 @@
     if (auto listening = out->listen(); !listening)
         return tl::unexpected<error>(listening.error());
     out->start_feeds();
+    out->count_store_calls();
     out->start_lease();
     out->wait_for_signal();
     out->schedule_tick();
@@ -175,6 +176,25 @@
     boost::asio::co_spawn(io_, directory_feed_.run(), boost::asio::detached);
 }
 
+template <remote_store::store_codec Codec>
+void application<Codec>::count_store_calls()
+{
+    store_.on_call_ended(
+        [this](const remote_store::call_record& ended)
+        {
+            const std::string kind = ended.is_feed ? "feed" : "call";
+            on_.metrics.add("tq_gateway_store_calls_total",
+                {{"kind", kind},
+                    {"outcome", ended.failure
+                                    ? std::string(to_string(*ended.failure))
+                                    : "answered"}});
+            // A feed waits for changes, so its time tells nothing.
+            if (!ended.is_feed)
+                on_.metrics.observe("tq_gateway_store_call_seconds", {},
+                    std::chrono::duration<double>(ended.elapsed).count());
+        });
+}
+
 template <remote_store::store_codec Codec>
 void application<Codec>::start_lease()
 {
@@ -457,6 +477,9 @@
         static_cast<double>(on_.caller_connections));
     on_.metrics.set(
         "tq_gateway_instances", {}, static_cast<double>(on_.roster.size()));
+    on_.metrics.set("tq_gateway_endpoints", {},
+        static_cast<double>(on_.board.entries().size()));
+    on_.metrics.set("tq_gateway_placement_lease", {}, lease_->holds() ? 1 : 0);
     on_.metrics.set("tq_gateway_log_lines_dropped", {},
         static_cast<double>(on_.log.dropped_lines()));
     return {200, "text/plain; version=0.0.4", on_.metrics.prometheus_text()};
--- a/src/gateway/placement_commands.cpp
+++ b/src/gateway/placement_commands.cpp
@@ -66,14 +66,18 @@
         account->second.accepted_commands(), on_.settings.instance.str(),
         fencing_()};
     const auto answer = co_await send_engine_command(on_, *entry, body);
+    const std::string outcome(
+        answer ? to_string(*answer) : to_string(answer.error().code()));
     on_.log.info("engine_command",
         {{"engine", what.engine.str()},
             {"command", placement::to_string(what.kind)},
             {"model", what.model.str()}, {"adapter", what.adapter.str()},
             {"fencing", body.fencing},
             {"expected_commands", body.expected_commands},
-            {"answer", answer ? to_string(*answer)
-                              : to_string(answer.error().code())}});
+            {"answer", outcome}});
+    on_.metrics.add("tq_gateway_engine_commands_total",
+        {{"command", std::string(placement::to_string(what.kind))},
+            {"answer", outcome}});
     const auto again = engines_.find(what.engine);
     if (generation != generation_ || again == engines_.end())
         co_return false;
--- a/src/remote_store/http_table_store.hpp
+++ b/src/remote_store/http_table_store.hpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -13,6 +14,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "common/clock.hpp"
 #include "endpoints/http_exchange.hpp"
 #include "remote_store/calls.hpp"
 #include "store/types.hpp"
@@ -20,6 +22,18 @@
 namespace tarragonquay::remote_store
 {
 
+/// An ended call of the store, for metrics.
+struct call_record
+{
+    /// Change feeds wait for changes.
+    bool is_feed = false;
+    /// No value when the store answered, whatever it said.
+    std::optional<error_code> failure;
+    duration elapsed{};
+
+    auto operator<=>(const call_record&) const = default;
+};
+
 /// Client of a table service over HTTP: a second transport of the concept
 /// store::table_store, with change feeds besides. Runs on one thread.
 template <store_codec Codec>
@@ -32,6 +46,11 @@
     {
     }
 
+    void on_call_ended(std::function<void(const call_record&)> observer)
+    {
+        on_call_ended_ = std::move(observer);
+    }
+
     void transact(std::vector<store::condition> conditions,
         std::vector<store::write> writes, time_point deadline,
         store::handler<store::transact_outcome> on_done)
@@ -112,11 +131,15 @@
             auto opened = co_await endpoints::http_connection::open(
                 address_, now + answer_time);
             if (!opened)
+            {
+                note_end(true, opened, now);
                 co_return tl::unexpected<error>(opened.error());
+            }
             connection.emplace(std::move(*opened));
         }
         auto got = co_await round_trip(*connection,
             make_request(Codec::follow_table(table, after, wait_ms), deadline));
+        note_end(true, got, now);
         if (!got || !connection->reusable())
             connection.reset();
         if (!got)
@@ -125,6 +148,19 @@
     }
 
 private:
+    template <class T>
+    void note_end(bool is_feed, const result<T>& got, time_point began) const
+    {
+        if (!on_call_ended_)
+            return;
+        call_record ended;
+        ended.is_feed = is_feed;
+        if (!got)
+            ended.failure = got.error().code();
+        ended.elapsed = std::chrono::steady_clock::now() - began;
+        on_call_ended_(ended);
+    }
+
     endpoints::exchange_request make_request(call what, time_point deadline)
     {
         endpoints::exchange_request request;
@@ -160,10 +196,12 @@
     boost::asio::awaitable<result<answer>> perform(
         call what, bool idempotent, time_point deadline)
     {
+        const auto began = std::chrono::steady_clock::now();
         auto request = make_request(std::move(what), deadline);
         request.idempotent = idempotent;
         const auto got =
             co_await endpoints::exchange(pool_, std::move(request));
+        note_end(false, got, began);
         if (got)
             co_return answer{got->head.status, got->body};
         const bool untouched =
@@ -223,6 +261,7 @@
     boost::asio::io_context& context_;
     const std::string address_;
     endpoints::connection_pool pool_;
+    std::function<void(const call_record&)> on_call_ended_;
 };
 
 } // namespace tarragonquay::remote_store
--- /dev/null
+++ b/src/remote_store/http_table_store_test.cpp
@@ -0,0 +1,175 @@
+#include <utility>
+
+#include "remote_store/http_table_store.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "endpoints/scripted_server.hpp"
+
+namespace tarragonquay::remote_store
+{
+
+namespace
+{
+
+/// Writes the least that a server can answer; all answers are empty.
+struct empty_codec
+{
+    static call transact(const std::vector<store::condition>& /*conditions*/,
+        const std::vector<store::write>& /*writes*/)
+    {
+        return {"POST", "/transact", "{}"};
+    }
+    static result<store::transact_outcome> decode_transact(const answer& reply)
+    {
+        if (reply.status != 200)
+            return fail(error_code::store_unavailable, "refused");
+        return store::transact_outcome{true, 1, {}, 0};
+    }
+    static call scan(const std::string& from, const std::string& /*to*/,
+        std::int64_t /*limit*/)
+    {
+        return {"GET", "/scan/" + from, {}};
+    }
+    static result<store::scan_page> decode_scan(const answer& /*reply*/)
+    {
+        return store::scan_page();
+    }
+    static call read_table(
+        const std::string& table, const std::string& /*from*/)
+    {
+        return {"GET", "/table/" + table, {}};
+    }
+    static call follow_table(const std::string& table, std::int64_t /*after*/,
+        std::int64_t /*wait_ms*/)
+    {
+        return {"GET", "/feed/" + table, {}};
+    }
+    static result<table_changes> decode_table(const answer& /*reply*/)
+    {
+        return table_changes{};
+    }
+};
+
+} // namespace
+
+class http_table_store_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(http_table_store_test);
+    CPPUNIT_TEST(answered_write_is_told_as_answered);
+    CPPUNIT_TEST(lost_answer_of_a_write_has_an_unknown_outcome);
+    CPPUNIT_TEST(lost_answer_of_a_read_has_no_effect);
+    CPPUNIT_TEST(each_ended_call_is_told);
+    CPPUNIT_TEST(feed_that_cannot_connect_is_told);
+    CPPUNIT_TEST_SUITE_END();
+
+    using server = endpoints::testing::scripted_server;
+    using then = endpoints::testing::scripted_answer::then;
+    using table_store = http_table_store<empty_codec>;
+
+    static constexpr const char* ok =
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+
+    static time_point soon()
+    {
+        return std::chrono::steady_clock::now() + std::chrono::seconds(1);
+    }
+
+    static result<store::transact_outcome> write(
+        server& peer, table_store& tested)
+    {
+        std::optional<result<store::transact_outcome>> got;
+        tested.transact({}, {}, soon(),
+            [&](result<store::transact_outcome> outcome)
+            { got = std::move(outcome); });
+        while (!got)
+            peer.context.run_one();
+        return *got;
+    }
+
+    static result<std::vector<store::row>> read(
+        server& peer, table_store& tested)
+    {
+        std::optional<result<std::vector<store::row>>> got;
+        tested.read({"k"}, soon(),
+            [&](result<std::vector<store::row>> rows)
+            { got = std::move(rows); });
+        while (!got)
+            peer.context.run_one();
+        return *got;
+    }
+
+public:
+    // Guards against a write that took effect and is reported as failed.
+    void answered_write_is_told_as_answered()
+    {
+        server peer({{ok, then::keep_open}});
+        table_store tested(peer.context, peer.address());
+        const auto got = write(peer, tested);
+        CPPUNIT_ASSERT(got && got->applied);
+    }
+
+    // Guards against a write that is repeated although it may have taken
+    // effect.
+    void lost_answer_of_a_write_has_an_unknown_outcome()
+    {
+        server peer({{"", then::close}});
+        table_store tested(peer.context, peer.address());
+        const auto got = write(peer, tested);
+        CPPUNIT_ASSERT(!got);
+        CPPUNIT_ASSERT(error_code::store_outcome_unknown == got.error().code());
+    }
+
+    // Guards against a reader that has to treat a failed read as a write.
+    void lost_answer_of_a_read_has_no_effect()
+    {
+        server peer({{"", then::close}, {"", then::close}});
+        table_store tested(peer.context, peer.address());
+        const auto got = read(peer, tested);
+        CPPUNIT_ASSERT(!got);
+        CPPUNIT_ASSERT(error_code::store_unavailable == got.error().code());
+    }
+
+    // Guards against metrics that leave out the calls that failed.
+    void each_ended_call_is_told()
+    {
+        server peer({{ok, then::keep_open}, {"", then::close}});
+        table_store tested(peer.context, peer.address());
+        std::vector<call_record> told;
+        tested.on_call_ended(
+            [&](const call_record& ended) { told.push_back(ended); });
+        write(peer, tested);
+        write(peer, tested);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), told.size());
+        CPPUNIT_ASSERT(!told[0].failure && !told[0].is_feed);
+        CPPUNIT_ASSERT(told[1].failure.has_value());
+        CPPUNIT_ASSERT(told[1].elapsed >= duration::zero());
+    }
+
+    // Guards against an outage of the store that no metric shows.
+    void feed_that_cannot_connect_is_told()
+    {
+        server peer({});
+        // Nothing listens there.
+        table_store tested(peer.context, "127.0.0.1:1");
+        std::vector<call_record> told;
+        tested.on_call_ended(
+            [&](const call_record& ended) { told.push_back(ended); });
+        std::optional<endpoints::http_connection> connection;
+        const auto got =
+            peer.run(tested.follow_table("t", 0, soon(), connection));
+        CPPUNIT_ASSERT(!got);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), told.size());
+        CPPUNIT_ASSERT(told[0].is_feed && told[0].failure.has_value());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(http_table_store_test);
+
+} // namespace tarragonquay::remote_store
