--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -1,5 +1,6 @@
 #include <atomic>
 #include <mutex>
+#include <numeric>
 #include <random>
 #include <set>
 #include <thread>
@@ -212,9 +213,10 @@
     const auto* count = std::getenv("TQ_SOAK_COUNT");
     if (first == nullptr)
         return {1, 2};
-    std::vector<std::uint32_t> out;
-    for (int i = 0; i < (count == nullptr ? 1 : std::atoi(count)); ++i)
-        out.push_back(static_cast<std::uint32_t>(std::atoi(first) + i));
+    std::vector<std::uint32_t> out(
+        count == nullptr ? 1 : static_cast<std::size_t>(std::atoi(count)));
+    std::iota(
+        out.begin(), out.end(), static_cast<std::uint32_t>(std::atoi(first)));
     return out;
 }
 
@@ -242,7 +244,10 @@
         observations seen;
         std::atomic<bool> done = false;
         std::vector<std::thread> callers;
-        for (int i = 0; i < gateway_count * callers_per_gateway; ++i)
+        constexpr std::size_t caller_count =
+            std::size_t(gateway_count) * callers_per_gateway;
+        callers.reserve(caller_count);
+        for (std::size_t i = 0; i < caller_count; ++i)
             callers.emplace_back(
                 [&, i] { keep_calling(system, i, seen, done); });
         fault_injector faults(system, seed);
