Explain a request from the logs of gateways: tqctl explain

The tool merges the logs of several gateways, keeps the order of each, corrects clocks by the configurations that they applied, and names the first decision that caused the outcome. It needs no running instance.

--- a/src/ctl/commands.hpp
+++ b/src/ctl/commands.hpp
@@ -22,12 +22,16 @@
 
 /// The parsed command; set while the command line is parsed.
 using action = std::function<result<void>(session&)>;
+/// A parsed command that needs no instance.
+using local_action =
+    std::function<result<void>(output_format format, std::ostream& out)>;
 
 /// Add the subcommands; `chosen` must outlive the parsing.
 void add_entity_commands(CLI::App& app, action& chosen);
 void add_key_commands(CLI::App& app, action& chosen);
 void add_service_commands(CLI::App& app, action& chosen);
 void add_operation_commands(CLI::App& app, action& chosen);
+void add_log_commands(CLI::App& app, local_action& chosen);
 
 /// Sends a change with a new operation id. Fails with `not_in_force` when it
 /// is committed without the acknowledgement of a majority; `after_commit`
--- a/src/ctl/program.cpp
+++ b/src/ctl/program.cpp
@@ -67,11 +67,13 @@
     app.footer(footer);
     global_options given;
     action chosen;
+    local_action chosen_local;
     add_global_options(app, given);
     add_entity_commands(app, chosen);
     add_key_commands(app, chosen);
     add_service_commands(app, chosen);
     add_operation_commands(app, chosen);
+    add_log_commands(app, chosen_local);
     try
     {
         app.parse(argc, argv);
@@ -86,6 +88,11 @@
         problems << "tqctl: invalid_argument: " << problem.what() << '\n';
         return exit_code::usage;
     }
+    if (chosen_local)
+    {
+        const auto done = chosen_local(given.format, out);
+        return done ? exit_code::ok : report(done.error(), problems);
+    }
     const auto options = resolve(given, std::getenv("TQCTL_ADDRESS"));
     if (!options)
         return report(options.error(), problems);
--- a/src/ctl/program_test.cpp
+++ b/src/ctl/program_test.cpp
@@ -2,6 +2,7 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <memory>
 #include <mutex>
@@ -12,6 +13,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 #include "common/digest.hpp"
 #include "ctl/commands.hpp"
@@ -32,6 +34,8 @@
     CPPUNIT_TEST(the_command_line_precedes_environment_and_file);
     CPPUNIT_TEST(a_timeline_cursor_is_printed_and_passed_on);
     CPPUNIT_TEST(wrong_usage_exits_with_2);
+    CPPUNIT_TEST(logs_are_explained_without_an_instance);
+    CPPUNIT_TEST(logs_without_the_request_exit_with_1);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -210,7 +214,60 @@
         CPPUNIT_ASSERT(requests_.empty());
     }
 
+    // Guards against a tool for dead gateways that needs a living one.
+    void logs_are_explained_without_an_instance()
+    {
+        service_.reset();
+        const log_file log(
+            "Started.\n"
+            R"({"time_ms":1786429848415,"level":"info","instance":"g1",)"
+            R"("event":"limit_reached","request_id":"r","cost":9506})"
+            "\n"
+            R"({"time_ms":1786429848416,"level":"info","instance":"g1",)"
+            R"("event":"request_refused","request_id":"r",)"
+            R"("reason":"rate_limited"})"
+            "\n");
+        CPPUNIT_ASSERT_EQUAL(0, call({"explain", "r", log.name}));
+        for (const auto* part : {"*  2026-08-11T06:30:48.415Z  g1",
+                 "outcome: rate_limited", "1 lines were no log lines"})
+            CPPUNIT_ASSERT_MESSAGE(
+                out_.str(), out_.str().find(part) != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(
+            0, call({"explain", "r", log.name, "--output", "json"}));
+        const auto told = nlohmann::json::parse(out_.str());
+        CPPUNIT_ASSERT_EQUAL(0, told.at("cause").get<int>());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), told.at("lines").size());
+    }
+
+    // Guards against a script that takes an empty story for an answer.
+    void logs_without_the_request_exit_with_1()
+    {
+        const log_file log("Started.\n");
+        CPPUNIT_ASSERT_EQUAL(1, call({"explain", "r", log.name}));
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("tqctl: not_found: no line names the request r\n"),
+            problems_.str());
+        CPPUNIT_ASSERT_EQUAL(1, call({"explain", "r", log.name + ".missing"}));
+        CPPUNIT_ASSERT_EQUAL(2, call({"explain", "r"}));
+    }
+
 private:
+    /// A file in the folder for temporary files that ends with the test.
+    struct log_file
+    {
+        explicit log_file(const std::string& text)
+            : name(fmt::format("{}/tqctl-explain-{}.log",
+                  std::filesystem::temp_directory_path().string(), ::getpid()))
+        {
+            std::ofstream(name) << text;
+        }
+        ~log_file() { std::filesystem::remove(name); }
+        log_file(const log_file&) = delete;
+        log_file& operator=(const log_file&) = delete;
+
+        const std::string name;
+    };
+
     int call(std::vector<std::string> arguments)
     {
         if (service_)
--- /dev/null
+++ b/src/explain/request_story_test.cpp
@@ -0,0 +1,222 @@
+#include "explain/request_story.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tarragonquay::explain
+{
+
+/// Most lines were recorded on played days; ids and times are kept.
+class request_story_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(request_story_test);
+    CPPUNIT_TEST(damaged_lines_are_refused);
+    CPPUNIT_TEST(text_before_the_object_is_left_out);
+    CPPUNIT_TEST(unknown_request_is_not_found);
+    CPPUNIT_TEST(refusal_over_a_limit_is_explained_by_the_limit);
+    CPPUNIT_TEST(lost_answer_is_explained_by_the_failed_send);
+    CPPUNIT_TEST(broken_stream_is_explained_by_its_first_failure);
+    CPPUNIT_TEST(missing_model_is_explained_by_the_lost_lease);
+    CPPUNIT_TEST(regained_lease_explains_nothing);
+    CPPUNIT_TEST(lines_of_other_requests_and_models_are_left_out);
+    CPPUNIT_TEST(skewed_clocks_are_corrected);
+    CPPUNIT_TEST(clock_that_goes_back_keeps_the_order_of_its_instance);
+    CPPUNIT_TEST_SUITE_END();
+
+    static log_line line(const std::string& instance, std::int64_t time_ms,
+        const std::string& event, nlohmann::json fields)
+    {
+        fields["time_ms"] = time_ms;
+        fields["instance"] = instance;
+        fields["event"] = event;
+        const auto parsed = parse_line(fields.dump());
+        CPPUNIT_ASSERT(parsed.has_value());
+        return *parsed;
+    }
+
+    static request_story story(
+        const std::string& id, const std::vector<log_line>& all)
+    {
+        const auto out = explain_request(id, all);
+        CPPUNIT_ASSERT_MESSAGE(
+            out ? "" : out.error().message(), out.has_value());
+        return *out;
+    }
+
+    static std::string cause_of(const request_story& of)
+    {
+        return of.cause ? of.lines.at(*of.cause).event : "none";
+    }
+
+    static log_line refused_for_model(std::int64_t time_ms)
+    {
+        return line("g1", time_ms, "request_refused",
+            {{"request_id", "r"}, {"status", 503},
+                {"reason", "model_not_ready"},
+                {"inputs", {{"model", "m"}, {"adapter", "a1"}}}});
+    }
+
+public:
+    // Guards against a tool that ends at the first line of another program.
+    void damaged_lines_are_refused()
+    {
+        for (const auto* text : {"", "started", "{", "[1]", "{\"time_ms\":1}",
+                 R"({"time_ms":"x","instance":"g","event":"e"})"})
+        {
+            const auto parsed = parse_line(text);
+            CPPUNIT_ASSERT(!parsed);
+            CPPUNIT_ASSERT(
+                error_code::malformed_message == parsed.error().code());
+        }
+    }
+
+    // Guards against logs that a collector has marked.
+    void text_before_the_object_is_left_out()
+    {
+        const auto parsed = parse_line(
+            R"(  18.6355 front-b-2 {"time_ms":1786429848415,"level":"info",)"
+            R"("instance":"front-b-2","event":"limit_reached","cost":9506})");
+        CPPUNIT_ASSERT(parsed.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("front-b-2"), parsed->instance);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(9506), parsed->number("cost"));
+    }
+
+    // Guards against an empty story that looks like an answer.
+    void unknown_request_is_not_found()
+    {
+        const auto out = explain_request(
+            "r", {line("g1", 1, "request_finished", {{"request_id", "s"}})});
+        CPPUNIT_ASSERT(!out);
+        CPPUNIT_ASSERT(error_code::not_found == out.error().code());
+    }
+
+    // Guards against a complaint about a limit that can't be answered.
+    void refusal_over_a_limit_is_explained_by_the_limit()
+    {
+        const auto told = story("01c2a8e5795b903e",
+            {line("g1", 1000, "limit_reached",
+                 {{"request_id", "01c2a8e5795b903e"}, {"workspace", "loka611"},
+                     {"cost", 1428}, {"rate", 98499},
+                     {"demand_of_all", 108298}}),
+                line("g1", 1000, "request_refused",
+                    {{"request_id", "01c2a8e5795b903e"}, {"status", 429},
+                        {"reason", "rate_limited"}})});
+        CPPUNIT_ASSERT_EQUAL(std::string("rate_limited"), told.outcome);
+        CPPUNIT_ASSERT_EQUAL(std::string("limit_reached"), cause_of(told));
+    }
+
+    // Guards against a call that may have run and whose endpoint isn't named.
+    void lost_answer_is_explained_by_the_failed_send()
+    {
+        const auto told = story("7a44cb97fbbfca07",
+            {line("g2", 900, "endpoint_gone", {{"endpoint", "i-5fc1d1dc2d"}}),
+                line(
+                    "g1", 950, "endpoint_gone", {{"endpoint", "i-5fc1d1dc2d"}}),
+                line("g1", 1000, "attempt_failed",
+                    {{"request_id", "7a44cb97fbbfca07"},
+                        {"endpoint", "i-5fc1d1dc2d"}, {"outcome", "unknown"},
+                        {"detail", "bad version"}, {"send", 1}}),
+                line("g1", 1001, "request_refused",
+                    {{"request_id", "7a44cb97fbbfca07"}, {"status", 502},
+                        {"reason", "unanswered"}, {"may_have_run", true}})});
+        CPPUNIT_ASSERT_EQUAL(std::string("attempt_failed"), cause_of(told));
+        // What another gateway knew of the endpoint had no effect here.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), told.lines.size());
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("endpoint_gone"), told.lines.front().event);
+    }
+
+    // Guards against a story that blames the last of several endpoints.
+    void broken_stream_is_explained_by_its_first_failure()
+    {
+        const auto failed = [&](std::int64_t time_ms, const char* endpoint)
+        {
+            return line("g1", time_ms, "attempt_failed",
+                {{"request_id", "9049761ed2eeb664"}, {"endpoint", endpoint}});
+        };
+        const auto told = story("9049761ed2eeb664",
+            {failed(1000, "i-4fc12dee17"), failed(1010, "i-504f850a30"),
+                failed(3200, "i-5fc1d1dc2d"),
+                line("g1", 3210, "request_finished",
+                    {{"request_id", "9049761ed2eeb664"},
+                        {"reason", "stream_broken"}, {"elapsed_ms", 3210}})});
+        CPPUNIT_ASSERT(told.cause.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("i-4fc12dee17"),
+            told.lines.at(*told.cause).text("endpoint"));
+    }
+
+    // Guards against a search at the engines while nobody gave commands.
+    void missing_model_is_explained_by_the_lost_lease()
+    {
+        const auto told = story("r",
+            {line("g2", 5000, "engine_command",
+                 {{"model", "m"}, {"adapter", ""}, {"answer", "accepted"}}),
+                line("g2", 6000, "placement_lease_lost",
+                    nlohmann::json::object()),
+                refused_for_model(8000)});
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("placement_lease_lost"), cause_of(told));
+    }
+
+    // Guards against an old trouble that hides the present one.
+    void regained_lease_explains_nothing()
+    {
+        const auto told = story("r",
+            {line("g2", 5000, "placement_lease_lost", nlohmann::json::object()),
+                line("g3", 6000, "placement_lease_obtained", {{"fencing", 2}}),
+                line("g3", 7000, "engine_command",
+                    {{"model", "m"}, {"adapter", "a1"},
+                        {"answer", "conflict"}}),
+                refused_for_model(8000)});
+        CPPUNIT_ASSERT_EQUAL(std::string("engine_command"), cause_of(told));
+    }
+
+    // Guards against a story as long as the logs.
+    void lines_of_other_requests_and_models_are_left_out()
+    {
+        const auto told = story("r",
+            {line("g1", 100, "placement_lease_lost", nlohmann::json::object()),
+                line("g2", 19000, "engine_command",
+                    {{"model", "n"}, {"adapter", ""}}),
+                line("g2", 19100, "engine_command",
+                    {{"model", "m"}, {"adapter", "a2"}}),
+                line("g1", 19500, "request_finished",
+                    {{"request_id", "s"}, {"reason", "answered"}}),
+                refused_for_model(20000)});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), told.lines.size());
+        CPPUNIT_ASSERT(!told.cause);
+        CPPUNIT_ASSERT(!told.explanation.empty());
+    }
+
+    // Guards against an effect that seems to come before its cause, since the
+    // clocks of two machines differ by seconds.
+    void skewed_clocks_are_corrected()
+    {
+        const auto told = story("r",
+            {line("g1", 1000, "configuration_applied", {{"version", 4}}),
+                line("g2", 6010, "configuration_applied", {{"version", 4}}),
+                line("g2", 12000, "engine_command",
+                    {{"model", "m"}, {"adapter", ""}, {"answer", "conflict"}}),
+                refused_for_model(8000)});
+        CPPUNIT_ASSERT_EQUAL(
+            std::int64_t(5010), told.clock_offsets_ms.at("g2"));
+        CPPUNIT_ASSERT_EQUAL(std::string("engine_command"), cause_of(told));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(6990), told.lines.front().time_ms);
+    }
+
+    // Guards against a story that runs backwards after a step of a clock.
+    void clock_that_goes_back_keeps_the_order_of_its_instance()
+    {
+        const auto told = story(
+            "r", {line("g1", 9000, "attempt_failed",
+                      {{"request_id", "r"}, {"send", 1}}),
+                     line("g1", 4000, "request_refused",
+                         {{"request_id", "r"}, {"reason", "unanswered"}})});
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("attempt_failed"), told.lines.front().event);
+        CPPUNIT_ASSERT_EQUAL(std::string("unanswered"), told.outcome);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(request_story_test);
+
+} // namespace tarragonquay::explain
