Test successive holders of the placement lease with processes

The test pauses the holder, resumes it after the next one has taken over, kills that one, and reads the commands at the engines: fencing numbers never go back, one holder each, and the distance between two holders is kept. On a scratch copy whose keeper ignored the validity of the lease, it failed: the resumed holder gave a command with fencing 1 after fencing 2.

The soak ends its callers also when a stand-in can't be started; it aborted before.

--- a/standins/http_platform.cpp
+++ b/standins/http_platform.cpp
@@ -1,5 +1,7 @@
 #include <utility>
 
+#include <chrono>
+#include <cstdint>
 #include <cstdlib>
 #include <map>
 #include <set>
@@ -22,6 +24,14 @@
 /// Time between two looks for changes while a feed waits.
 constexpr double feed_poll_ms = 10;
 
+/// One clock for all endpoints of the process.
+std::int64_t monotonic_ms()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::steady_clock::now().time_since_epoch())
+        .count();
+}
+
 /// Rows with versions, change feeds and conditional transactions, over HTTP.
 class row_store
 {
@@ -212,8 +222,8 @@
 private:
     http_answer what_ran() const
     {
-        return json_answer(
-            {{"runs", runs_}, {"orders", orders_}, {"seen", seen_}});
+        return json_answer({{"runs", runs_}, {"orders", orders_},
+            {"seen", seen_}, {"commands", commands_}});
     }
 
     http_answer report() const
@@ -254,6 +264,9 @@
     http_answer order(const json& body)
     {
         ++orders_;
+        commands_.push_back({{"at_ms", monotonic_ms()},
+            {"holder", body.value("holder", std::string())},
+            {"fence", body.value("fence", std::int64_t(0))}});
         if (body.value("if_revision", sequence_) != sequence_)
             return json_answer(json::object(), 409);
         const std::string model = body.at("model");
@@ -346,6 +359,8 @@
     std::int64_t sequence_ = 0;
     std::map<std::string, int> runs_;
     int orders_ = 0;
+    // Commands in the order in which they arrived, also refused ones.
+    json commands_ = json::array();
     json seen_ = json::array();
     int cut_streams_ = 0;
     int lose_answers_ = 0;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -1,5 +1,6 @@
 #include <signal.h>
 
+#include <stop_token>
 #include <thread>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -17,6 +18,64 @@
 /// bounds of the largest deployments.
 constexpr milliseconds drain_bound{3'000};
 
+/// Longest time until another gateway gives commands: the lease lapses, is
+/// seen as silent, and the distance between two holders passes.
+constexpr milliseconds takeover_bound{20'000};
+/// Distance between two holders in the settings of the test's gateways.
+constexpr std::int64_t holder_distance_ms = 500;
+
+// More adapters than the engines have slots, so that commands go on.
+void ask_for_adapters(gateway_system& system, const std::stop_token& stop)
+{
+    constexpr int adapters = 10;
+    constexpr int gateways = 3;
+    for (int i = 0; !stop.stop_requested(); ++i)
+    {
+        auto call = system.stream_call(fmt::format("m/a{}", i % adapters));
+        call.headers["Deadline-Ms"] = "300";
+        call.time = milliseconds(400);
+        send_once(system.entry(i % gateways), call);
+    }
+}
+
+// Waits for a command of another holder than this one; empty without one.
+std::string next_holder(
+    const gateway_system& system, const std::string& than_this)
+{
+    std::string holder;
+    eventually(
+        [&]
+        {
+            holder = system.latest_holder();
+            return !holder.empty() && holder != than_this;
+        },
+        takeover_bound);
+    return holder == than_this ? std::string() : holder;
+}
+
+// Holders are named "i" and the number of the gateway.
+process& process_of(gateway_system& system, const std::string& holder)
+{
+    return *system.gateways.at(std::stoul(holder.substr(1)));
+}
+
+void check_commands(const json& commands)
+{
+    for (std::size_t i = 1; i < commands.size(); ++i)
+    {
+        const auto& before = commands[i - 1];
+        const auto& after = commands[i];
+        const auto text = before.dump() + after.dump();
+        CPPUNIT_ASSERT_MESSAGE(text, before.at("fence") <= after.at("fence"));
+        if (before.at("holder") == after.at("holder"))
+            continue;
+        CPPUNIT_ASSERT_MESSAGE(text, before.at("fence") < after.at("fence"));
+        const auto distance = after.at("at_ms").get<std::int64_t>() -
+                              before.at("at_ms").get<std::int64_t>();
+        CPPUNIT_ASSERT_MESSAGE(text, distance >= holder_distance_ms);
+    }
+}
+
 } // namespace
 
 class gateway_test : public CppUnit::TestFixture
@@ -28,6 +87,7 @@
     CPPUNIT_TEST(an_outage_of_the_store_stops_nothing);
     CPPUNIT_TEST(a_planned_stop_cuts_no_request);
     CPPUNIT_TEST(a_stop_ends_in_time_beside_streams_that_outlast_it);
+    CPPUNIT_TEST(successive_holders_of_the_lease_keep_their_distance);
     CPPUNIT_TEST(a_large_fleet_learns_of_changes_although_its_relay_dies);
     CPPUNIT_TEST_SUITE_END();
 
@@ -152,6 +212,27 @@
         CPPUNIT_ASSERT_EQUAL(0, system.gateways[0]->exit_code());
     }
 
+    // Guards against commands of two holders of the placement lease to one
+    // engine that mix or follow each other too closely: after a holder was
+    // paused, after it goes on, and after the next one is killed.
+    void successive_holders_of_the_lease_keep_their_distance()
+    {
+        gateway_system system(3);
+        const std::jthread caller([&](const std::stop_token& stop)
+            { ask_for_adapters(system, stop); });
+        const auto first = next_holder(system, "");
+        CPPUNIT_ASSERT(!first.empty());
+        process_of(system, first).send_signal(SIGSTOP);
+        const auto second = next_holder(system, first);
+        process_of(system, first).send_signal(SIGCONT);
+        CPPUNIT_ASSERT(!second.empty());
+        std::this_thread::sleep_for(milliseconds(2'000));
+        process_of(system, second).kill();
+        CPPUNIT_ASSERT(!next_holder(system, second).empty());
+        for (const auto* each : {"e1", "e2"})
+            check_commands(system.commands(each));
+    }
+
     // Guards against a process that ends with requests under way and then
     // destroys what these still refer to: it was seen to loop for ever.
     void a_stop_ends_in_time_beside_streams_that_outlast_it()
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -1,8 +1,8 @@
-#include <atomic>
 #include <mutex>
 #include <numeric>
 #include <random>
 #include <set>
+#include <stop_token>
 #include <thread>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -181,11 +181,11 @@
 
 // Uses one connection until it is closed, then a new one.
 void keep_calling(gateway_system& system, int number, observations& seen,
-    const std::atomic<bool>& done)
+    const std::stop_token& stop)
 {
     const auto entry = system.entry(number % gateway_count);
     auto client = std::make_unique<http_client>(entry);
-    for (int i = 0; !done; ++i)
+    for (int i = 0; !stop.stop_requested(); ++i)
     {
         const bool streamed = i % 3 == 2;
         auto call = system.make_call(
@@ -242,14 +242,13 @@
     {
         gateway_system system(gateway_count);
         observations seen;
-        std::atomic<bool> done = false;
-        std::vector<std::thread> callers;
-        constexpr std::size_t caller_count =
-            std::size_t(gateway_count) * callers_per_gateway;
-        callers.reserve(caller_count);
-        for (std::size_t i = 0; i < caller_count; ++i)
-            callers.emplace_back(
-                [&, i] { keep_calling(system, i, seen, done); });
+        // Ends the callers also when a fault can't be injected.
+        std::vector<std::jthread> callers;
+        constexpr int caller_count = gateway_count * callers_per_gateway;
+        callers.reserve(std::size_t(caller_count));
+        for (int i = 0; i < caller_count; ++i)
+            callers.emplace_back([&, i](const std::stop_token& stop)
+                { keep_calling(system, i, seen, stop); });
         fault_injector faults(system, seed);
         faults.run();
         bool serves = true;
@@ -258,9 +257,9 @@
                      eventually([&]
                          { return system.call(i, "/once/x").status == 200; },
                          recovery_time);
-        done = true;
         for (auto& each : callers)
-            each.join();
+            each.request_stop();
+        callers.clear();
         const auto place =
             fmt::format("seed {}, faults {}: ", seed, faults.story());
         CPPUNIT_ASSERT_MESSAGE(place + "a gateway does not serve", serves);
--- a/tests/support/gateway_system.hpp
+++ b/tests/support/gateway_system.hpp
@@ -151,6 +151,24 @@
         return fetch(platform->address(endpoint), "/admin/runs").json();
     }
 
+    // Commands that reached an engine, in their order.
+    json commands(const std::string& endpoint) const
+    {
+        return runs(endpoint).at("commands");
+    }
+
+    // Holder of the latest command at any engine; empty without one.
+    std::string latest_holder() const
+    {
+        json latest;
+        for (const auto* each : {"e1", "e2"})
+            for (const auto& command : commands(each))
+                if (latest.is_null() || latest["at_ms"] <= command["at_ms"])
+                    latest = command;
+        return latest.is_null() ? std::string()
+                                : latest.at("holder").get<std::string>();
+    }
+
     void fault(const std::string& endpoint, const json& value) const
     {
         post(platform->address(endpoint), "/admin/faults", value);
