Resume a stream at the endpoint that broke it off when no other can

A stream that broke off was resumed only at another endpoint.

Before: the two new tests fail. After: they pass. Each endpoint is asked at most twice, within the attempts of the route and the budget of repeats.

--- a/src/gateway/forwarder_test.cpp
+++ b/src/gateway/forwarder_test.cpp
@@ -240,6 +240,8 @@
     CPPUNIT_TEST(a_rejected_request_may_be_sent_again);
     CPPUNIT_TEST(all_rejections_are_a_true_refusal);
     CPPUNIT_TEST(a_broken_stream_goes_on_elsewhere_without_a_gap);
+    CPPUNIT_TEST(a_broken_stream_goes_on_at_its_only_endpoint);
+    CPPUNIT_TEST(a_stream_that_breaks_twice_does_not_look_complete);
     CPPUNIT_TEST(a_stream_that_may_not_be_resumed_does_not_look_complete);
     CPPUNIT_TEST(a_caller_may_leave_as_its_stream_ends);
     CPPUNIT_TEST(an_answer_of_another_request_is_skipped);
@@ -323,6 +325,36 @@
             std::string("Retry-After"), tested.out.whole->headers[0].name);
     }
 
+    // Guards against a caller whose stream is cut off although the endpoint
+    // that broke it could go on and no other one holds the model.
+    void a_broken_stream_goes_on_at_its_only_endpoint()
+    {
+        fixture tested(
+            {{stream_head + chunk(event(1) + event(2))},
+                {stream_head + chunk(event(3)) + stream_end, then::keep_open}},
+            {});
+        tested.on.board.erase(endpoint_id("e1"));
+        tested.run("/stream/x");
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2) + event(3), tested.out.stream);
+        CPPUNIT_ASSERT(tested.out.ended);
+        const auto& again = tested.servers[0].requests.at(1);
+        CPPUNIT_ASSERT_MESSAGE(
+            again, again.find("Last: 2\r\n") != std::string::npos);
+    }
+
+    // Guards against an endpoint that gets the same stream without end.
+    void a_stream_that_breaks_twice_does_not_look_complete()
+    {
+        fixture tested(
+            {{stream_head + chunk(event(1))}, {stream_head + chunk(event(2))},
+                {stream_head + chunk(event(3)) + stream_end}},
+            {});
+        tested.on.board.erase(endpoint_id("e1"));
+        tested.run("/stream/x");
+        CPPUNIT_ASSERT(!tested.out.ended);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), tested.arrivals());
+    }
+
     // Guards against lost, repeated and joined parts of events.
     void a_broken_stream_goes_on_elsewhere_without_a_gap()
     {
--- a/src/gateway/stream_call.cpp
+++ b/src/gateway/stream_call.cpp
@@ -2,6 +2,7 @@
 #include <chrono>
 #include <cmath>
 #include <optional>
+#include <set>
 
 #include "gateway/call.hpp"
 #include "gateway/forwarder.hpp"
@@ -26,13 +27,37 @@
     return of.route->repeat == routes::repeat_rule::resumable;
 }
 
+// The best endpoint among those that are not excluded.
+result<dispatch::endpoint_choice> choose_among(
+    const call& of, const std::set<endpoint_id>& excluded, time_point now)
+{
+    if (!of.request.prompt || !of.service->engines)
+        return of.on.board.choose_plain(of.service->id, excluded, now);
+    return of.on.board.choose_engine(
+        of.service->id, *of.request.prompt, excluded, now);
+}
+
+// The best endpoint; one that broke the stream off when there is no other.
+result<dispatch::endpoint_choice> choose_now(
+    const call& of, const stream_state& state, time_point now)
+{
+    auto out = choose_among(of, of.tried, now);
+    if (out || state.broken_off_at.empty())
+        return out;
+    auto excluded = of.tried;
+    for (const auto& each : state.broken_off_at)
+        excluded.erase(each);
+    auto again = choose_among(of, excluded, now);
+    return again ? again : out;
+}
+
 // Waits for an engine that holds the model and the adapter.
-asio::awaitable<result<dispatch::endpoint_choice>> choose(call& of)
+asio::awaitable<result<dispatch::endpoint_choice>> choose(
+    call& of, const stream_state& state)
 {
     auto& on = of.on;
     if (!of.request.prompt || !of.service->engines)
-        co_return on.board.choose_plain(
-            of.service->id, of.tried, std::chrono::steady_clock::now());
+        co_return choose_now(of, state, std::chrono::steady_clock::now());
     const auto& prompt = *of.request.prompt;
     const auto* model = of.routes->find_model(of.service->id, prompt.model);
     const auto began = std::chrono::steady_clock::now();
@@ -50,8 +75,7 @@
     while (true)
     {
         const auto now = std::chrono::steady_clock::now();
-        auto chosen =
-            on.board.choose_engine(of.service->id, prompt, of.tried, now);
+        auto chosen = choose_now(of, state, now);
         if (chosen || chosen.error().code() != error_code::model_not_ready ||
             now >= give_up_at || of.out.caller_gone())
             co_return chosen;
@@ -79,6 +103,18 @@
             {of.service->id, prompt.model, prompt.adapter}, 1, now);
 }
 
+// An endpoint that broke a stream off is tried once more, since it may be the
+// only one with the model.
+void note_try(call& of, stream_state& state, const endpoint_id& endpoint,
+    relay_outcome outcome)
+{
+    const bool first = of.tried.insert(endpoint).second;
+    if (first && state.begun && outcome == relay_outcome::broken)
+        state.broken_off_at.insert(endpoint);
+    else
+        state.broken_off_at.erase(endpoint);
+}
+
 // Ends a stream that can't go on.
 asio::awaitable<void> give_up(call& of, const stream_state& state,
     std::optional<whole_answer> last, const error& cause)
@@ -139,7 +175,7 @@
     error cause(error_code::deadline_exceeded, "the deadline has passed");
     while (std::chrono::steady_clock::now() < of.deadline && take_attempt(of))
     {
-        auto to = co_await choose(of);
+        auto to = co_await choose(of, state);
         if (!to)
         {
             cause = to.error();
@@ -152,7 +188,7 @@
         if (!served_in_time)
             co_return;
         auto end = co_await relay_stream(of, state, *to);
-        of.tried.insert(to->id);
+        note_try(of, state, to->id, end.outcome);
         if (end.outcome == relay_outcome::complete)
         {
             of.reason = "answered";
--- a/src/gateway/stream_relay.hpp
+++ b/src/gateway/stream_relay.hpp
@@ -2,7 +2,9 @@
 
 #include <utility>
 
+#include <cstdint>
 #include <optional>
+#include <set>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -18,6 +20,8 @@
     bool begun = false;
     /// Last event that the caller has.
     std::optional<std::int64_t> last_event;
+    /// Endpoints that broke the stream off once, so may be tried again.
+    std::set<endpoint_id> broken_off_at;
 };
 
 /// How one endpoint's part of the stream ended.
