Do not take the placement lease while stopping

A stop during the read of the row took the lease and released it at once, and the others waited for the distance to that holder. The new test fails without the change.

--- a/src/placement/lease_keeper.hpp
+++ b/src/placement/lease_keeper.hpp
@@ -293,7 +293,7 @@
             [this](result<std::vector<store::row>> rows)
             {
                 busy_ = false;
-                if (!rows)
+                if (!rows || released_)
                     return;
                 consider(rows->empty() ? std::nullopt
                                        : std::optional(rows->front()));
--- a/src/placement/lease_keeper_test.cpp
+++ b/src/placement/lease_keeper_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(former_holder_that_sees_another_is_one_of_the_others);
     CPPUNIT_TEST(release_waits_for_a_renewal_in_progress);
     CPPUNIT_TEST(confirmation_after_a_suspension_is_no_lease);
+    CPPUNIT_TEST(instance_that_stops_takes_no_lease);
     CPPUNIT_TEST(others_read_the_row_only_when_they_may_take_it);
     CPPUNIT_TEST(released_lease_is_taken_after_its_distance);
     CPPUNIT_TEST_SUITE_END();
@@ -202,6 +203,19 @@
         CPPUNIT_ASSERT(tested.holds());
     }
 
+    // Guards against an instance that stops while it reads the row and then
+    // takes the lease: the others would wait for the distance to it.
+    void instance_that_stops_takes_no_lease()
+    {
+        delayed_store delayed{store_, {}};
+        lease_keeper<delayed_store, fake_clock> tested(
+            settings_of("a"), delayed, clock_);
+        tested.tick(true);
+        tested.release();
+        delayed.answer_all();
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), store_.revision());
+    }
+
     // Guards against calls of the store by each instance of a fleet.
     void others_read_the_row_only_when_they_may_take_it()
     {
