Leave out changes of the directory that are known already

A gateway that was cut off from the store heard of changes from its peers. When its feed came back it told the same changes again, from the version that the feed had. An endpoint that had left was put back without its mark, then erased within the time in which erased entries are kept, since their owners may not have been able to renew them, and got requests for 2 s more. Through a relay this reached all gateways of a zone.

Ruled out: a lost change on the way from a relay to its members; all had it within 0.6 s.

An endpoint that was leaving when its entry was erased is no longer kept.

--- a/src/gateway/documents.cpp
+++ b/src/gateway/documents.cpp
@@ -1,6 +1,8 @@
 #include "gateway/documents.hpp"
 
+#include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <utility>
 
 #include "common/digest.hpp"
@@ -61,8 +63,11 @@
 {
     const auto after = directory_version_;
     std::vector<remote_store::changed_row> told;
-    for (const auto& each : changes.rows)
+    for (auto it = changes.rows.begin(); it != changes.rows.end(); ++it)
     {
+        const auto& each = *it;
+        if (is_known(each, std::next(it), changes.rows.end()))
+            continue;
         bool in_force = true;
         if (each.value)
             put_entry(each.key, *each.value, now);
@@ -75,6 +80,20 @@
     tell(after, std::move(told));
 }
 
+// Changes may come twice, from peers and later from a feed that was away. An
+// older erasure still counts unless the key is written again, since a peer may
+// have left it out.
+bool documents::is_known(const remote_store::changed_row& change,
+    row_iterator later, row_iterator end) const
+{
+    if (change.version > directory_version_)
+        return false;
+    return change.value || !directory_.contains(change.key) ||
+           std::any_of(later, end,
+               [&](const remote_store::changed_row& each)
+               { return each.key == change.key && each.value; });
+}
+
 void documents::tell(
     std::int64_t after, std::vector<remote_store::changed_row> rows)
 {
@@ -145,7 +164,9 @@
 
 bool documents::erase_entry(const std::string& key, time_point now)
 {
-    if (now < keep_lapsed_until_)
+    const auto* known = on_.board.find(endpoint_id(key));
+    const bool left = known != nullptr && known->leaving;
+    if (!left && now < keep_lapsed_until_)
     {
         lapsed_.emplace(key, keep_lapsed_until_);
         on_.log.info("endpoint_lapsed", {{"endpoint", key}});
--- a/src/gateway/documents.hpp
+++ b/src/gateway/documents.hpp
@@ -59,6 +59,11 @@
     }
 
 private:
+    using row_iterator = std::vector<remote_store::changed_row>::const_iterator;
+
+    /// Whether a change is in force already; `later` to `end` follow it.
+    bool is_known(const remote_store::changed_row& change, row_iterator later,
+        row_iterator end) const;
     void tell(std::int64_t after, std::vector<remote_store::changed_row> rows);
     void put_entry(
         const std::string& key, const std::string& value, time_point now);
