--- a/src/explain/request_story_test.cpp
+++ b/src/explain/request_story_test.cpp
@@ -5,7 +5,8 @@
 namespace tarragonquay::explain
 {
 
-/// Most lines were recorded on played days; ids and times are kept.
+/// Ids and fields of the first three failed requests are those of played days,
+/// shortened; the other lines and all times are made up.
 class request_story_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(request_story_test);
