Give gateways a place for crash evidence and a signal with subscriptions

The evidence is part of the shared state of a gateway; requests that wait at an engine have to hear when a verdict changes.

--- a/src/gateway/change_signal.hpp
+++ b/src/gateway/change_signal.hpp
@@ -2,6 +2,9 @@
 
 #include <utility>
 
+#include <functional>
+#include <list>
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -13,16 +16,61 @@
 namespace tarragonquay::gateway
 {
 
-/// Wakes coroutines that wait for a change. Not thread-safe.
+/// Wakes coroutines and calls handlers when something has changed. Not
+/// thread-safe; must outlive its subscriptions.
 class change_signal
 {
 public:
+    using handler = std::function<void()>;
+
+    /// Calls a handler at each change until it is destroyed.
+    class subscription
+    {
+    public:
+        subscription() = default;
+        subscription(subscription&& other) noexcept
+            : handlers_(std::exchange(other.handlers_, nullptr)),
+              position_(other.position_)
+        {
+        }
+        subscription& operator=(subscription&& other) noexcept
+        {
+            std::swap(handlers_, other.handlers_);
+            std::swap(position_, other.position_);
+            return *this;
+        }
+        ~subscription()
+        {
+            if (handlers_ != nullptr)
+                handlers_->erase(position_);
+        }
+
+    private:
+        friend class change_signal;
+        std::list<handler>* handlers_ = nullptr;
+        std::list<handler>::iterator position_;
+    };
+
     explicit change_signal(boost::asio::io_context& context)
         : timer_(context, time_point::max())
     {
     }
 
-    void raise() { timer_.expires_at(time_point::max()); }
+    /// The handler must not add or end subscriptions.
+    [[nodiscard]] subscription subscribe(handler on_change)
+    {
+        subscription out;
+        out.handlers_ = &handlers_;
+        out.position_ = handlers_.insert(handlers_.end(), std::move(on_change));
+        return out;
+    }
+
+    void raise()
+    {
+        timer_.expires_at(time_point::max());
+        for (const auto& each : handlers_)
+            each();
+    }
 
     /// Returns at the next change or at the deadline.
     boost::asio::awaitable<void> wait(time_point deadline)
@@ -43,6 +91,7 @@
     // Setting the expiry cancels the pending waits, which resumes the waiting
     // coroutines.
     boost::asio::steady_timer timer_;
+    std::list<handler> handlers_;
 };
 
 } // namespace tarragonquay::gateway
--- a/src/gateway/context.hpp
+++ b/src/gateway/context.hpp
@@ -14,6 +14,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include "common/json_log.hpp"
+#include "dispatch/crash_evidence.hpp"
 #include "dispatch/endpoint_pool.hpp"
 #include "dispatch/repeat_budget.hpp"
 #include "endpoints/http_exchange.hpp"
@@ -42,7 +43,8 @@
           log(std::move(lines)),
           pool(settings.availability_zone),
           roster(std::move(self)),
-          residency_changed(io_context)
+          residency_changed(io_context),
+          evidence_changed(io_context)
     {
     }
 
@@ -86,6 +88,10 @@
     /// Requests that an adapter which no engine holds is loaded.
     std::function<void(const service_id&, const model_id&, const adapter_id&)>
         request_adapter;
+    /// Parts of prompts under which engines ended, as known to the whole fleet.
+    dispatch::crash_evidence evidence;
+    /// Signalled when a verdict of `evidence` may have changed.
+    change_signal evidence_changed;
     std::mt19937_64 random{std::random_device{}()};
 };
 
