Let engines of the HTTP platform stand-in crash on a prompt part

No test could play an engine that ends when it begins to answer a prompt with a certain part. The fault "crash_part" (an id as in the header) makes an engine send the head of the answer and then end as a crashed process does: its connections close, new ones are refused for "crash_down_ms", and it is back at the same address with a new start time, no models and a new row in the directory. The port stays bound meanwhile, so that no other process takes it. "begin_ms" delays the heads of answers, so that requests wait at an engine for their first event.

The admin interface has an address of its own ("<id>-admin") that is served during a crash; /admin/runs tells the times of crashes and of arrivals of requests with the part. "--engines" sets the number of engines.

--- a/standins/http.cpp
+++ b/standins/http.cpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <csignal>
 #include <iostream>
+#include <set>
 #include <stdexcept>
 
 #include <unistd.h>
@@ -205,19 +206,76 @@
     bool open_ = true;
 };
 
+// A test program that is killed can't end the stand-ins that it started.
+int parent_pid = 0;
+
+asio::awaitable<void> watch_parent(asio::io_context& io)
+{
+    constexpr double poll_ms = 500;
+    while (getppid() == parent_pid)
+        co_await sleep_ms(poll_ms);
+    io.stop();
+}
+
+} // namespace
+
+std::string http_request::header(const std::string& name) const
+{
+    for (const auto& [key, value] : headers)
+        if (beast::iequals(key, name))
+            return value;
+    return {};
+}
+
+std::int64_t http_request::number(
+    const std::string& name, std::int64_t fallback) const
+{
+    const auto found = query.find(name);
+    return found == query.end() ? fallback : std::stoll(found->second);
+}
+
+json http_request::body_json() const
+{
+    return body.empty() ? json::object() : json::parse(body);
+}
+
+http_answer json_answer(const json& body, int status)
+{
+    return {status, body.dump() + "\n", "application/json", {}};
+}
+
+http_answer error_answer(
+    int status, const std::string& code, const std::string& message)
+{
+    return json_answer(json{{"error", {{"code", code}, {"message", message},
+                                          {"execution", "not_run"}}}},
+        status);
+}
+
+struct http_server_state
+{
+    tcp::acceptor acceptor;
+    http_handler handler;
+    std::set<http_connection*> connections;
+};
+
+namespace
+{
+
 asio::awaitable<void> run_connection(
-    tcp::socket socket, const http_handler& handler)
+    tcp::socket socket, std::shared_ptr<http_server_state> server)
 {
     connection peer(std::move(socket));
+    server->connections.insert(&peer);
     while (peer.open())
     {
         http_request request;
         if (!co_await peer.receive(request))
-            co_return;
+            break;
         std::string failure;
         try
         {
-            co_await handler(request, peer);
+            co_await server->handler(request, peer);
         }
         catch (const std::exception& caught)
         {
@@ -227,16 +285,20 @@
             co_await peer.answer(
                 error_answer(400, "invalid_argument", failure));
     }
+    server->connections.erase(&peer);
 }
 
 asio::awaitable<void> accept_connections(
-    tcp::acceptor acceptor, http_handler handler)
+    std::shared_ptr<http_server_state> server)
 {
+    auto& acceptor = server->acceptor;
     for (;;)
     {
         error_code failure;
         tcp::socket socket = co_await acceptor.async_accept(
             asio::redirect_error(asio::use_awaitable, failure));
+        if (failure == asio::error::operation_aborted)
+            co_return;
         if (failure)
         {
             co_await sleep_ms(10);
@@ -244,67 +306,65 @@
         }
         socket.set_option(tcp::no_delay(true), failure);
         asio::co_spawn(acceptor.get_executor(),
-            run_connection(std::move(socket), handler), asio::detached);
+            run_connection(std::move(socket), server), asio::detached);
     }
 }
 
-// A test program that is killed can't end the stand-ins that it started.
-int parent_pid = 0;
-
-asio::awaitable<void> watch_parent(asio::io_context& io)
+void start_accepting(const std::shared_ptr<http_server_state>& server)
 {
-    constexpr double poll_ms = 500;
-    while (getppid() == parent_pid)
-        co_await sleep_ms(poll_ms);
-    io.stop();
+    asio::co_spawn(server->acceptor.get_executor(), accept_connections(server),
+        asio::detached);
 }
 
 } // namespace
 
-std::string http_request::header(const std::string& name) const
+result<std::unique_ptr<http_server>> http_server::open(
+    asio::io_context& io, const std::string& address, http_handler handler)
 {
-    for (const auto& [key, value] : headers)
-        if (beast::iequals(key, name))
-            return value;
-    return {};
+    auto acceptor = open_acceptor(io.get_executor(), address);
+    if (!acceptor)
+        return tl::unexpected<error>(acceptor.error());
+    auto state = std::make_shared<http_server_state>(
+        http_server_state{std::move(*acceptor), std::move(handler), {}});
+    start_accepting(state);
+    return std::unique_ptr<http_server>(new http_server(std::move(state)));
 }
 
-std::int64_t http_request::number(
-    const std::string& name, std::int64_t fallback) const
+http_server::http_server(std::shared_ptr<http_server_state> state)
+    : state_(std::move(state)),
+      address_(to_text(state_->acceptor.local_endpoint()))
 {
-    const auto found = query.find(name);
-    return found == query.end() ? fallback : std::stoll(found->second);
 }
 
-json http_request::body_json() const
-{
-    return body.empty() ? json::object() : json::parse(body);
-}
+http_server::~http_server() = default;
 
-http_answer json_answer(const json& body, int status)
+void http_server::close()
 {
-    return {status, body.dump() + "\n", "application/json", {}};
+    auto& acceptor = state_->acceptor;
+    const auto endpoint = acceptor.local_endpoint();
+    acceptor.close();
+    for (auto* each : std::set<http_connection*>(state_->connections))
+        each->abort();
+    // A socket that is bound and does not listen refuses connections, and no
+    // other process can take the port.
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    acceptor.bind(endpoint);
 }
 
-http_answer error_answer(
-    int status, const std::string& code, const std::string& message)
+void http_server::reopen()
 {
-    return json_answer(json{{"error", {{"code", code}, {"message", message},
-                                          {"execution", "not_run"}}}},
-        status);
+    state_->acceptor.listen();
+    start_accepting(state_);
 }
 
 result<std::string> serve_http(
     asio::io_context& io, const std::string& address, http_handler handler)
 {
-    auto acceptor = open_acceptor(io.get_executor(), address);
-    if (!acceptor)
-        return tl::unexpected<error>(acceptor.error());
-    const std::string bound = to_text(acceptor->local_endpoint());
-    asio::co_spawn(io,
-        accept_connections(std::move(*acceptor), std::move(handler)),
-        asio::detached);
-    return bound;
+    const auto server = http_server::open(io, address, std::move(handler));
+    if (!server)
+        return tl::unexpected<error>(server.error());
+    return (*server)->address();
 }
 
 asio::awaitable<int> fetch_http(std::string address, std::string target)
--- a/standins/http.hpp
+++ b/standins/http.hpp
@@ -82,6 +82,33 @@
 using http_handler =
     std::function<asio::awaitable<void>(const http_request&, http_connection&)>;
 
+/// What a server shares with the coroutines of its connections.
+struct http_server_state;
+
+/// An HTTP server that can end and come back as a crashed process does.
+class http_server
+{
+public:
+    /// Accepts connections on the address and runs the handler for each
+    /// request.
+    static result<std::unique_ptr<http_server>> open(
+        asio::io_context& io, const std::string& address, http_handler handler);
+    ~http_server();
+
+    /// The bound address, which differs from the given one when its port is 0.
+    const std::string& address() const { return address_; }
+    /// Closes all connections and refuses new ones. Keeps the address.
+    void close();
+    /// Accepts connections again after close().
+    void reopen();
+
+private:
+    explicit http_server(std::shared_ptr<http_server_state> state);
+
+    std::shared_ptr<http_server_state> state_;
+    std::string address_;
+};
+
 /// Accepts connections on the address and runs the handler for each request.
 /// Returns the bound address, which differs when the port is 0.
 result<std::string> serve_http(
--- a/standins/http_platform.cpp
+++ b/standins/http_platform.cpp
@@ -21,6 +21,8 @@
 /// Usual time between two events of a stream.
 constexpr double usual_event_ms = 10;
 constexpr int events_of_a_stream = 5;
+/// Time from a crash of an engine until it listens again.
+constexpr double usual_down_ms = 1'500;
 /// Time between two looks for changes while a feed waits.
 constexpr double feed_poll_ms = 10;
 
@@ -183,33 +185,36 @@
 class replica
 {
 public:
-    replica(std::string id, std::string service)
-        : id_(std::move(id)), service_(std::move(service))
+    replica(
+        std::string id, std::string service, std::shared_ptr<row_store> store)
+        : id_(std::move(id)),
+          service_(std::move(service)),
+          store_(std::move(store))
     {
     }
 
-    const std::string& id() const { return id_; }
-
-    json entry(const std::string& address, const std::string& state) const
+    /// Listens, and writes the row of the directory. The admin interface has an
+    /// address of its own, "<id>-admin", that outlives crashes.
+    void start(asio::io_context& io)
     {
-        return {{"service", service_}, {"address", address}, {"zone", "z1"},
-            {"version", "v1"}, {"slots", 4}, {"state", state}, {"born", 1},
-            {"sequence", sequence_}, {"models", models()}};
+        auto server = http_server::open(io, "127.0.0.1:0",
+            [this](const http_request& request, http_connection& peer)
+            { return handle(request, peer); });
+        if (!server)
+            throw std::runtime_error(server.error().message());
+        server_ = std::move(*server);
+        publish();
+        print_listening(id_, server_->address());
+        listen_or_throw(io, id_ + "-admin", "127.0.0.1:0",
+            [this](const http_request& request, http_connection& peer)
+            { return peer.answer(admin(request)); });
     }
 
+private:
     asio::awaitable<void> handle(
         const http_request& request, http_connection& peer)
     {
-        if (request.path == "/admin/runs")
-            co_await peer.answer(what_ran());
-        else if (request.path == "/admin/faults")
-        {
-            cut_streams_ = request.body_json().value("cut_streams", 0);
-            lose_answers_ = request.body_json().value("lose_answers", 0);
-            event_ms_ = request.body_json().value("event_ms", usual_event_ms);
-            co_await peer.answer(json_answer(json::object()));
-        }
-        else if (request.path == "/-/report")
+        if (request.path == "/-/report")
             co_await peer.answer(report());
         else if (expects_another(request))
             co_await peer.answer(misdirected());
@@ -219,17 +224,71 @@
             co_await serve(request, peer);
     }
 
-private:
+    // Whether the prompt contains the part that crashes engines.
+    bool crashes(const http_request& request) const
+    {
+        const auto parts = "," + request.header("Prompt-Prefix");
+        return !crash_part_.empty() &&
+               parts.find("," + crash_part_ + ":") != std::string::npos;
+    }
+
+    // Ends as a crashed process does and is back later, as a new process
+    // without models, at the same address.
+    asio::awaitable<void> crash()
+    {
+        crashes_.push_back(monotonic_ms());
+        held_.clear();
+        sequence_ = 0;
+        ++born_;
+        server_->close();
+        co_await sleep_ms(crash_down_ms_);
+        server_->reopen();
+        publish();
+    }
+
+    void publish() const
+    {
+        const json entry = {{"service", service_},
+            {"address", server_->address()}, {"zone", "z1"}, {"version", "v1"},
+            {"slots", 4}, {"state", "ready"}, {"born", born_},
+            {"sequence", sequence_}, {"models", models()}};
+        store_->put("servers", id_, entry.dump());
+    }
+
+    http_answer admin(const http_request& request)
+    {
+        if (request.path == "/admin/runs")
+            return what_ran();
+        if (request.path != "/admin/faults")
+            return error_answer(404, "not_found", "no such admin path");
+        set_faults(request.body_json());
+        return json_answer(json::object());
+    }
+
+    // Each change sets all faults; those that it does not name are off.
+    void set_faults(const json& change)
+    {
+        cut_streams_ = change.value("cut_streams", 0);
+        lose_answers_ = change.value("lose_answers", 0);
+        begin_ms_ = change.value("begin_ms", 0.0);
+        event_ms_ = change.value("event_ms", usual_event_ms);
+        crash_part_ = change.value("crash_part", std::string());
+        crash_down_ms_ = change.value("crash_down_ms", usual_down_ms);
+    }
+
+    // Times are those of the monotonic clock.
     http_answer what_ran() const
     {
         return json_answer({{"runs", runs_}, {"orders", orders_},
-            {"seen", seen_}, {"commands", commands_}});
+            {"seen", seen_}, {"commands", commands_}, {"crashes", crashes_},
+            {"crash_part_arrivals", crash_part_arrivals_}});
     }
 
     http_answer report() const
     {
-        return json_answer({{"born", 1}, {"models", models()}, {"busy", false},
-            {"sequence", sequence_}, {"running", 0}, {"waiting", 0}});
+        return json_answer(
+            {{"born", born_}, {"models", models()}, {"busy", false},
+                {"sequence", sequence_}, {"running", 0}, {"waiting", 0}});
     }
 
     http_answer misdirected() const
@@ -294,6 +353,8 @@
         const http_request& request, http_connection& peer)
     {
         const auto model = request.header("Model");
+        if (crashes(request))
+            crash_part_arrivals_.push_back(monotonic_ms());
         if (!model.empty() && !holds(model))
         {
             co_await peer.answer(json_answer(json::object(), 421));
@@ -334,9 +395,16 @@
     {
         const auto last = request.header("Last-Event-Id");
         const int first = last.empty() ? 1 : std::atoi(last.c_str()) + 1;
+        if (begin_ms_ > 0)
+            co_await sleep_ms(begin_ms_);
         const bool begun = co_await peer.begin_stream(headers_of(request));
         if (!begun)
             co_return;
+        if (crashes(request))
+        {
+            co_await crash();
+            co_return;
+        }
         for (int id = first; id <= events_of_a_stream; ++id)
         {
             if (cut_streams_ > 0 && id == 3)
@@ -355,6 +423,10 @@
 
     const std::string id_;
     const std::string service_;
+    const std::shared_ptr<row_store> store_;
+    std::unique_ptr<http_server> server_;
+    /// Start time of the process in the row and in reports.
+    std::int64_t born_ = 1;
     std::map<std::string, std::set<std::string>> held_;
     std::int64_t sequence_ = 0;
     std::map<std::string, int> runs_;
@@ -362,32 +434,34 @@
     // Commands in the order in which they arrived, also refused ones.
     json commands_ = json::array();
     json seen_ = json::array();
+    json crashes_ = json::array();
+    json crash_part_arrivals_ = json::array();
     int cut_streams_ = 0;
     int lose_answers_ = 0;
+    /// Time from the arrival of a completion to the head of its answer.
+    double begin_ms_ = 0;
     double event_ms_ = usual_event_ms;
+    /// Id of the part that crashes the engine; empty for none.
+    std::string crash_part_;
+    double crash_down_ms_ = usual_down_ms;
 };
 
 // The rest of a configuration comes from the tests.
-void run_http_platform(const std::string& listen)
+void run_http_platform(const std::string& listen, int engines)
 {
     asio::io_context io;
     auto store = std::make_shared<row_store>();
     listen_or_throw(io, "store", listen,
         [store](const http_request& request, http_connection& peer)
         { return store->handle(request, peer); });
-    const std::vector<std::pair<std::string, std::string>> replicas = {
-        {"e1", "llm"}, {"e2", "llm"}, {"s1", "orders"}, {"s2", "orders"}};
-    for (const auto& [id, service] : replicas)
-    {
-        auto one = std::make_shared<replica>(id, service);
-        auto address = serve_http(io, "127.0.0.1:0",
-            [one](const http_request& request, http_connection& peer)
-            { return one->handle(request, peer); });
-        if (!address)
-            throw std::runtime_error(address.error().message());
-        store->put("servers", id, one->entry(*address, "ready").dump());
-        print_listening(id, *address);
-    }
+    std::vector<std::unique_ptr<replica>> replicas;
+    for (int i = 1; i <= engines; ++i)
+        replicas.push_back(
+            std::make_unique<replica>(fmt::format("e{}", i), "llm", store));
+    for (const auto* id : {"s1", "s2"})
+        replicas.push_back(std::make_unique<replica>(id, "orders", store));
+    for (const auto& each : replicas)
+        each->start(io);
     run_until_signal(io);
 }
 
@@ -396,10 +470,13 @@
 void add_http_platform(CLI::App& app)
 {
     auto* command = app.add_subcommand("http-platform",
-        "A table service over HTTP with two engines and two plain endpoints");
+        "A table service over HTTP with engines and two plain endpoints");
     auto listen = std::make_shared<std::string>("127.0.0.1:0");
+    auto engines = std::make_shared<int>(2);
     command->add_option("--listen", *listen, "Address of the store");
-    command->callback([listen] { run_http_platform(*listen); });
+    command->add_option("--engines", *engines, "Number of engines");
+    command->callback(
+        [listen, engines] { run_http_platform(*listen, *engines); });
 }
 
 } // namespace tarragonquay::standins
--- a/tests/support/gateway_system.hpp
+++ b/tests/support/gateway_system.hpp
@@ -48,13 +48,14 @@
                         {"unit", "token_stream"}, {"plain_tokens", 10}}}}};
 }
 
-/// A store, four endpoints and some gateways, as processes. Gateways reach the
-/// store through a proxy that injects faults.
+/// A store, engines, two plain endpoints and some gateways, as processes.
+/// Gateways reach the store through a proxy that injects faults.
 class gateway_system
 {
 public:
-    explicit gateway_system(int count = 2)
-        : platform(process::start_standin("http-platform", {})),
+    explicit gateway_system(int count = 2, int engine_count = 2)
+        : platform(process::start_standin(
+              "http-platform", {"--engines", std::to_string(engine_count)})),
           store_proxy(process::start_standin(
               "proxy", {"--listen", "127.0.0.1:0", "--target",
                            platform->address("store")})),
@@ -148,7 +149,8 @@
     // Runs at an endpoint, by request.
     json runs(const std::string& endpoint) const
     {
-        return fetch(platform->address(endpoint), "/admin/runs").json();
+        return fetch(platform->address(endpoint + "-admin"), "/admin/runs")
+            .json();
     }
 
     // Commands that reached an engine, in their order.
@@ -171,7 +173,7 @@
 
     void fault(const std::string& endpoint, const json& value) const
     {
-        post(platform->address(endpoint), "/admin/faults", value);
+        post(platform->address(endpoint + "-admin"), "/admin/faults", value);
     }
 
     std::string next_id() { return fmt::format("r{}", ++requests); }
