Resume streams that break after the limit of the first event

Callers saw streams that ran for longer than the limit of the first event (2 s or more after the request's arrival) end in the middle whenever their endpoint broke the connection, although another endpoint accepted them.

The limit until which a caller waits for the first event of its request was also the deadline of each later send. When it lay in the past, the send to the next endpoint timed out at once and used up an attempt, and the wait for an engine that holds the model was skipped.

A begun stream now has no limit but the deadline of the call: its caller waits anew after each event, and its leaving is noticed.

Test: a_long_stream_that_breaks_is_resumed. Before: assertion failed - Expression: tested.out.stream.ends_with(event(7) + event(8))

--- a/src/endpoints/scripted_server.hpp
+++ b/src/endpoints/scripted_server.hpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include <chrono>
 #include <deque>
 #include <optional>
 #include <string>
@@ -19,12 +20,20 @@
 #include <boost/asio/write.hpp>
 
 #include "common/clock.hpp"
+#include "common/socket_state.hpp"
 
 namespace tarragonquay::endpoints::testing
 {
 
 namespace asio = boost::asio;
 
+/// A part of an answer that is sent after a pause.
+struct delayed_part
+{
+    std::chrono::milliseconds pause{0};
+    std::string text;
+};
+
 /// Answer to one request; "{id}" is replaced by the id of the request.
 struct scripted_answer
 {
@@ -36,6 +45,8 @@
         /// Keeps the connection open without sending anything more.
         silent
     } after = then::close;
+    /// Sent one after the other when `text` has been sent.
+    std::vector<delayed_part> delayed = {};
 };
 
 /// Loopback server that answers requests in order with predefined bytes.
@@ -73,6 +84,9 @@
 
     asio::io_context context;
     int connections = 0;
+    /// Connections that the client closed while a request was unanswered, a
+    /// part of its answer was due, or the server was silent.
+    int closed_by_client = 0;
     /// Heads of the received requests.
     std::vector<std::string> requests;
 
@@ -107,13 +121,30 @@
             fill_id(answer.text, requests.back());
             co_await asio::async_write(socket, asio::buffer(answer.text),
                 asio::redirect_error(asio::use_awaitable, ec));
+            for (auto& part : answer.delayed)
+            {
+                asio::steady_timer pause(context, part.pause);
+                co_await pause.async_wait(
+                    asio::redirect_error(asio::use_awaitable, ec));
+                if (peek_socket(socket.native_handle()) == socket_state::closed)
+                {
+                    ++closed_by_client;
+                    co_return;
+                }
+                fill_id(part.text, requests.back());
+                co_await asio::async_write(socket, asio::buffer(part.text),
+                    asio::redirect_error(asio::use_awaitable, ec));
+            }
             if (answer.after == scripted_answer::then::close)
                 co_return;
             if (answer.after == scripted_answer::then::silent)
             {
-                asio::steady_timer forever(context, time_point::max());
-                co_await forever.async_wait(
-                    asio::redirect_error(asio::use_awaitable, ec));
+                while (!ec)
+                    co_await asio::async_read_until(socket,
+                        asio::dynamic_buffer(buffer), "\r\n\r\n",
+                        asio::redirect_error(asio::use_awaitable, ec));
+                ++closed_by_client;
+                co_return;
             }
         }
     }
--- a/src/gateway/forwarder_test.cpp
+++ b/src/gateway/forwarder_test.cpp
@@ -57,6 +57,8 @@
     asio::awaitable<result<void>> write_stream(std::string events) override
     {
         stream += events;
+        if (on_events)
+            on_events();
         co_return result<void>();
     }
     asio::awaitable<result<void>> end_stream() override
@@ -89,6 +91,7 @@
     bool gone = false;
     bool closes_at_end = false;
     std::function<void()> on_gone;
+    std::function<void()> on_events;
 };
 
 const std::string ok_answer =
@@ -129,7 +132,7 @@
     out.repeat = repeat;
     out.streamed = streamed;
     out.max_attempts = attempts;
-    out.timeout_ms = 2'000;
+    out.timeout_ms = 8'000;
     out.target_latency_ms = 100;
     out.max_event_gap_ms = 100;
     out.services = {{service_id("s"), 1}};
@@ -144,6 +147,7 @@
     out.routes = {make_route("/safe/", repeat_rule::idempotent, false, 2),
         make_route("/once/", repeat_rule::at_most_once, false, 2),
         make_route("/stream/", repeat_rule::resumable, true, 2),
+        make_route("/single-stream/", repeat_rule::resumable, true, 1),
         make_route("/stream-once/", repeat_rule::at_most_once, true, 2)};
     out.services.push_back({service_id("s"), 100, std::nullopt});
     routes::workspace acme;
@@ -179,13 +183,14 @@
         }
     }
 
-    void run(const std::string& path, const std::string& key = "k")
+    void run(const std::string& path, const std::string& key = "k",
+        const std::string& wait_ms = "1500")
     {
         raw_request raw;
         raw.method = "POST";
         raw.target = path;
         raw.headers = {{"X-Request-Id", "r1"}, {"Host", "h"}, {"Key", key},
-            {"Wait", "1500"}};
+            {"Wait", wait_ms}};
         raw.body = "body";
         auto request = parse_request(
             raw, ctx.dialect.headers, std::chrono::steady_clock::now());
@@ -197,15 +202,24 @@
                 if (failure)
                     std::rethrow_exception(failure);
             });
+        CPPUNIT_ASSERT(poll_until([&] { return done; }));
+    }
+
+    void run_long(const std::string& path) { run(path, "k", "6000"); }
+
+    // Runs the gateway and the servers until the condition holds; returns
+    // whether it does.
+    bool poll_until(const std::function<bool()>& condition)
+    {
         const auto limit = std::chrono::steady_clock::now() + 20s;
-        while (!done && std::chrono::steady_clock::now() < limit)
+        while (!condition() && std::chrono::steady_clock::now() < limit)
         {
             for (auto& server : servers)
                 server.context.poll();
             io.restart();
             io.run_for(1ms);
         }
-        CPPUNIT_ASSERT(done);
+        return condition();
     }
 
     std::size_t arrivals() const
@@ -245,6 +259,7 @@
     CPPUNIT_TEST(a_stream_that_may_not_be_resumed_does_not_look_complete);
     CPPUNIT_TEST(a_caller_that_closes_at_the_end_of_a_stream_is_harmless);
     CPPUNIT_TEST(an_answer_of_another_request_is_skipped);
+    CPPUNIT_TEST(a_long_stream_that_breaks_is_resumed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -408,6 +423,21 @@
         CPPUNIT_ASSERT_EQUAL(200, tested.out.whole->status);
         CPPUNIT_ASSERT_EQUAL(std::string("ok"), tested.out.whole->body);
     }
+
+    // Guards against applying the limit of the first event to a stream that is
+    // resumed after this limit.
+    void a_long_stream_that_breaks_is_resumed()
+    {
+        scripted_answer breaking{stream_head + chunk(event(1)), then::close};
+        for (int id = 2; id <= 7; ++id)
+            breaking.delayed.push_back({400ms, chunk(event(id))});
+        fixture tested(
+            {breaking}, {{stream_head, then::keep_open,
+                            {{50ms, chunk(event(8)) + stream_end}}}});
+        tested.run_long("/stream/x");
+        CPPUNIT_ASSERT(tested.out.stream.ends_with(event(7) + event(8)));
+        CPPUNIT_ASSERT(tested.out.ended);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(forwarder_test);
--- a/src/gateway/stream_call.cpp
+++ b/src/gateway/stream_call.cpp
@@ -62,16 +62,15 @@
     const auto& prompt = *call.request.prompt;
     const auto* model = call.routes->find_model(call.service->id, prompt.model);
     const auto began = std::chrono::steady_clock::now();
-    auto give_up_at = std::min(first_event_deadline(call),
-        began + milliseconds(call.route->target_latency_ms));
+    const auto limit = next_endpoint_deadline(call, state);
+    auto give_up_at =
+        std::min(limit, began + milliseconds(call.route->target_latency_ms));
     if (prompt.adapter.empty() && model != nullptr)
     {
         // Do not wait for a load that takes longer than the caller waits.
         const auto load =
             milliseconds(std::llround(model->load_from_memory_s * 1000));
-        give_up_at = began + load < first_event_deadline(call)
-                         ? first_event_deadline(call)
-                         : began;
+        give_up_at = began + load < limit ? limit : began;
     }
     while (true)
     {
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -140,7 +140,8 @@
     asio::awaitable<relay_end> exchange(endpoints::http_connection& connection)
     {
         ++call_.sends;
-        auto request = make_exchange(call_, to_, first_event_deadline(call_));
+        auto request =
+            make_exchange(call_, to_, next_endpoint_deadline(call_, state_));
         if (may_resume_elsewhere(call_))
             watch_first_event(connection);
         if (state_.last_event)
@@ -243,7 +244,8 @@
         while (true)
         {
             auto part = co_await connection.read_some(
-                first ? first_event_deadline(call_) : next_event_deadline());
+                first ? next_endpoint_deadline(call_, state_)
+                      : next_event_deadline());
             if (!part)
                 co_return handle_failure(part.error());
             if (part->empty())
@@ -352,6 +354,11 @@
         call.deadline, call.request.arrived_at + caller_timeout(*call.route));
 }
 
+time_point next_endpoint_deadline(const call& call, const stream_state& state)
+{
+    return state.begun ? call.deadline : first_event_deadline(call);
+}
+
 bool may_resume_elsewhere(const call& call)
 {
     return call.route->repeat == routes::repeat_rule::resumable &&
--- a/src/gateway/stream_relay.hpp
+++ b/src/gateway/stream_relay.hpp
@@ -46,6 +46,10 @@
 
 /// When the caller stops waiting for the first event of the stream.
 time_point first_event_deadline(const call& call);
+/// When waiting for an endpoint's head or first event ends. A begun stream has
+/// no limit but the deadline of the call: its caller waits anew after each
+/// event.
+time_point next_endpoint_deadline(const call& call, const stream_state& state);
 /// Whether another endpoint may continue the stream.
 bool may_resume_elsewhere(const call& call);
 
