Count endpoints, not sends, against the attempts of a stream

Callers saw streams end in the middle when their endpoint broke the connection once and the next endpoint rejected the request, for example because it was full, although the first endpoint would have continued it.

max_attempts limits the number of different endpoints, but every send was counted. An endpoint that broke a stream may be tried once more; with two attempts, the rejection by the second endpoint used up the last one before that happened.

A send to an endpoint to which the request was sent before now takes a repeat from the service's budget but no attempt. It remains limited to once for each endpoint. When the attempts are used up, only such endpoints are chosen. What run_stream_call and the relay know of a stream moves to stream_state.

Test: a_broken_stream_returns_to_its_endpoint_after_a_rejection. Before, the stream ended after event 1: equality assertion failed - Expected: id: 1 data: 1 id: 2 data: 2 - Actual : id: 1 data: 1

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -73,12 +73,21 @@
     return "unknown";
 }
 
+bool attempts_left(const call& call)
+{
+    return call.sends == 0 ||
+           call.sends - call.sends_to_known < call.route->max_attempts;
+}
+
 bool take_attempt(call& call)
+{
+    return attempts_left(call) && take_repeat(call);
+}
+
+bool take_repeat(call& call)
 {
     if (call.sends == 0)
         return true;
-    if (call.sends >= call.route->max_attempts)
-        return false;
     const auto now = std::chrono::steady_clock::now();
     const auto& bounds = call.ctx.settings.bounds;
     const dispatch::repeat_limits limits{
--- a/src/gateway/call.hpp
+++ b/src/gateway/call.hpp
@@ -50,6 +50,9 @@
     time_point deadline;
     /// Number of times that the request was sent to an endpoint.
     int sends = 0;
+    /// Those of them that went to an endpoint to which the request was sent
+    /// before.
+    int sends_to_known = 0;
     /// Whether an endpoint may have run the request.
     bool may_have_run = false;
     std::set<endpoint_id> tried;
@@ -75,9 +78,15 @@
 /// The inputs of the decision about a request, for the log.
 nlohmann::ordered_json decision_inputs(const call& call);
 
-/// Whether the request may be sent to an endpoint. The first send is always
-/// allowed; each further one is limited by the route's attempts and takes one
-/// repeat from the service's budget.
+/// Whether the route permits to send the request to one more endpoint. The
+/// number of attempts limits the number of different endpoints.
+bool attempts_left(const call& call);
+/// Takes one repeat from the service's budget, unless this is the first send.
+/// Returns false when the budget is used up.
+bool take_repeat(call& call);
+/// Whether the request may be sent to one more endpoint. The first send is
+/// always allowed; each further one is limited by the route's attempts and
+/// takes one repeat from the service's budget.
 bool take_attempt(call& call);
 
 /// Builds the request to send to this endpoint.
--- a/src/gateway/forwarder_test.cpp
+++ b/src/gateway/forwarder_test.cpp
@@ -260,6 +260,7 @@
     CPPUNIT_TEST(a_caller_that_closes_at_the_end_of_a_stream_is_harmless);
     CPPUNIT_TEST(an_answer_of_another_request_is_skipped);
     CPPUNIT_TEST(a_long_stream_that_breaks_is_resumed);
+    CPPUNIT_TEST(a_broken_stream_returns_to_its_endpoint_after_a_rejection);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -438,6 +439,20 @@
         CPPUNIT_ASSERT(tested.out.stream.ends_with(event(7) + event(8)));
         CPPUNIT_ASSERT(tested.out.ended);
     }
+
+    // Guards against ending a broken stream because the rejection by another
+    // endpoint used up the attempts, although its own endpoint accepts it.
+    void a_broken_stream_returns_to_its_endpoint_after_a_rejection()
+    {
+        fixture tested(
+            {{stream_head + chunk(event(1))},
+                {stream_head + chunk(event(2)) + stream_end, then::keep_open}},
+            {{rejected_answer, then::keep_open}});
+        tested.run("/stream/x");
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2), tested.out.stream);
+        CPPUNIT_ASSERT(tested.out.ended);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), tested.arrivals());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(forwarder_test);
--- a/src/gateway/stream_call.cpp
+++ b/src/gateway/stream_call.cpp
@@ -2,7 +2,6 @@
 #include <chrono>
 #include <cmath>
 #include <optional>
-#include <set>
 
 #include "gateway/call.hpp"
 #include "gateway/forwarder.hpp"
@@ -27,38 +26,14 @@
     return call.route->repeat == routes::repeat_rule::resumable;
 }
 
-// Chooses the best endpoint that is not excluded.
-result<dispatch::endpoint_choice> choose_among(
-    const call& call, const std::set<endpoint_id>& excluded, time_point now)
-{
-    if (!call.request.prompt || !call.service->engines)
-        return call.ctx.pool.choose_plain(call.service->id, excluded, now);
-    return call.ctx.pool.choose_engine(
-        call.service->id, *call.request.prompt, excluded, now);
-}
-
-// Chooses the best endpoint that has not been tried. If there is none, an
-// endpoint that broke the stream once may be chosen again.
-result<dispatch::endpoint_choice> choose_now(
-    const call& call, const stream_state& state, time_point now)
-{
-    auto out = choose_among(call, call.tried, now);
-    if (out || state.retryable_endpoints.empty())
-        return out;
-    auto excluded = call.tried;
-    for (const auto& each : state.retryable_endpoints)
-        excluded.erase(each);
-    auto again = choose_among(call, excluded, now);
-    return again ? again : out;
-}
-
 // Chooses an endpoint; waits if no engine holds the model and the adapter yet.
 asio::awaitable<result<dispatch::endpoint_choice>> choose_or_wait(
     call& call, const stream_state& state)
 {
     auto& ctx = call.ctx;
     if (!call.request.prompt || !call.service->engines)
-        co_return choose_now(call, state, std::chrono::steady_clock::now());
+        co_return choose_next(
+            call, state, {}, std::chrono::steady_clock::now());
     const auto& prompt = *call.request.prompt;
     const auto* model = call.routes->find_model(call.service->id, prompt.model);
     const auto began = std::chrono::steady_clock::now();
@@ -75,7 +50,7 @@
     while (true)
     {
         const auto now = std::chrono::steady_clock::now();
-        auto chosen = choose_now(call, state, now);
+        auto chosen = choose_next(call, state, {}, now);
         if (chosen || chosen.error().code() != error_code::model_not_ready ||
             now >= give_up_at || call.out.caller_gone())
             co_return chosen;
@@ -105,18 +80,6 @@
             {call.service->id, prompt.model, prompt.adapter}, 1, now);
 }
 
-// Records that an endpoint was tried. One that broke the stream may be tried
-// once more, since it may be the only one that holds the model.
-void record_attempt(call& call, stream_state& state,
-    const endpoint_id& endpoint, relay_outcome outcome)
-{
-    const bool first = call.tried.insert(endpoint).second;
-    if (first && state.begun && outcome == relay_outcome::broken)
-        state.retryable_endpoints.insert(endpoint);
-    else
-        state.retryable_endpoints.erase(endpoint);
-}
-
 // Answers the caller, if still possible, when the stream can't be continued.
 asio::awaitable<void> give_up(call& call, const stream_state& state,
     std::optional<whole_answer> last, const error& cause)
@@ -178,8 +141,8 @@
     state.last_event = call.request.last_event;
     std::optional<whole_answer> last;
     error cause(error_code::deadline_exceeded, "the deadline has passed");
-    while (
-        std::chrono::steady_clock::now() < call.deadline && take_attempt(call))
+    while (std::chrono::steady_clock::now() < call.deadline &&
+           may_send(call, state) && take_repeat(call))
     {
         auto to = co_await choose_or_wait(call, state);
         if (!to)
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -139,7 +139,7 @@
 
     asio::awaitable<relay_end> exchange(endpoints::http_connection& connection)
     {
-        ++call_.sends;
+        count_send(call_, to_.id);
         auto request =
             make_exchange(call_, to_, next_endpoint_deadline(call_, state_));
         if (may_resume_elsewhere(call_))
@@ -362,7 +362,7 @@
 bool may_resume_elsewhere(const call& call)
 {
     return call.route->repeat == routes::repeat_rule::resumable &&
-           call.sends < call.route->max_attempts;
+           attempts_left(call);
 }
 
 asio::awaitable<relay_end> relay_stream(
--- a/src/gateway/stream_relay.hpp
+++ b/src/gateway/stream_relay.hpp
@@ -2,45 +2,17 @@
 
 #include <utility>
 
-#include <cstdint>
-#include <optional>
-#include <set>
-
 #include <boost/asio/awaitable.hpp>
 
-#include "gateway/call.hpp"
+#include "gateway/stream_state.hpp"
 
 namespace tarragonquay::gateway
 {
 
-/// State of a stream to a caller, which several endpoints may continue in turn.
-struct stream_state
-{
-    /// Whether the head of the answer has been sent to the caller.
-    bool begun = false;
-    /// Id of the last event that the caller has got.
-    std::optional<std::int64_t> last_event;
-    /// Endpoints that broke the stream once and may be tried once more.
-    std::set<endpoint_id> retryable_endpoints;
-};
-
-/// Outcome of relaying a stream from one endpoint.
-enum class relay_outcome
-{
-    complete,
-    /// The endpoint returned a complete answer instead of a stream; it is in
-    /// `answer`.
-    answered,
-    rejected,
-    not_connected,
-    /// The stream was interrupted, stalled or invalid; it may be resumed.
-    broken,
-    caller_gone
-};
-
 struct relay_end
 {
     relay_outcome outcome = relay_outcome::broken;
+    /// Set when the outcome is `answered`.
     whole_answer answer;
 };
 
--- /dev/null
+++ b/src/gateway/stream_state.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <utility>
+
+#include <cstdint>
+#include <optional>
+#include <set>
+
+#include "gateway/call.hpp"
+
+namespace tarragonquay::gateway
+{
+
+/// State of a stream to a caller, which several endpoints may continue in turn.
+struct stream_state
+{
+    /// Whether the head of the answer has been sent to the caller.
+    bool begun = false;
+    /// Id of the last event that the caller has got.
+    std::optional<std::int64_t> last_event;
+    /// Endpoints that broke the stream once and may be tried once more.
+    std::set<endpoint_id> retryable_endpoints;
+};
+
+/// Outcome of relaying a stream from one endpoint.
+enum class relay_outcome
+{
+    complete,
+    /// The endpoint returned a complete answer instead of a stream.
+    answered,
+    rejected,
+    not_connected,
+    /// The stream was interrupted, stalled or invalid; it may be resumed.
+    broken,
+    caller_gone
+};
+
+/// Whether the request may be sent to another endpoint, or again to one that
+/// broke the stream.
+bool may_send(const call& call, const stream_state& state);
+
+/// Chooses the best endpoint that has not been tried, if attempts are left.
+/// Otherwise, an endpoint that broke the stream once may be chosen again.
+/// `excluded` are never chosen.
+result<dispatch::endpoint_choice> choose_next(const call& call,
+    const stream_state& state, const std::set<endpoint_id>& excluded,
+    time_point now);
+
+/// Counts a send to this endpoint.
+void count_send(call& call, const endpoint_id& endpoint);
+
+/// Records that an endpoint was tried. One that broke the stream may be tried
+/// once more, since it may be the only one that holds the model.
+void record_attempt(call& call, stream_state& state,
+    const endpoint_id& endpoint, relay_outcome outcome);
+
+} // namespace tarragonquay::gateway
