Keep a silent stream until another endpoint accepts it

Callers saw streams end in the middle (reason stream_broken) although their endpoint was only silent for about a second and then went on.

After four times the route's longest pause without an event, the gateway closed the connection to the endpoint of a resumable stream before it knew whether another endpoint takes the request. When the repeat budget was used up, no other endpoint held the model, or the other one rejected the request, no attempt was left and the stream was cut. On the last attempt the gateway ended the stream itself, shortly before its caller would have left.

Now stream_takeover asks another endpoint while the connection to the silent one stays open. When the other one has begun the stream, the first connection is closed and the relay goes on from the other one; when it rejects, fails or does not answer, only the attempt is counted. An event of the first endpoint withdraws the request from the other one, so that the events still follow the last one that the caller got. If the first endpoint breaks the stream meanwhile, the other one is awaited. A caller that leaves closes both connections. A stream ends only when it is complete, its endpoints break it, its caller leaves or its deadline passes.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -173,12 +173,12 @@
 }
 
 void log_attempt(const call& call, const endpoint_id& endpoint,
-    attempt_outcome outcome, const std::string& detail)
+    attempt_outcome outcome, const std::string& detail, int send)
 {
     call.ctx.log.info("attempt_failed",
         {{"request_id", call.request.id}, {"endpoint", endpoint.str()},
             {"outcome", to_string(outcome)}, {"detail", detail},
-            {"send", call.sends}});
+            {"send", send}});
     call.ctx.metrics.add("tq_gateway_failed_attempts_total",
         {{"outcome", std::string(to_string(outcome))}});
 }
--- a/src/gateway/call.hpp
+++ b/src/gateway/call.hpp
@@ -109,9 +109,10 @@
 whole_answer make_caller_answer(
     const call& call, endpoints::answer_head head, std::string body);
 
-/// Logs and counts an attempt that returned no answer for the caller.
+/// Logs and counts an attempt that returned no answer for the caller. `send` is
+/// the number of its send.
 void log_attempt(const call& call, const endpoint_id& endpoint,
-    attempt_outcome outcome, const std::string& detail);
+    attempt_outcome outcome, const std::string& detail, int send);
 
 /// Serves a request that is answered with a single response.
 boost::asio::awaitable<void> run_plain_call(call& call);
--- a/src/gateway/forwarder_test.cpp
+++ b/src/gateway/forwarder_test.cpp
@@ -259,6 +259,13 @@
     CPPUNIT_TEST(a_stream_that_may_not_be_resumed_does_not_look_complete);
     CPPUNIT_TEST(a_caller_that_closes_at_the_end_of_a_stream_is_harmless);
     CPPUNIT_TEST(an_answer_of_another_request_is_skipped);
+    CPPUNIT_TEST(a_silent_stream_goes_on_after_a_rejection_elsewhere);
+    CPPUNIT_TEST(a_silent_stream_goes_on_without_a_repeat_left);
+    CPPUNIT_TEST(a_silent_stream_moves_to_an_endpoint_that_accepts_it);
+    CPPUNIT_TEST(a_stream_that_goes_on_is_not_moved);
+    CPPUNIT_TEST(a_stream_that_breaks_moves_to_the_endpoint_being_asked);
+    CPPUNIT_TEST(a_leaving_caller_closes_both_connections);
+    CPPUNIT_TEST(a_silent_last_attempt_lasts_until_the_caller_leaves);
     CPPUNIT_TEST(a_long_stream_that_breaks_is_resumed);
     CPPUNIT_TEST(a_broken_stream_returns_to_its_endpoint_after_a_rejection);
     CPPUNIT_TEST_SUITE_END();
@@ -425,6 +432,118 @@
         CPPUNIT_ASSERT_EQUAL(std::string("ok"), tested.out.whole->body);
     }
 
+    // Guards against closing the connection to a silent endpoint that goes on,
+    // before another endpoint has accepted the stream.
+    void a_silent_stream_goes_on_after_a_rejection_elsewhere()
+    {
+        fixture tested({{stream_head + chunk(event(1)), then::keep_open,
+                           {{1'000ms, chunk(event(2)) + stream_end}}}},
+            {{rejected_answer, then::keep_open}});
+        tested.run_long("/stream/x");
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2), tested.out.stream);
+        CPPUNIT_ASSERT(tested.out.ended);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), tested.arrivals());
+    }
+
+    // Guards against ending a silent stream when the repeat budget allows no
+    // request to another endpoint.
+    void a_silent_stream_goes_on_without_a_repeat_left()
+    {
+        fixture tested({{stream_head + chunk(event(1)), then::keep_open,
+                           {{1'200ms, chunk(event(2)) + stream_end}}}},
+            {{stream_head + chunk(event(2)) + stream_end}});
+        tested.ctx.settings.bounds.repeat_ratio = 0;
+        tested.ctx.settings.bounds.repeat_slack = 0;
+        tested.run_long("/stream/x");
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2), tested.out.stream);
+        CPPUNIT_ASSERT(tested.out.ended);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), tested.arrivals());
+    }
+
+    // Guards against lost or repeated events when a stream moves, and against a
+    // request that goes on at two endpoints.
+    void a_silent_stream_moves_to_an_endpoint_that_accepts_it()
+    {
+        fixture tested({{stream_head + chunk(event(1)), then::silent}},
+            {{stream_head + chunk(event(2)), then::keep_open,
+                {{200ms, chunk(event(3)) + stream_end}}}});
+        int closed_at_last_event = 0;
+        tested.out.on_events = [&]
+        { closed_at_last_event = tested.servers[0].closed_by_client; };
+        tested.run_long("/stream/x");
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2) + event(3), tested.out.stream);
+        CPPUNIT_ASSERT(tested.out.ended);
+        CPPUNIT_ASSERT_EQUAL(1, closed_at_last_event);
+        const auto& second = tested.servers[1].requests.front();
+        CPPUNIT_ASSERT_MESSAGE(
+            second, second.find("Last: 1\r\n") != std::string::npos);
+        for (const auto& [id, load] : tested.ctx.pool.own_loads())
+            CPPUNIT_FAIL("requests are still counted at " + id.str());
+    }
+
+    // Guards against leaving an endpoint that goes on while another one is
+    // being asked, and against a request that stays at the other one.
+    void a_stream_that_goes_on_is_not_moved()
+    {
+        fixture tested({{stream_head + chunk(event(1)), then::keep_open,
+                           {{800ms, chunk(event(2))},
+                               {200ms, chunk(event(3)) + stream_end}}}},
+            {{"", then::silent}});
+        int asked_closed = 0;
+        tested.out.on_events = [&]
+        { asked_closed = tested.servers[1].closed_by_client; };
+        tested.run_long("/stream/x");
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2) + event(3), tested.out.stream);
+        CPPUNIT_ASSERT(tested.out.ended);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), tested.arrivals());
+        CPPUNIT_ASSERT_EQUAL(1, asked_closed);
+        CPPUNIT_ASSERT_EQUAL(0, tested.servers[0].closed_by_client);
+    }
+
+    // Guards against dropping the request to another endpoint when the silent
+    // one breaks the stream.
+    void a_stream_that_breaks_moves_to_the_endpoint_being_asked()
+    {
+        fixture tested(
+            {{stream_head + chunk(event(1)), then::close, {{800ms, ""}}}},
+            {{"", then::keep_open,
+                {{800ms, stream_head + chunk(event(2)) + stream_end}}}});
+        tested.run_long("/stream/x");
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2), tested.out.stream);
+        CPPUNIT_ASSERT(tested.out.ended);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), tested.arrivals());
+    }
+
+    // Guards against requests that go on at an endpoint without a caller.
+    void a_leaving_caller_closes_both_connections()
+    {
+        fixture tested({{stream_head + chunk(event(1)), then::silent}},
+            {{"", then::silent}});
+        asio::steady_timer leave(tested.io, 800ms);
+        leave.async_wait([&](const boost::system::error_code&)
+            { tested.out.close_connection(); });
+        tested.run_long("/stream/x");
+        CPPUNIT_ASSERT(!tested.out.ended);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), tested.arrivals());
+        CPPUNIT_ASSERT(tested.poll_until(
+            [&]
+            {
+                return tested.servers[0].closed_by_client == 1 &&
+                       tested.servers[1].closed_by_client == 1;
+            }));
+    }
+
+    // Guards against ending a silent stream while its caller still waits.
+    void a_silent_last_attempt_lasts_until_the_caller_leaves()
+    {
+        fixture tested({{stream_head + chunk(event(1)), then::keep_open,
+                           {{2'300ms, chunk(event(2)) + stream_end}}}},
+            {});
+        tested.run_long("/single-stream/x");
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2), tested.out.stream);
+        CPPUNIT_ASSERT(tested.out.ended);
+    }
+
     // Guards against applying the limit of the first event to a stream that is
     // resumed after this limit.
     void a_long_stream_that_breaks_is_resumed()
--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -65,7 +65,7 @@
         end.outcome = attempt_outcome::caller_gone;
     else
         call.ctx.pool.record_failure(to.id, std::chrono::steady_clock::now());
-    log_attempt(call, to.id, end.outcome, cause.message());
+    log_attempt(call, to.id, end.outcome, cause.message(), call.sends);
     return end;
 }
 
@@ -102,7 +102,7 @@
         call.ctx.pool.mark_leaving(to.id);
     else
         call.ctx.pool.mark_full(to.id, std::chrono::steady_clock::now());
-    log_attempt(call, to.id, kind, std::to_string(head->status));
+    log_attempt(call, to.id, kind, std::to_string(head->status), call.sends);
     co_return end;
 }
 
--- a/src/gateway/stream_call.cpp
+++ b/src/gateway/stream_call.cpp
@@ -157,7 +157,7 @@
         if (!in_time)
             co_return;
         auto end = co_await relay_stream(call, state, *to);
-        record_attempt(call, state, to->id, end.outcome);
+        record_attempt(call, state, end.endpoint, end.outcome);
         if (end.outcome == relay_outcome::complete)
         {
             call.reason = "answered";
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -30,8 +30,8 @@
 constexpr milliseconds min_first_event_grace{300};
 /// Interval of the checks whether an endpoint has lost a request.
 constexpr milliseconds check_interval{200};
-/// An endpoint without an event for this multiple of the route's longest pause
-/// is considered stalled.
+/// After this multiple of the route's longest pause without an event, another
+/// endpoint is looked for.
 constexpr int silence_timeout_in_pauses = 4;
 constexpr milliseconds min_silence_timeout{500};
 
@@ -45,6 +45,12 @@
         milliseconds(caller_timeout_in_pauses * route.max_event_gap_ms)});
 }
 
+milliseconds silence_timeout(const routes::route& route)
+{
+    return std::max(min_silence_timeout,
+        milliseconds(silence_timeout_in_pauses * route.max_event_gap_ms));
+}
+
 /// Relays a stream from one endpoint to the caller.
 class relay
 {
@@ -53,31 +59,101 @@
         : call_(call),
           state_(state),
           to_(to),
-          ticket_(call.ctx.pool,
-              call.ctx.pool.begin(to,
-                  call.request.prompt ? &*call.request.prompt : nullptr,
-                  call.service->engines ? call.service->engines->cache_tokens
-                                        : 0,
-                  std::chrono::steady_clock::now())),
-          watchdog_(call.ctx.io)
+          ticket_(make_ticket(call, to)),
+          watchdog_(call.ctx.io),
+          takeover_(call, state, to.id, silence_timeout(*call.route),
+              [this] { close_connection(); })
+    {
+    }
+
+    // Relays a stream that the endpoint has begun.
+    relay(call& call, stream_state& state, begun_stream from)
+        : call_(call),
+          state_(state),
+          to_(std::move(from.from)),
+          ticket_(std::move(from.ticket)),
+          connection_(std::move(from.connection)),
+          head_(std::move(from.head)),
+          send_(from.send),
+          watchdog_(call.ctx.io),
+          takeover_(call, state, to_.id, silence_timeout(*call.route),
+              [this] { close_connection(); })
     {
     }
 
     asio::awaitable<relay_end> run()
     {
         call_.endpoint = to_.id;
-        auto connection = co_await connect(call_, to_, call_.deadline);
-        if (!connection)
-            co_return handle_failure(connection.error());
-        call_.out.on_caller_gone([&] { connection->close(); });
-        auto end = co_await exchange(*connection);
+        auto end = co_await run_attempt();
+        end.endpoint = to_.id;
+        if (end.outcome != relay_outcome::complete)
+            end.continuation = co_await takeover_.outcome();
         cancel_close_handlers();
+        if (call_.out.caller_gone() && end.outcome != relay_outcome::complete)
+        {
+            end.outcome = relay_outcome::caller_gone;
+            end.continuation.reset();
+        }
+        if (end.continuation)
+            log_moved(end.continuation->from.id);
         co_return end;
     }
 
 private:
+    asio::awaitable<relay_end> run_attempt()
+    {
+        call_.out.on_caller_gone(
+            [this]
+            {
+                close_connection();
+                takeover_.close();
+            });
+        if (connection_)
+            co_return co_await relay_events(std::move(head_));
+        auto connection = co_await connect(call_, to_, call_.deadline);
+        if (!connection)
+            co_return handle_failure(connection.error());
+        connection_.emplace(std::move(*connection));
+        co_return co_await exchange();
+    }
+
+    void close_connection()
+    {
+        if (connection_)
+            connection_->close();
+    }
+
+    std::int64_t silent_ms() const
+    {
+        return std::chrono::duration_cast<milliseconds>(
+            std::chrono::steady_clock::now() - silent_since_)
+            .count();
+    }
+
+    void log_moved(const endpoint_id& next) const
+    {
+        call_.ctx.log.info("stream_moved",
+            {{"request_id", call_.request.id}, {"from", to_.id.str()},
+                {"to", next.str()}, {"silent_ms", silent_ms()}});
+    }
+
+    // Ends the attempt because another endpoint has begun the stream.
+    relay_end leave_silent_endpoint()
+    {
+        call_.ctx.pool.record_failure(to_.id, std::chrono::steady_clock::now());
+        log_attempt(call_, to_.id, attempt_outcome::unknown,
+            "silent for " + std::to_string(silent_ms()) +
+                " ms; another endpoint continues the stream",
+            send_);
+        relay_end end;
+        end.outcome = relay_outcome::broken;
+        return end;
+    }
+
     relay_end handle_failure(const error& cause)
     {
+        if (takeover_.accepted())
+            return leave_silent_endpoint();
         relay_end end;
         end.outcome = cause.execution() == execution_state::not_run
                           ? relay_outcome::not_connected
@@ -93,7 +169,7 @@
             : end.outcome == relay_outcome::caller_gone
                 ? attempt_outcome::caller_gone
                 : attempt_outcome::unknown,
-            cause.message());
+            cause.message(), send_);
         return end;
     }
 
@@ -119,58 +195,47 @@
                 if (failed || alive.expired())
                     return;
                 if (call_.ctx.pool.lost_request(
-                        to_.id, ticket_.ticket().sent_at))
+                        to_.id, ticket_->ticket().sent_at))
                     connection.close();
                 else
                     watch_first_event(connection);
             });
     }
 
-    time_point next_event_deadline() const
+    // Another endpoint is looked for when no event arrives from now on.
+    void watch_silence(time_point from)
     {
-        const auto now = std::chrono::steady_clock::now();
-        if (!may_resume_elsewhere(call_))
-            return std::min(call_.deadline, now + caller_timeout(*call_.route));
-        return std::min(call_.deadline,
-            now + std::max(min_silence_timeout,
-                      milliseconds(silence_timeout_in_pauses *
-                                   call_.route->max_event_gap_ms)));
+        silent_since_ = from;
+        if (call_.route->repeat == routes::repeat_rule::resumable)
+            takeover_.search_at(from + silence_timeout(*call_.route));
     }
 
-    asio::awaitable<relay_end> exchange(endpoints::http_connection& connection)
+    asio::awaitable<relay_end> exchange()
     {
+        auto& connection = *connection_;
         count_send(call_, to_.id);
-        auto request =
-            make_exchange(call_, to_, next_endpoint_deadline(call_, state_));
+        send_ = call_.sends;
+        const auto request = make_stream_exchange(
+            call_, state_, to_, next_endpoint_deadline(call_, state_));
         if (may_resume_elsewhere(call_))
             watch_first_event(connection);
-        if (state_.last_event)
-        {
-            const auto& name = call_.ctx.dialect.headers.last_event;
-            std::erase_if(request.headers, [&](const endpoints::header& each)
-                { return each.name == name; });
-            request.headers.push_back(
-                {name, std::to_string(*state_.last_event)});
-        }
         auto head = co_await connection.send(request);
         if (!head)
             co_return handle_failure(head.error());
         const auto kind = classify_head(call_, *head);
         if (kind == attempt_outcome::answered && head->status == status_ok)
-            co_return co_await relay_events(connection, std::move(*head));
-        co_return co_await read_whole_answer(
-            connection, kind, std::move(*head));
+            co_return co_await relay_events(std::move(*head));
+        co_return co_await read_whole_answer(kind, std::move(*head));
     }
 
     // Reads a complete answer that is not a stream.
     asio::awaitable<relay_end> read_whole_answer(
-        endpoints::http_connection& connection, attempt_outcome kind,
-        endpoints::answer_head head)
+        attempt_outcome kind, endpoints::answer_head head)
     {
         std::string body;
         while (true)
         {
-            const auto part = co_await connection.read_some(call_.deadline);
+            const auto part = co_await connection_->read_some(call_.deadline);
             if (!part)
                 co_return handle_failure(part.error());
             if (part->empty())
@@ -181,7 +246,7 @@
             co_return handle_failure(error(error_code::wrong_answer,
                 "the answer was not made by the endpoint",
                 execution_state::unknown));
-        return_to_pool(connection);
+        return_to_pool();
         relay_end end;
         if (kind == attempt_outcome::answered)
         {
@@ -192,60 +257,52 @@
                 make_caller_answer(call_, std::move(head), std::move(body));
             co_return end;
         }
-        if (kind == attempt_outcome::misdirected)
-            note_misdirected(head);
-        else
-            call_.ctx.pool.mark_full(to_.id, std::chrono::steady_clock::now());
-        log_attempt(call_, to_.id, kind, std::to_string(head.status));
+        note_rejection(call_, to_.id, kind, head);
+        log_attempt(call_, to_.id, kind, std::to_string(head.status), send_);
         end.outcome = relay_outcome::rejected;
         co_return end;
     }
 
-    void note_misdirected(const endpoints::answer_head& head)
-    {
-        const auto id = head.find(call_.ctx.dialect.headers.endpoint);
-        if (!id.empty() && id != to_.id.str())
-            call_.ctx.pool.mark_leaving(to_.id);
-        else if (call_.request.prompt)
-            call_.ctx.pool.mark_missing(to_.id, call_.request.prompt->model,
-                call_.request.prompt->adapter,
-                std::chrono::steady_clock::now());
-    }
-
     void cancel_watchdog()
     {
         watch_token_.reset();
         watchdog_.cancel();
     }
 
-    // From here on, neither the watchdog nor a leaving caller closes the
-    // connection.
+    // From here on, a leaving caller closes no connection.
     void cancel_close_handlers()
     {
         call_.out.on_caller_gone(nullptr);
         cancel_watchdog();
+        takeover_.close();
     }
 
-    void return_to_pool(endpoints::http_connection& connection)
+    // A caller that leaves while the end of its stream is written must not
+    // close the pooled connection.
+    void return_to_pool()
     {
-        // The caller may close its connection while the end of its stream is
-        // written; that must not close the pooled connection.
-        cancel_close_handlers();
-        if (connection.reusable())
-            call_.ctx.connections.put(to_.address, std::move(connection),
+        cancel_watchdog();
+        if (connection_->reusable())
+            call_.ctx.connections.put(to_.address, std::move(*connection_),
                 std::chrono::steady_clock::now());
+        connection_.reset();
     }
 
-    asio::awaitable<relay_end> relay_events(
-        endpoints::http_connection& connection, endpoints::answer_head head)
+    asio::awaitable<relay_end> relay_events(endpoints::answer_head head)
     {
         event_framer framer;
         bool first = true;
+        if (state_.begun)
+            watch_silence(
+                std::max(to_.expected_at, std::chrono::steady_clock::now()));
         while (true)
         {
-            auto part = co_await connection.read_some(
-                first ? next_endpoint_deadline(call_, state_)
-                      : next_event_deadline());
+            auto part = co_await connection_->read_some(
+                first ? next_endpoint_deadline(call_, state_) : call_.deadline);
+            // Events that arrived meanwhile are requested from the other
+            // endpoint.
+            if (takeover_.accepted())
+                co_return leave_silent_endpoint();
             if (!part)
                 co_return handle_failure(part.error());
             if (part->empty())
@@ -256,6 +313,7 @@
                 co_return handle_failure(events.error());
             if (events->empty())
                 continue;
+            takeover_.stop();
             if (first)
                 note_first_event();
             else
@@ -265,15 +323,17 @@
             const bool written = co_await deliver(head, std::move(*events));
             if (!written)
                 co_return make_caller_gone();
+            watch_silence(std::chrono::steady_clock::now());
         }
         if (framer.has_partial_event())
             co_return handle_failure(error(error_code::incomplete_answer,
                 "the stream ended in the middle of an event",
                 execution_state::unknown));
-        return_to_pool(connection);
+        takeover_.stop();
+        return_to_pool();
         call_.ctx.pool.record_answer(to_.id, true);
         if (call_.request.prompt)
-            call_.ctx.pool.note_stream_end(ticket_.ticket(), call_.service->id,
+            call_.ctx.pool.note_stream_end(ticket_->ticket(), call_.service->id,
                 call_.request.prompt->model, std::chrono::steady_clock::now());
         if (!state_.begun)
         {
@@ -284,20 +344,25 @@
         const auto ended = co_await call_.out.end_stream();
         if (!ended)
             co_return make_caller_gone();
-        co_return relay_end{relay_outcome::complete, {}};
+        relay_end end;
+        end.outcome = relay_outcome::complete;
+        co_return end;
     }
 
     static relay_end make_caller_gone()
     {
-        return {relay_outcome::caller_gone, {}};
+        relay_end end;
+        end.outcome = relay_outcome::caller_gone;
+        return end;
     }
 
     void note_first_event()
     {
         cancel_watchdog();
         if (call_.request.prompt)
-            call_.ctx.pool.note_first_event(ticket_.ticket(), call_.service->id,
-                call_.request.prompt->model, std::chrono::steady_clock::now());
+            call_.ctx.pool.note_first_event(ticket_->ticket(),
+                call_.service->id, call_.request.prompt->model,
+                std::chrono::steady_clock::now());
     }
 
     // Returns the complete events in the framer, concatenated. Fails if their
@@ -340,10 +405,16 @@
     call& call_;
     stream_state& state_;
     const dispatch::endpoint_choice to_;
-    ticket_guard ticket_;
+    std::unique_ptr<ticket_guard> ticket_;
+    std::optional<endpoints::http_connection> connection_;
+    endpoints::answer_head head_;
+    /// Number of the send.
+    int send_ = 0;
+    time_point silent_since_ = std::chrono::steady_clock::now();
     asio::steady_timer watchdog_;
     /// Reset when the watchdog must no longer close the connection.
     std::shared_ptr<int> watch_token_ = std::make_shared<int>(0);
+    stream_takeover takeover_;
 };
 
 } // namespace
@@ -368,8 +439,18 @@
 asio::awaitable<relay_end> relay_stream(
     call& call, stream_state& state, dispatch::endpoint_choice to)
 {
-    relay attempt(call, state, to);
-    co_return co_await attempt.run();
+    auto current = std::make_unique<relay>(call, state, to);
+    auto end = co_await current->run();
+    while (end.continuation)
+    {
+        record_attempt(call, state, end.endpoint, end.outcome);
+        call.may_have_run = true;
+        auto next =
+            std::make_unique<relay>(call, state, std::move(*end.continuation));
+        current = std::move(next);
+        end = co_await current->run();
+    }
+    co_return end;
 }
 
 } // namespace tarragonquay::gateway
--- a/src/gateway/stream_relay.hpp
+++ b/src/gateway/stream_relay.hpp
@@ -2,9 +2,12 @@
 
 #include <utility>
 
+#include <optional>
+
 #include <boost/asio/awaitable.hpp>
 
 #include "gateway/stream_state.hpp"
+#include "gateway/stream_takeover.hpp"
 
 namespace tarragonquay::gateway
 {
@@ -14,6 +17,10 @@
     relay_outcome outcome = relay_outcome::broken;
     /// Set when the outcome is `answered`.
     whole_answer answer;
+    /// The endpoint of the last attempt.
+    endpoint_id endpoint;
+    /// Another endpoint has begun to continue the stream.
+    std::optional<begun_stream> continuation;
 };
 
 /// When the caller stops waiting for the first event of the stream.
@@ -26,6 +33,8 @@
 bool may_resume_elsewhere(const call& call);
 
 /// Sends the request to one endpoint and forwards its events to the caller.
+/// While a begun stream is silent, another endpoint is looked for, which takes
+/// it over when it accepts the request.
 boost::asio::awaitable<relay_end> relay_stream(
     call& call, stream_state& state, dispatch::endpoint_choice to);
 
--- a/src/gateway/stream_state.cpp
+++ b/src/gateway/stream_state.cpp
@@ -1,5 +1,7 @@
 #include "gateway/stream_state.hpp"
 
+#include <chrono>
+
 namespace tarragonquay::gateway
 {
 
@@ -45,6 +47,48 @@
     return again ? again : untried;
 }
 
+std::unique_ptr<ticket_guard> make_ticket(
+    call& call, const dispatch::endpoint_choice& to)
+{
+    const auto cache_tokens =
+        call.service->engines ? call.service->engines->cache_tokens : 0;
+    const auto* prompt = call.request.prompt ? &*call.request.prompt : nullptr;
+    return std::make_unique<ticket_guard>(
+        call.ctx.pool, call.ctx.pool.begin(to, prompt, cache_tokens,
+                           std::chrono::steady_clock::now()));
+}
+
+endpoints::exchange_request make_stream_exchange(const call& call,
+    const stream_state& state, const dispatch::endpoint_choice& to,
+    time_point deadline)
+{
+    auto out = make_exchange(call, to, deadline);
+    if (!state.last_event)
+        return out;
+    const auto& name = call.ctx.dialect.headers.last_event;
+    std::erase_if(out.headers,
+        [&](const endpoints::header& each) { return each.name == name; });
+    out.headers.push_back({name, std::to_string(*state.last_event)});
+    return out;
+}
+
+void note_rejection(call& call, const endpoint_id& endpoint,
+    attempt_outcome kind, const endpoints::answer_head& head)
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (kind != attempt_outcome::misdirected)
+    {
+        call.ctx.pool.mark_full(endpoint, now);
+        return;
+    }
+    const auto id = head.find(call.ctx.dialect.headers.endpoint);
+    if (!id.empty() && id != endpoint.str())
+        call.ctx.pool.mark_leaving(endpoint);
+    else if (call.request.prompt)
+        call.ctx.pool.mark_missing(endpoint, call.request.prompt->model,
+            call.request.prompt->adapter, now);
+}
+
 void count_send(call& call, const endpoint_id& endpoint)
 {
     ++call.sends;
--- a/src/gateway/stream_state.hpp
+++ b/src/gateway/stream_state.hpp
@@ -3,10 +3,12 @@
 #include <utility>
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <set>
 
 #include "gateway/call.hpp"
+#include "gateway/ticket_guard.hpp"
 
 namespace tarragonquay::gateway
 {
@@ -46,6 +48,20 @@
     const stream_state& state, const std::set<endpoint_id>& excluded,
     time_point now);
 
+/// Records at the endpoint pool that the request is sent to an endpoint.
+std::unique_ptr<ticket_guard> make_ticket(
+    call& call, const dispatch::endpoint_choice& to);
+
+/// Builds the request for the events that follow the last one.
+endpoints::exchange_request make_stream_exchange(const call& call,
+    const stream_state& state, const dispatch::endpoint_choice& to,
+    time_point deadline);
+
+/// Records at the endpoint pool that an endpoint rejected the request; `kind`
+/// is `misdirected` or `rejected`.
+void note_rejection(call& call, const endpoint_id& endpoint,
+    attempt_outcome kind, const endpoints::answer_head& head);
+
 /// Counts a send to this endpoint.
 void count_send(call& call, const endpoint_id& endpoint);
 
