Keep a late request until another endpoint accepts it

Callers got 502 or 503 for a request whose endpoint was silent before its first event and then answered.

When an endpoint had probably lost a request, the watchdog closed its connection before it was known whether another endpoint takes the request. When the other one rejected it or the repeat budget was used up, the request was refused although the first endpoint would have answered it.

The watchdog now starts the search of stream_takeover, as silence within a begun stream does: the first connection is closed when another endpoint has begun to answer. The condition and the times of the check are unchanged.

Test: a_late_first_event_is_delivered_after_a_rejection_elsewhere. Before: equality assertion failed - Expected: id: 1 data: 1 - Actual :

--- a/src/gateway/forwarder_test.cpp
+++ b/src/gateway/forwarder_test.cpp
@@ -268,6 +268,7 @@
     CPPUNIT_TEST(a_silent_last_attempt_lasts_until_the_caller_leaves);
     CPPUNIT_TEST(a_long_stream_that_breaks_is_resumed);
     CPPUNIT_TEST(a_broken_stream_returns_to_its_endpoint_after_a_rejection);
+    CPPUNIT_TEST(a_late_first_event_is_delivered_after_a_rejection_elsewhere);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -572,6 +573,19 @@
         CPPUNIT_ASSERT(tested.out.ended);
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), tested.arrivals());
     }
+
+    // Guards against refusing a request whose endpoint is silent before its
+    // first event, because another endpoint rejected it.
+    void a_late_first_event_is_delivered_after_a_rejection_elsewhere()
+    {
+        fixture tested(
+            {{"", then::keep_open,
+                {{800ms, stream_head + chunk(event(1)) + stream_end}}}},
+            {{rejected_answer, then::keep_open}});
+        tested.run_long("/stream/x");
+        CPPUNIT_ASSERT_EQUAL(event(1), tested.out.stream);
+        CPPUNIT_ASSERT(tested.out.ended);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(forwarder_test);
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -5,8 +5,6 @@
 #include <memory>
 #include <optional>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include "gateway/event_framer.hpp"
 #include "gateway/ticket_guard.hpp"
 
@@ -28,8 +26,9 @@
 /// The endpoint of a resumable stream is checked when the first event is
 /// overdue by this time or by the route's latency target, whichever is longer.
 constexpr milliseconds min_first_event_grace{300};
-/// Interval of the checks whether an endpoint has lost a request.
-constexpr milliseconds check_interval{200};
+/// Shortest time from the send to the check whether the endpoint has lost the
+/// request.
+constexpr milliseconds check_delay{200};
 /// After this multiple of the route's longest pause without an event, another
 /// endpoint is looked for.
 constexpr int silence_timeout_in_pauses = 4;
@@ -60,7 +59,6 @@
           state_(state),
           to_(to),
           ticket_(make_ticket(call, to)),
-          watchdog_(call.ctx.io),
           takeover_(call, state, to.id, silence_timeout(*call.route),
               [this] { close_connection(); })
     {
@@ -75,7 +73,6 @@
           connection_(std::move(from.connection)),
           head_(std::move(from.head)),
           send_(from.send),
-          watchdog_(call.ctx.io),
           takeover_(call, state, to_.id, silence_timeout(*call.route),
               [this] { close_connection(); })
     {
@@ -109,7 +106,10 @@
                 takeover_.close();
             });
         if (connection_)
+        {
+            watch_first_event();
             co_return co_await relay_events(std::move(head_));
+        }
         auto connection = co_await connect(call_, to_, call_.deadline);
         if (!connection)
             co_return handle_failure(connection.error());
@@ -181,25 +181,24 @@
                    milliseconds(call_.route->target_latency_ms));
     }
 
-    // Closes the connection when the endpoint has lost the request: it serves
-    // other requests but not this one, or serves none at all.
-    void watch_first_event(endpoints::http_connection& connection)
+    // Another endpoint is looked for when this one has probably lost the
+    // request: it serves other requests but not this one, or serves none at
+    // all.
+    void watch_first_event()
     {
-        watchdog_.expires_at(std::max(first_check_at(),
-            std::chrono::steady_clock::now() + check_interval));
-        watchdog_.async_wait(
-            [this, &connection, alive = std::weak_ptr<int>(watch_token_)](
-                const boost::system::error_code& failed)
-            {
-                // A handler that is already queued runs even after a cancel.
-                if (failed || alive.expired())
-                    return;
-                if (call_.ctx.pool.lost_request(
-                        to_.id, ticket_->ticket().sent_at))
-                    connection.close();
-                else
-                    watch_first_event(connection);
-            });
+        const auto now = std::chrono::steady_clock::now();
+        if (state_.begun)
+        {
+            watch_silence(std::max(to_.expected_at, now));
+            return;
+        }
+        silent_since_ = now;
+        if (call_.route->repeat == routes::repeat_rule::resumable)
+            takeover_.search_at(std::max(first_check_at(), now + check_delay),
+                [this] {
+                    return call_.ctx.pool.lost_request(
+                        to_.id, ticket_->ticket().sent_at);
+                });
     }
 
     // Another endpoint is looked for when no event arrives from now on.
@@ -217,8 +216,7 @@
         send_ = call_.sends;
         const auto request = make_stream_exchange(
             call_, state_, to_, next_endpoint_deadline(call_, state_));
-        if (may_resume_elsewhere(call_))
-            watch_first_event(connection);
+        watch_first_event();
         auto head = co_await connection.send(request);
         if (!head)
             co_return handle_failure(head.error());
@@ -263,17 +261,10 @@
         co_return end;
     }
 
-    void cancel_watchdog()
-    {
-        watch_token_.reset();
-        watchdog_.cancel();
-    }
-
     // From here on, a leaving caller closes no connection.
     void cancel_close_handlers()
     {
         call_.out.on_caller_gone(nullptr);
-        cancel_watchdog();
         takeover_.close();
     }
 
@@ -281,7 +272,6 @@
     // close the pooled connection.
     void return_to_pool()
     {
-        cancel_watchdog();
         if (connection_->reusable())
             call_.ctx.connections.put(to_.address, std::move(*connection_),
                 std::chrono::steady_clock::now());
@@ -292,9 +282,6 @@
     {
         event_framer framer;
         bool first = true;
-        if (state_.begun)
-            watch_silence(
-                std::max(to_.expected_at, std::chrono::steady_clock::now()));
         while (true)
         {
             auto part = co_await connection_->read_some(
@@ -358,7 +345,6 @@
 
     void note_first_event()
     {
-        cancel_watchdog();
         if (call_.request.prompt)
             call_.ctx.pool.note_first_event(ticket_->ticket(),
                 call_.service->id, call_.request.prompt->model,
@@ -411,9 +397,6 @@
     /// Number of the send.
     int send_ = 0;
     time_point silent_since_ = std::chrono::steady_clock::now();
-    asio::steady_timer watchdog_;
-    /// Reset when the watchdog must no longer close the connection.
-    std::shared_ptr<int> watch_token_ = std::make_shared<int>(0);
     stream_takeover takeover_;
 };
 
@@ -430,12 +413,6 @@
     return state.begun ? call.deadline : first_event_deadline(call);
 }
 
-bool may_resume_elsewhere(const call& call)
-{
-    return call.route->repeat == routes::repeat_rule::resumable &&
-           attempts_left(call);
-}
-
 asio::awaitable<relay_end> relay_stream(
     call& call, stream_state& state, dispatch::endpoint_choice to)
 {
--- a/src/gateway/stream_relay.hpp
+++ b/src/gateway/stream_relay.hpp
@@ -29,12 +29,10 @@
 /// no limit but the deadline of the call: its caller waits anew after each
 /// event.
 time_point next_endpoint_deadline(const call& call, const stream_state& state);
-/// Whether another endpoint may continue the stream.
-bool may_resume_elsewhere(const call& call);
-
 /// Sends the request to one endpoint and forwards its events to the caller.
-/// While a begun stream is silent, another endpoint is looked for, which takes
-/// it over when it accepts the request.
+/// While a begun stream is silent, or the endpoint has probably lost the
+/// request, another endpoint is looked for, which takes the stream over when it
+/// accepts the request.
 boost::asio::awaitable<relay_end> relay_stream(
     call& call, stream_state& state, dispatch::endpoint_choice to);
 
--- a/src/gateway/stream_takeover.cpp
+++ b/src/gateway/stream_takeover.cpp
@@ -18,6 +18,8 @@
 namespace
 {
 
+/// Interval of the checks of a condition.
+constexpr milliseconds check_interval{200};
 constexpr int status_ok = 200;
 constexpr int first_server_error = 500;
 
@@ -52,9 +54,10 @@
 
     bool running() const { return running_; }
 
-    void search_at(time_point due)
+    void search_at(time_point due, std::function<bool()> condition)
     {
         due_at_ = due;
+        condition_ = std::move(condition);
         if (due < wake_.expiry())
             wake_.cancel();
     }
@@ -129,6 +132,11 @@
                     asio::redirect_error(asio::use_awaitable, ignored));
                 continue;
             }
+            if (self->condition_ && !self->condition_())
+            {
+                self->due_at_ = now + check_interval;
+                continue;
+            }
             self->due_at_ = now + self->retry_interval_;
             auto to = self->choose(now);
             if (!to)
@@ -263,6 +271,7 @@
     phase phase_ = phase::waiting;
     /// Time of the next search; no value while there is none to begin.
     std::optional<time_point> due_at_;
+    std::function<bool()> condition_;
     asio::steady_timer wake_;
     /// Cancelled when the phase `asking` ends.
     asio::steady_timer settled_;
@@ -289,9 +298,9 @@
     search_->close();
 }
 
-void stream_takeover::search_at(time_point due)
+void stream_takeover::search_at(time_point due, std::function<bool()> condition)
 {
-    search_->search_at(due);
+    search_->search_at(due, std::move(condition));
     if (!search_->running())
         search::begin(search_);
 }
--- a/src/gateway/stream_takeover.hpp
+++ b/src/gateway/stream_takeover.hpp
@@ -41,8 +41,10 @@
     stream_takeover(const stream_takeover&) = delete;
     stream_takeover& operator=(const stream_takeover&) = delete;
 
-    /// Begins to look for another endpoint at this time, unless stopped.
-    void search_at(time_point due);
+    /// Begins to look for another endpoint at this time, unless stopped. With a
+    /// condition, the search waits until it holds, which is checked from this
+    /// time on at intervals.
+    void search_at(time_point due, std::function<bool()> condition = nullptr);
     /// Withdraws the request from the endpoint that is being asked. There is no
     /// search until the next search_at().
     void stop();
