--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -73,12 +73,21 @@
     return "unknown";
 }
 
+bool attempts_left(const call& call)
+{
+    return call.sends == 0 ||
+           call.sends - call.sends_to_known < call.route->max_attempts;
+}
+
 bool take_attempt(call& call)
+{
+    return attempts_left(call) && take_repeat(call);
+}
+
+bool take_repeat(call& call)
 {
     if (call.sends == 0)
         return true;
-    if (call.sends >= call.route->max_attempts)
-        return false;
     const auto now = std::chrono::steady_clock::now();
     const auto& bounds = call.ctx.settings.bounds;
     const dispatch::repeat_limits limits{
@@ -164,12 +173,12 @@
 }
 
 void log_attempt(const call& call, const endpoint_id& endpoint,
-    attempt_outcome outcome, const std::string& detail)
+    attempt_outcome outcome, const std::string& detail, int send)
 {
     call.ctx.log.info("attempt_failed",
         {{"request_id", call.request.id}, {"endpoint", endpoint.str()},
             {"outcome", to_string(outcome)}, {"detail", detail},
-            {"send", call.sends}});
+            {"send", send}});
     call.ctx.metrics.add("tq_gateway_failed_attempts_total",
         {{"outcome", std::string(to_string(outcome))}});
 }
