Leave requests that cross a planned stop unread or answer them

Callers saw: a whole request on a kept connection got neither an answer nor a refusal beside a planned stop. When a stop begins to refuse new requests, it ended the idle waits; each connection then shut its sending side down and read and discarded input for up to 500 ms. A request that had arrived, or that crossed the close, was read and got nothing.

Evidence: a_request_that_arrived_before_the_refusals_is_refused failed ("assertion failed - Expression: fixture::status_of(answer) != 0"), and so did an_idle_connection_is_closed_once_requests_are_refused ("the request was read"). The two tests of the idle limit passed before: there Beast closes the socket at the limit, so nothing was discarded.

The idle wait now waits for input without reading it. At its end, input that has arrived is served (refused with 503 while stopping); otherwise the socket is closed, and a request that crosses the close is reset unread. Input is discarded only after an answer that announced the close.

--- a/src/gateway/application.ipp
+++ b/src/gateway/application.ipp
@@ -396,9 +396,7 @@
 void application<Codec>::refuse_new_requests()
 {
     ctx_.refuses_new_requests = true;
-    boost::system::error_code ignored;
-    for (auto* socket : ctx_.idle_callers)
-        socket->cancel(ignored);
+    ctx_.wake_idle_callers();
     check_stop_complete();
 }
 
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
@@ -45,7 +46,7 @@
 {
 public:
     connection(context& ctx, asio::ip::tcp::socket socket)
-        : ctx_(ctx), stream_(std::move(socket))
+        : ctx_(ctx), stream_(std::move(socket)), idle_timer_(ctx.io)
     {
         ++ctx_.caller_connections;
     }
@@ -69,7 +70,10 @@
                 break;
             co_await serve_request();
         }
-        co_await linger();
+        // The caller was told that the connection closes. Without that, its
+        // next request may arrive, which must not be read and discarded.
+        if (!keep_alive_)
+            co_await linger();
     }
 
     asio::awaitable<void> refuse()
@@ -188,22 +192,51 @@
                            : routes::caller_limits();
     }
 
-    // Waits for the first byte of a request.
+    // Waits until the first byte of a request has arrived, without reading it:
+    // a socket that is closed with unread input resets the connection, which
+    // tells the caller that the request may be sent again.
     asio::awaitable<bool> wait_for_request()
     {
         if (buffer_.size() != 0)
             co_return true;
-        boost::system::error_code ec;
-        if (ctx_.refuses_new_requests)
-            co_return false;
-        stream_.expires_after(milliseconds(limits().idle_timeout_ms));
+        const auto idle_until = std::chrono::steady_clock::now() +
+                                milliseconds(limits().idle_timeout_ms);
+        while (true)
+        {
+            const bool last = ctx_.refuses_new_requests ||
+                              std::chrono::steady_clock::now() >= idle_until;
+            const auto state = peek_socket(stream_.socket().native_handle());
+            if (state != socket_state::idle || last)
+                co_return state == socket_state::has_input;
+            co_await wait_for_input(idle_until);
+        }
+    }
+
+    // Returns when the socket is readable, at the deadline, or when the idle
+    // callers are woken.
+    asio::awaitable<void> wait_for_input(time_point deadline)
+    {
+        boost::system::error_code ignored;
+        idle_timer_.expires_at(deadline);
+        idle_timer_.async_wait(
+            [this, alive = alive_](const boost::system::error_code& failed)
+            {
+                if (!failed && *alive && idle_)
+                    cancel_socket_waits();
+            });
+        idle_ = true;
         ctx_.idle_callers.insert(&stream_.socket());
-        const auto count =
-            co_await stream_.async_read_some(buffer_.prepare(read_size),
-                asio::redirect_error(asio::use_awaitable, ec));
+        co_await stream_.socket().async_wait(asio::ip::tcp::socket::wait_read,
+            asio::redirect_error(asio::use_awaitable, ignored));
         ctx_.idle_callers.erase(&stream_.socket());
-        buffer_.commit(count);
-        co_return !ec;
+        idle_ = false;
+        idle_timer_.cancel();
+    }
+
+    void cancel_socket_waits()
+    {
+        boost::system::error_code ignored;
+        stream_.socket().cancel(ignored);
     }
 
     asio::awaitable<void> serve_request()
@@ -318,10 +351,11 @@
         caller_gone_handler_ = nullptr;
         if (!stream_.socket().is_open())
             return;
-        boost::system::error_code ignored;
-        stream_.socket().cancel(ignored);
+        cancel_socket_waits();
     }
 
+    // Reads and discards what the caller still sends, so that it receives the
+    // last answer.
     asio::awaitable<void> linger()
     {
         boost::system::error_code ec;
@@ -340,6 +374,8 @@
     context& ctx_;
     beast::tcp_stream stream_;
     beast::flat_buffer buffer_;
+    asio::steady_timer idle_timer_;
+    bool idle_ = false;
     bool keep_alive_ = true;
     bool head_only_ = false;
     bool stream_open_ = false;
--- /dev/null
+++ b/src/gateway/caller_connection_test.cpp
@@ -0,0 +1,195 @@
+#include "gateway/caller_connection.hpp"
+
+#include <array>
+#include <chrono>
+#include <thread>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/write.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tarragonquay::gateway
+{
+namespace
+{
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+const std::string request =
+    "POST /x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n"
+    "Content-Length: 4\r\n\r\nbody";
+
+dialect make_dialect()
+{
+    dialect out;
+    out.headers.request_id = "X-Request-Id";
+    out.headers.deadline_ms = "Wait";
+    return out;
+}
+
+// A configuration without routes, so that requests are answered with 404.
+std::shared_ptr<const routes::route_table> make_routes(
+    routes::caller_limits limits)
+{
+    routes::configuration out;
+    out.version = 1;
+    out.limits = limits;
+    return routes::route_table::create(out).value();
+}
+
+routes::caller_limits idle_limit(milliseconds limit)
+{
+    routes::caller_limits out;
+    out.idle_timeout_ms = limit.count();
+    return out;
+}
+
+// The state of a gateway and one connection of a caller.
+class fixture
+{
+public:
+    explicit fixture(routes::caller_limits limits = {})
+        : ctx(io, {}, make_dialect(),
+              log::json_log::create("error", "i1").value(), fleet::member()),
+          caller_(caller_io_)
+    {
+        ctx.routes = make_routes(limits);
+        asio::ip::tcp::acceptor acceptor(
+            io, {asio::ip::address_v4::loopback(), 0});
+        caller_.connect(acceptor.local_endpoint());
+        caller_.non_blocking(true);
+        asio::co_spawn(io, serve_caller(ctx, acceptor.accept()),
+            [&](std::exception_ptr failure)
+            {
+                ended = true;
+                failed = failure != nullptr;
+            });
+    }
+
+    void run(milliseconds time)
+    {
+        io.restart();
+        io.run_for(time);
+    }
+
+    // Sends without running the gateway.
+    boost::system::error_code send(const std::string& text)
+    {
+        boost::system::error_code ec;
+        asio::write(caller_, asio::buffer(text), ec);
+        return ec;
+    }
+
+    // Text that the caller has received since the last call.
+    std::string received()
+    {
+        std::string out;
+        std::array<char, 4096> part;
+        boost::system::error_code ec;
+        while (!ec)
+            out.append(part.data(), caller_.read_some(asio::buffer(part), ec));
+        caller_saw_end = ec != asio::error::would_block;
+        return out;
+    }
+
+    // Status of the answer to one request; 0 without an answer.
+    int exchange(const std::string& text, milliseconds time = 100ms)
+    {
+        send(text);
+        run(time);
+        return status_of(received());
+    }
+
+    static int status_of(const std::string& answer)
+    {
+        const std::string begin = "HTTP/1.1 ";
+        return answer.starts_with(begin)
+                   ? std::atoi(answer.c_str() + begin.size())
+                   : 0;
+    }
+
+    asio::io_context io{1};
+    context ctx;
+    bool ended = false;
+    bool failed = false;
+    bool caller_saw_end = false;
+
+private:
+    asio::io_context caller_io_;
+    asio::ip::tcp::socket caller_;
+};
+
+} // namespace
+
+class caller_connection_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(caller_connection_test);
+    CPPUNIT_TEST(a_request_after_the_idle_limit_is_reset_unread);
+    CPPUNIT_TEST(a_request_that_arrived_at_the_idle_limit_is_answered);
+    CPPUNIT_TEST(a_request_that_arrived_before_the_refusals_is_refused);
+    CPPUNIT_TEST(an_idle_connection_is_closed_once_requests_are_refused);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a request that is read and discarded after the idle
+    // limit: the caller got neither an answer nor a reset.
+    void a_request_after_the_idle_limit_is_reset_unread()
+    {
+        fixture tested(idle_limit(50ms));
+        CPPUNIT_ASSERT_EQUAL(404, tested.exchange(request, 20ms));
+        tested.run(150ms);
+        tested.send(request);
+        tested.run(20ms);
+        CPPUNIT_ASSERT_EQUAL(std::string(), tested.received());
+        CPPUNIT_ASSERT(tested.caller_saw_end);
+        CPPUNIT_ASSERT_MESSAGE(
+            "the request was read", tested.send(request).failed());
+    }
+
+    // Guards against closing a connection whose next request has arrived while
+    // the process had no processor time.
+    void a_request_that_arrived_at_the_idle_limit_is_answered()
+    {
+        fixture tested(idle_limit(50ms));
+        CPPUNIT_ASSERT_EQUAL(404, tested.exchange(request, 20ms));
+        std::this_thread::sleep_for(100ms);
+        CPPUNIT_ASSERT_EQUAL(404, tested.exchange(request));
+    }
+
+    // Guards against a request that is read and discarded because a planned
+    // stop ended the idle wait.
+    void a_request_that_arrived_before_the_refusals_is_refused()
+    {
+        fixture tested;
+        CPPUNIT_ASSERT_EQUAL(404, tested.exchange(request, 20ms));
+        tested.send(request);
+        tested.ctx.stopping = true;
+        tested.ctx.refuses_new_requests = true;
+        tested.ctx.wake_idle_callers();
+        tested.run(50ms);
+        const auto answer = tested.received();
+        CPPUNIT_ASSERT_MESSAGE(answer, fixture::status_of(answer) != 0);
+    }
+
+    // Guards against a request that is read and discarded after a planned stop
+    // has closed its idle connection.
+    void an_idle_connection_is_closed_once_requests_are_refused()
+    {
+        fixture tested;
+        CPPUNIT_ASSERT_EQUAL(404, tested.exchange(request, 20ms));
+        tested.ctx.stopping = true;
+        tested.ctx.refuses_new_requests = true;
+        tested.ctx.wake_idle_callers();
+        tested.run(50ms);
+        CPPUNIT_ASSERT_EQUAL(0, tested.exchange(request));
+        CPPUNIT_ASSERT(tested.caller_saw_end);
+        CPPUNIT_ASSERT_MESSAGE(
+            "the request was read", tested.send(request).failed());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(caller_connection_test);
+
+} // namespace tarragonquay::gateway
--- a/src/gateway/context.hpp
+++ b/src/gateway/context.hpp
@@ -55,6 +55,15 @@
         return routes != nullptr && endpoints_known && !stopping;
     }
 
+    /// Ends the waits of the idle connections, which then examine their state
+    /// and the configuration in force again.
+    void wake_idle_callers()
+    {
+        boost::system::error_code ignored;
+        for (auto* socket : idle_callers)
+            socket->cancel(ignored);
+    }
+
     boost::asio::io_context& io;
     settings::gateway_settings settings;
     const gateway::dialect dialect;
