Apply the idle limit of the configuration in force

Callers saw: kept connections closed before four fifths of the idle limit had passed, after a change to a longer limit. The wait for the next request ended at the limit of the configuration that was in force when it began; a shorter limit likewise took effect only for later waits.

Evidence: the_idle_limit_follows_a_longer_one_in_force failed ("Expected: 404, Actual: 0") and the_idle_limit_follows_a_shorter_one_in_force ("Expression: tested.caller_saw_end").

A new configuration wakes the idle connections, and each computes the end of its wait again from the time at which it became idle.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -199,10 +199,13 @@
     {
         if (buffer_.size() != 0)
             co_return true;
-        const auto idle_until = std::chrono::steady_clock::now() +
-                                milliseconds(limits().idle_timeout_ms);
+        const auto idle_since = std::chrono::steady_clock::now();
         while (true)
         {
+            // Callers follow the configuration in force, which may have
+            // changed since the wait began.
+            const auto idle_until =
+                idle_since + milliseconds(limits().idle_timeout_ms);
             const bool last = ctx_.refuses_new_requests ||
                               std::chrono::steady_clock::now() >= idle_until;
             const auto state = peek_socket(stream_.socket().native_handle());
--- a/src/gateway/caller_connection_test.cpp
+++ b/src/gateway/caller_connection_test.cpp
@@ -68,6 +68,12 @@
             });
     }
 
+    void apply(routes::caller_limits limits)
+    {
+        ctx.routes = make_routes(limits);
+        ctx.wake_idle_callers();
+    }
+
     void run(milliseconds time)
     {
         io.restart();
@@ -130,6 +136,8 @@
     CPPUNIT_TEST(a_request_that_arrived_at_the_idle_limit_is_answered);
     CPPUNIT_TEST(a_request_that_arrived_before_the_refusals_is_refused);
     CPPUNIT_TEST(an_idle_connection_is_closed_once_requests_are_refused);
+    CPPUNIT_TEST(the_idle_limit_follows_a_longer_one_in_force);
+    CPPUNIT_TEST(the_idle_limit_follows_a_shorter_one_in_force);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -188,6 +196,28 @@
         CPPUNIT_ASSERT_MESSAGE(
             "the request was read", tested.send(request).failed());
     }
+    // Guards against closing a connection that its caller may still use by the
+    // configuration in force: the limit was that of the wait's beginning.
+    void the_idle_limit_follows_a_longer_one_in_force()
+    {
+        fixture tested(idle_limit(100ms));
+        CPPUNIT_ASSERT_EQUAL(404, tested.exchange(request, 20ms));
+        tested.apply(idle_limit(2s));
+        tested.run(300ms);
+        CPPUNIT_ASSERT_EQUAL(404, tested.exchange(request));
+    }
+
+    // Guards against connections that stay open for the limit of an earlier
+    // configuration.
+    void the_idle_limit_follows_a_shorter_one_in_force()
+    {
+        fixture tested(idle_limit(60s));
+        CPPUNIT_ASSERT_EQUAL(404, tested.exchange(request, 20ms));
+        tested.apply(idle_limit(50ms));
+        tested.run(150ms);
+        tested.received();
+        CPPUNIT_ASSERT(tested.caller_saw_end);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(caller_connection_test);
--- a/src/gateway/documents.cpp
+++ b/src/gateway/documents.cpp
@@ -34,6 +34,7 @@
     configuration_ = document;
     ctx_.limiter.apply(
         ctx_.routes->document().workspaces, std::chrono::steady_clock::now());
+    ctx_.wake_idle_callers();
 }
 
 void documents::apply_directory(
