Answer a request whose handling throws an exception with 500

Callers saw: the connection closed without an answer. Coroutines of callers' connections were started detached, so an exception that left one ended the connection without a log line, and the request stayed counted as running: a later stop waited for it until its deadline.

Evidence: an_exception_is_answered_with_500 failed ("Expected: 500, Actual: 0"). No exception of this kind is known from a real request; the test injects one.

The request is answered with 500, or its connection is closed if the answer has begun. The event is logged and counted, and the count of running requests ends with its scope.

--- a/src/gateway/application.hpp
+++ b/src/gateway/application.hpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include <exception>
 #include <memory>
 #include <optional>
 #include <string>
@@ -72,6 +73,7 @@
     text_answer answer_metrics();
     std::vector<std::string> entries_for(const std::string& zone);
     void accept_caller(boost::asio::ip::tcp::socket socket);
+    void log_exception(const std::exception_ptr& failure);
 
     boost::asio::io_context io_{1};
     context ctx_;
--- a/src/gateway/application.ipp
+++ b/src/gateway/application.ipp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <exception>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -144,7 +145,26 @@
     boost::asio::co_spawn(io_,
         full ? refuse_caller(ctx_, std::move(socket))
              : serve_caller(ctx_, std::move(socket)),
-        boost::asio::detached);
+        [this](std::exception_ptr failure)
+        {
+            if (failure)
+                log_exception(failure);
+        });
+}
+
+template <remote_store::store_codec Codec>
+void application<Codec>::log_exception(const std::exception_ptr& failure)
+{
+    ctx_.metrics.add("tq_gateway_exceptions_total", {});
+    try
+    {
+        std::rethrow_exception(failure);
+    }
+    catch (const std::exception& exception)
+    {
+        ctx_.log.warning(
+            "connection_exception", {{"reason", exception.what()}});
+    }
 }
 
 template <remote_store::store_codec Codec>
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -1,6 +1,7 @@
 #include "gateway/caller_connection.hpp"
 
 #include <chrono>
+#include <exception>
 #include <memory>
 #include <utility>
 
@@ -42,6 +43,22 @@
     return {text.data(), text.size()};
 }
 
+/// Counts a request as running.
+class running_request
+{
+public:
+    explicit running_request(context& ctx) : ctx_(ctx)
+    {
+        ++ctx_.running_requests;
+    }
+    ~running_request() { --ctx_.running_requests; }
+    running_request(const running_request&) = delete;
+    running_request& operator=(const running_request&) = delete;
+
+private:
+    context& ctx_;
+};
+
 class connection : public answer_sink
 {
 public:
@@ -95,6 +112,7 @@
         if (!bodiless && !head_only_)
             message.body() = std::move(answer.body);
         boost::system::error_code ec;
+        answer_begun_ = true;
         stream_.expires_after(write_timeout);
         co_await http::async_write(
             stream_, message, asio::redirect_error(asio::use_awaitable, ec));
@@ -111,6 +129,7 @@
         message.chunked(true);
         http::response_serializer<http::empty_body> serializer(message);
         boost::system::error_code ec;
+        answer_begun_ = true;
         stream_.expires_after(write_timeout);
         co_await http::async_write_header(
             stream_, serializer, asio::redirect_error(asio::use_awaitable, ec));
@@ -246,6 +265,7 @@
     {
         head_only_ = false;
         stream_open_ = false;
+        answer_begun_ = false;
         http::request_parser<http::string_body> parser;
         const auto bounds = limits();
         parser.header_limit(
@@ -278,10 +298,22 @@
             co_return;
         }
         watch_for_close();
-        ++ctx_.running_requests;
-        co_await forward(ctx_, std::move(*request), *this);
-        --ctx_.running_requests;
+        const auto id = request->id;
+        const running_request running(ctx_);
+        std::string exception;
+        try
+        {
+            co_await forward(ctx_, std::move(*request), *this);
+        }
+        catch (const std::exception& failure)
+        {
+            exception = failure.what();
+            if (exception.empty())
+                exception = "unknown";
+        }
         stop_watching();
+        if (!exception.empty())
+            co_await handle_exception(id, exception);
         // Close without the last chunk, so that the caller does not take an
         // interrupted stream for a complete one.
         if (stream_open_)
@@ -291,6 +323,20 @@
         }
     }
 
+    // Answers with 500, unless an answer has been sent or begun. A part of an
+    // answer may have been written, so the connection is not used again.
+    asio::awaitable<void> handle_exception(
+        const std::string& id, const std::string& reason)
+    {
+        ctx_.log.warning(
+            "request_exception", {{"request_id", id}, {"reason", reason},
+                                     {"answer_begun", answer_begun_}});
+        ctx_.metrics.add("tq_gateway_exceptions_total", {});
+        keep_alive_ = false;
+        if (!answer_begun_ && !caller_gone_)
+            co_await respond(refusal_answer(500, 0));
+    }
+
     // Reads a request. Returns 0 on success, the status to refuse it with, or
     // -1 when the connection is no longer usable.
     asio::awaitable<int> read_request(
@@ -382,6 +428,7 @@
     bool keep_alive_ = true;
     bool head_only_ = false;
     bool stream_open_ = false;
+    bool answer_begun_ = false;
     bool caller_gone_ = false;
     bool watching_ = false;
     std::function<void()> caller_gone_handler_;
--- a/src/gateway/caller_connection_test.cpp
+++ b/src/gateway/caller_connection_test.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <chrono>
+#include <stdexcept>
 #include <thread>
 
 #include <boost/asio/co_spawn.hpp>
@@ -26,6 +27,7 @@
     dialect out;
     out.headers.request_id = "X-Request-Id";
     out.headers.deadline_ms = "Wait";
+    out.headers.model = "Model";
     return out;
 }
 
@@ -39,6 +41,28 @@
     return routes::route_table::create(out).value();
 }
 
+const std::string adapter_request =
+    "POST /x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\nModel: m/a\r\n"
+    "Content-Length: 4\r\n\r\nbody";
+
+// A configuration with one route to engines without models.
+std::shared_ptr<const routes::route_table> make_stream_routes()
+{
+    routes::configuration out;
+    out.version = 1;
+    routes::route all;
+    all.name = "all";
+    all.host = "h";
+    all.path_prefix = "/";
+    all.streamed = true;
+    all.timeout_ms = 2'000;
+    all.target_latency_ms = 1'000;
+    all.services = {{service_id("s"), 1}};
+    out.routes = {all};
+    out.services.push_back({service_id("s"), 100, routes::engine_group()});
+    return routes::route_table::create(out).value();
+}
+
 routes::caller_limits idle_limit(milliseconds limit)
 {
     routes::caller_limits out;
@@ -74,6 +98,17 @@
         ctx.wake_idle_callers();
     }
 
+    void add_endpoint(const std::string& address)
+    {
+        endpoints::directory_entry entry;
+        entry.id = endpoint_id("e1");
+        entry.service = service_id("s");
+        entry.address = address;
+        entry.slots = 4;
+        ctx.pool.put(entry);
+        ctx.endpoints_known = true;
+    }
+
     void run(milliseconds time)
     {
         io.restart();
@@ -138,6 +173,7 @@
     CPPUNIT_TEST(an_idle_connection_is_closed_once_requests_are_refused);
     CPPUNIT_TEST(the_idle_limit_follows_a_longer_one_in_force);
     CPPUNIT_TEST(the_idle_limit_follows_a_shorter_one_in_force);
+    CPPUNIT_TEST(an_exception_is_answered_with_500);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -218,6 +254,23 @@
         tested.received();
         CPPUNIT_ASSERT(tested.caller_saw_end);
     }
+
+    // Guards against an exception that ends the connection without an answer
+    // and leaves the request counted as running, so that a stop waits for it.
+    void an_exception_is_answered_with_500()
+    {
+        fixture tested;
+        tested.ctx.routes = make_stream_routes();
+        tested.ctx.request_adapter = [](const auto&...)
+        { throw std::runtime_error("injected"); };
+        tested.add_endpoint("127.0.0.1:1");
+        CPPUNIT_ASSERT_EQUAL(500, tested.exchange(adapter_request));
+        CPPUNIT_ASSERT(!tested.failed);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), tested.ctx.running_requests);
+        const auto counted = tested.ctx.metrics.prometheus_text();
+        CPPUNIT_ASSERT_MESSAGE(counted,
+            counted.find("tq_gateway_exceptions_total 1") != std::string::npos);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(caller_connection_test);
