Refuse header fields that the HTTP parser can't store

Callers saw: all running requests of a gateway ended without an answer, because its process ended. With max_header_bytes above 64 KiB, a header field of more than 65,533 bytes makes Beast throw std::length_error out of the event loop. With the default of 16 KiB such a field gets 431.

Evidence: a_field_of_more_than_64_kib_is_refused ended with "uncaught exception of type std::exception (or derived). - field value too large".

The limit given to the parser is at most 65,000 bytes, so the request gets 431.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -1,5 +1,6 @@
 #include "gateway/caller_connection.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <exception>
 #include <memory>
@@ -36,6 +37,9 @@
 /// socket with unread input resets the connection, and the caller can lose the
 /// last answer.
 constexpr milliseconds linger_timeout{500};
+/// Beast stores the size of a header field in 16 bits and throws an exception
+/// from the event loop for a larger one.
+constexpr std::int64_t max_header_bytes = 65'000;
 constexpr std::size_t read_size = 16UL << 10U;
 
 std::string to_text(const boost::string_view& text)
@@ -268,8 +272,8 @@
         answer_begun_ = false;
         http::request_parser<http::string_body> parser;
         const auto bounds = limits();
-        parser.header_limit(
-            static_cast<std::uint32_t>(bounds.max_header_bytes));
+        parser.header_limit(static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+            bounds.max_header_bytes, 0, max_header_bytes)));
         parser.body_limit(static_cast<std::uint64_t>(bounds.max_body_bytes));
         const auto arrived_at = std::chrono::steady_clock::now();
         const int status = co_await read_request(parser, bounds);
--- a/src/gateway/caller_connection_test.cpp
+++ b/src/gateway/caller_connection_test.cpp
@@ -174,6 +174,7 @@
     CPPUNIT_TEST(the_idle_limit_follows_a_longer_one_in_force);
     CPPUNIT_TEST(the_idle_limit_follows_a_shorter_one_in_force);
     CPPUNIT_TEST(an_exception_is_answered_with_500);
+    CPPUNIT_TEST(a_field_of_more_than_64_kib_is_refused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -271,6 +272,19 @@
         CPPUNIT_ASSERT_MESSAGE(counted,
             counted.find("tq_gateway_exceptions_total 1") != std::string::npos);
     }
+
+    // Guards against a crash: Beast throws an exception for a header field that
+    // does not fit its 16-bit sizes.
+    void a_field_of_more_than_64_kib_is_refused()
+    {
+        routes::caller_limits limits;
+        limits.max_header_bytes = 1'000'000;
+        fixture tested(limits);
+        CPPUNIT_ASSERT_EQUAL(
+            431, tested.exchange("GET /x HTTP/1.1\r\nHost: h\r\nX-Request-Id: "
+                                 "r1\r\nLong: " +
+                                 std::string(70'000, 'a') + "\r\n\r\n"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(caller_connection_test);
