Accept intervals of any length from configurations and callers

Callers saw: with a very long header_timeout_ms or idle_timeout_ms the connection was closed at once, also in the middle of a request; with a very long deadline a request was refused at once. Adding such an interval to the clock, which counts nanoseconds, overflowed.

Evidence: limits_of_any_length_are_valid failed ("Expected: 404, Actual: 0") and a_wait_of_any_length_is_valid ("Expression: *request->deadline >= now + std::chrono::seconds(5) -").

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -17,6 +17,7 @@
 #include "gateway/answer_sink.hpp"
 #include "gateway/caller_request.hpp"
 #include "gateway/forwarder.hpp"
+#include "gateway/interval.hpp"
 
 namespace tarragonquay::gateway
 {
@@ -228,7 +229,7 @@
             // Callers follow the configuration in force, which may have
             // changed since the wait began.
             const auto idle_until =
-                idle_since + milliseconds(limits().idle_timeout_ms);
+                end_of_interval(idle_since, limits().idle_timeout_ms);
             const bool last = ctx_.refuses_new_requests ||
                               std::chrono::steady_clock::now() >= idle_until;
             const auto state = peek_socket(stream_.socket().native_handle());
@@ -348,7 +349,8 @@
         const routes::caller_limits& bounds)
     {
         boost::system::error_code ec;
-        stream_.expires_after(milliseconds(bounds.header_timeout_ms));
+        stream_.expires_at(end_of_interval(
+            std::chrono::steady_clock::now(), bounds.header_timeout_ms));
         co_await http::async_read_header(stream_, buffer_, parser,
             asio::redirect_error(asio::use_awaitable, ec));
         if (ec)
--- a/src/gateway/caller_connection_test.cpp
+++ b/src/gateway/caller_connection_test.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <chrono>
+#include <limits>
 #include <stdexcept>
 #include <thread>
 
@@ -175,6 +176,7 @@
     CPPUNIT_TEST(the_idle_limit_follows_a_shorter_one_in_force);
     CPPUNIT_TEST(an_exception_is_answered_with_500);
     CPPUNIT_TEST(a_field_of_more_than_64_kib_is_refused);
+    CPPUNIT_TEST(limits_of_any_length_are_valid);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -285,6 +287,24 @@
                                  "r1\r\nLong: " +
                                  std::string(70'000, 'a') + "\r\n\r\n"));
     }
+
+    // Guards against time arithmetic that overflows, so that a long limit ends
+    // at once and the request gets no answer.
+    void limits_of_any_length_are_valid()
+    {
+        routes::caller_limits limits;
+        limits.header_timeout_ms = std::numeric_limits<std::int64_t>::max();
+        limits.idle_timeout_ms = std::numeric_limits<std::int64_t>::max();
+        fixture tested(limits);
+        const auto half = request.size() / 2;
+        for (int i = 0; i < 2; ++i)
+        {
+            tested.run(20ms);
+            tested.send(request.substr(0, half));
+            tested.run(20ms);
+            CPPUNIT_ASSERT_EQUAL(404, tested.exchange(request.substr(half)));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(caller_connection_test);
--- a/src/gateway/caller_request.cpp
+++ b/src/gateway/caller_request.cpp
@@ -7,6 +7,8 @@
 
 #include <boost/beast/core/string.hpp>
 
+#include "gateway/interval.hpp"
+
 namespace tarragonquay::gateway
 {
 
@@ -128,7 +130,7 @@
     out.arrived_at = arrived_at;
     if (const auto wait =
             parse_non_negative(find_field(raw, names.deadline_ms)))
-        out.deadline = arrived_at + std::chrono::milliseconds(*wait);
+        out.deadline = end_of_interval(arrived_at, *wait);
     out.last_event = parse_non_negative(find_field(raw, names.last_event));
     out.prompt = parse_prompt(raw, names);
     if (!find_field(raw, names.token_counts).empty() && out.prompt)
--- a/src/gateway/caller_request_test.cpp
+++ b/src/gateway/caller_request_test.cpp
@@ -1,5 +1,7 @@
 #include "gateway/caller_request.hpp"
 
+#include <chrono>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace tarragonquay::gateway
@@ -49,6 +51,7 @@
     CPPUNIT_TEST(a_prompt_is_decoded);
     CPPUNIT_TEST(unreadable_hints_do_not_fail_a_request);
     CPPUNIT_TEST(a_request_without_an_id_is_refused);
+    CPPUNIT_TEST(a_wait_of_any_length_is_valid);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -105,6 +108,21 @@
 
 private:
     const time_point now_{std::chrono::hours(1)};
+
+    // Guards against a deadline that overflows and lies in the past, so that
+    // the request is refused at once.
+    void a_wait_of_any_length_is_valid()
+    {
+        const time_point now = std::chrono::steady_clock::now();
+        for (const auto* wait :
+            {"9223372036854775807", "9223372036855000", "5000"})
+        {
+            const auto request =
+                parse_request(make_raw({{"Wait", wait}}), make_names(), now);
+            CPPUNIT_ASSERT_MESSAGE(
+                wait, *request->deadline >= now + std::chrono::seconds(5));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(caller_request_test);
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -7,12 +7,12 @@
 #include <fmt/format.h>
 
 #include "gateway/call.hpp"
+#include "gateway/interval.hpp"
 
 namespace tarragonquay::gateway
 {
 
 namespace asio = boost::asio;
-using std::chrono::milliseconds;
 
 namespace
 {
@@ -88,7 +88,7 @@
         co_return false;
     }
     call.deadline =
-        call.request.arrived_at + milliseconds(call.route->timeout_ms);
+        end_of_interval(call.request.arrived_at, call.route->timeout_ms);
     if (call.request.deadline)
         call.deadline = std::min(call.deadline, *call.request.deadline);
     if (ctx.refuses_new_requests)
