--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -1,10 +1,13 @@
 #include "gateway/caller_connection.hpp"
 
+#include <algorithm>
 #include <chrono>
+#include <exception>
 #include <memory>
 #include <utility>
 
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
@@ -14,6 +17,7 @@
 #include "gateway/answer_sink.hpp"
 #include "gateway/caller_request.hpp"
 #include "gateway/forwarder.hpp"
+#include "gateway/interval.hpp"
 
 namespace tarragonquay::gateway
 {
@@ -34,6 +38,9 @@
 /// socket with unread input resets the connection, and the caller can lose the
 /// last answer.
 constexpr milliseconds linger_timeout{500};
+/// Beast stores the size of a header field in 16 bits and throws an exception
+/// from the event loop for a larger one.
+constexpr std::int64_t max_header_bytes = 65'000;
 constexpr std::size_t read_size = 16UL << 10U;
 
 std::string to_text(const boost::string_view& text)
@@ -41,11 +48,27 @@
     return {text.data(), text.size()};
 }
 
+/// Counts a request as running.
+class running_request
+{
+public:
+    explicit running_request(context& ctx) : ctx_(ctx)
+    {
+        ++ctx_.running_requests;
+    }
+    ~running_request() { --ctx_.running_requests; }
+    running_request(const running_request&) = delete;
+    running_request& operator=(const running_request&) = delete;
+
+private:
+    context& ctx_;
+};
+
 class connection : public answer_sink
 {
 public:
     connection(context& ctx, asio::ip::tcp::socket socket)
-        : ctx_(ctx), stream_(std::move(socket))
+        : ctx_(ctx), stream_(std::move(socket)), idle_timer_(ctx.io)
     {
         ++ctx_.caller_connections;
     }
@@ -69,7 +92,10 @@
                 break;
             co_await serve_request();
         }
-        co_await linger();
+        // The caller was told that the connection closes. Without that, its
+        // next request may arrive, which must not be read and discarded.
+        if (!keep_alive_)
+            co_await linger();
     }
 
     asio::awaitable<void> refuse()
@@ -91,6 +117,7 @@
         if (!bodiless && !head_only_)
             message.body() = std::move(answer.body);
         boost::system::error_code ec;
+        answer_begun_ = true;
         stream_.expires_after(write_timeout);
         co_await http::async_write(
             stream_, message, asio::redirect_error(asio::use_awaitable, ec));
@@ -107,6 +134,7 @@
         message.chunked(true);
         http::response_serializer<http::empty_body> serializer(message);
         boost::system::error_code ec;
+        answer_begun_ = true;
         stream_.expires_after(write_timeout);
         co_await http::async_write_header(
             stream_, serializer, asio::redirect_error(asio::use_awaitable, ec));
@@ -188,32 +216,65 @@
                            : routes::caller_limits();
     }
 
-    // Waits for the first byte of a request.
+    // Waits until the first byte of a request has arrived, without reading it:
+    // a socket that is closed with unread input resets the connection, which
+    // tells the caller that the request may be sent again.
     asio::awaitable<bool> wait_for_request()
     {
         if (buffer_.size() != 0)
             co_return true;
-        boost::system::error_code ec;
-        if (ctx_.refuses_new_requests)
-            co_return false;
-        stream_.expires_after(milliseconds(limits().idle_timeout_ms));
+        const auto idle_since = std::chrono::steady_clock::now();
+        while (true)
+        {
+            // Callers follow the configuration in force, which may have
+            // changed since the wait began.
+            const auto idle_until =
+                end_of_interval(idle_since, limits().idle_timeout_ms);
+            const bool last = ctx_.refuses_new_requests ||
+                              std::chrono::steady_clock::now() >= idle_until;
+            const auto state = peek_socket(stream_.socket().native_handle());
+            if (state != socket_state::idle || last)
+                co_return state == socket_state::has_input;
+            co_await wait_for_input(idle_until);
+        }
+    }
+
+    // Returns when the socket is readable, at the deadline, or when the idle
+    // callers are woken.
+    asio::awaitable<void> wait_for_input(time_point deadline)
+    {
+        boost::system::error_code ignored;
+        idle_timer_.expires_at(deadline);
+        idle_timer_.async_wait(
+            [this, alive = alive_](const boost::system::error_code& failed)
+            {
+                if (!failed && *alive && idle_)
+                    cancel_socket_waits();
+            });
+        idle_ = true;
         ctx_.idle_callers.insert(&stream_.socket());
-        const auto count =
-            co_await stream_.async_read_some(buffer_.prepare(read_size),
-                asio::redirect_error(asio::use_awaitable, ec));
+        co_await stream_.socket().async_wait(asio::ip::tcp::socket::wait_read,
+            asio::redirect_error(asio::use_awaitable, ignored));
         ctx_.idle_callers.erase(&stream_.socket());
-        buffer_.commit(count);
-        co_return !ec;
+        idle_ = false;
+        idle_timer_.cancel();
+    }
+
+    void cancel_socket_waits()
+    {
+        boost::system::error_code ignored;
+        stream_.socket().cancel(ignored);
     }
 
     asio::awaitable<void> serve_request()
     {
         head_only_ = false;
         stream_open_ = false;
+        answer_begun_ = false;
         http::request_parser<http::string_body> parser;
         const auto bounds = limits();
-        parser.header_limit(
-            static_cast<std::uint32_t>(bounds.max_header_bytes));
+        parser.header_limit(static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+            bounds.max_header_bytes, 0, max_header_bytes)));
         parser.body_limit(static_cast<std::uint64_t>(bounds.max_body_bytes));
         const auto arrived_at = std::chrono::steady_clock::now();
         const int status = co_await read_request(parser, bounds);
@@ -242,10 +303,22 @@
             co_return;
         }
         watch_for_close();
-        ++ctx_.running_requests;
-        co_await forward(ctx_, std::move(*request), *this);
-        --ctx_.running_requests;
+        const auto id = request->id;
+        const running_request running(ctx_);
+        std::string exception;
+        try
+        {
+            co_await forward(ctx_, std::move(*request), *this);
+        }
+        catch (const std::exception& failure)
+        {
+            exception = failure.what();
+            if (exception.empty())
+                exception = "unknown";
+        }
         stop_watching();
+        if (!exception.empty())
+            co_await handle_exception(id, exception);
         // Close without the last chunk, so that the caller does not take an
         // interrupted stream for a complete one.
         if (stream_open_)
@@ -255,6 +328,20 @@
         }
     }
 
+    // Answers with 500, unless an answer has been sent or begun. A part of an
+    // answer may have been written, so the connection is not used again.
+    asio::awaitable<void> handle_exception(
+        const std::string& id, const std::string& reason)
+    {
+        ctx_.log.warning(
+            "request_exception", {{"request_id", id}, {"reason", reason},
+                                     {"answer_begun", answer_begun_}});
+        ctx_.metrics.add("tq_gateway_exceptions_total", {});
+        keep_alive_ = false;
+        if (!answer_begun_ && !caller_gone_)
+            co_await respond(refusal_answer(500, 0));
+    }
+
     // Reads a request. Returns 0 on success, the status to refuse it with, or
     // -1 when the connection is no longer usable.
     asio::awaitable<int> read_request(
@@ -262,7 +349,8 @@
         const routes::caller_limits& bounds)
     {
         boost::system::error_code ec;
-        stream_.expires_after(milliseconds(bounds.header_timeout_ms));
+        stream_.expires_at(end_of_interval(
+            std::chrono::steady_clock::now(), bounds.header_timeout_ms));
         co_await http::async_read_header(stream_, buffer_, parser,
             asio::redirect_error(asio::use_awaitable, ec));
         if (ec)
@@ -318,10 +406,11 @@
         caller_gone_handler_ = nullptr;
         if (!stream_.socket().is_open())
             return;
-        boost::system::error_code ignored;
-        stream_.socket().cancel(ignored);
+        cancel_socket_waits();
     }
 
+    // Reads and discards what the caller still sends, so that it receives the
+    // last answer.
     asio::awaitable<void> linger()
     {
         boost::system::error_code ec;
@@ -340,9 +429,12 @@
     context& ctx_;
     beast::tcp_stream stream_;
     beast::flat_buffer buffer_;
+    asio::steady_timer idle_timer_;
+    bool idle_ = false;
     bool keep_alive_ = true;
     bool head_only_ = false;
     bool stream_open_ = false;
+    bool answer_begun_ = false;
     bool caller_gone_ = false;
     bool watching_ = false;
     std::function<void()> caller_gone_handler_;
--- /dev/null
+++ b/src/gateway/caller_connection_test.cpp
@@ -0,0 +1,312 @@
+#include "gateway/caller_connection.hpp"
+
+#include <array>
+#include <chrono>
+#include <limits>
+#include <stdexcept>
+#include <thread>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/write.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tarragonquay::gateway
+{
+namespace
+{
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+const std::string request =
+    "POST /x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n"
+    "Content-Length: 4\r\n\r\nbody";
+
+dialect make_dialect()
+{
+    dialect out;
+    out.headers.request_id = "X-Request-Id";
+    out.headers.deadline_ms = "Wait";
+    out.headers.model = "Model";
+    return out;
+}
+
+// A configuration without routes, so that requests are answered with 404.
+std::shared_ptr<const routes::route_table> make_routes(
+    routes::caller_limits limits)
+{
+    routes::configuration out;
+    out.version = 1;
+    out.limits = limits;
+    return routes::route_table::create(out).value();
+}
+
+const std::string adapter_request =
+    "POST /x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\nModel: m/a\r\n"
+    "Content-Length: 4\r\n\r\nbody";
+
+// A configuration with one route to engines without models.
+std::shared_ptr<const routes::route_table> make_stream_routes()
+{
+    routes::configuration out;
+    out.version = 1;
+    routes::route all;
+    all.name = "all";
+    all.host = "h";
+    all.path_prefix = "/";
+    all.streamed = true;
+    all.timeout_ms = 2'000;
+    all.target_latency_ms = 1'000;
+    all.services = {{service_id("s"), 1}};
+    out.routes = {all};
+    out.services.push_back({service_id("s"), 100, routes::engine_group()});
+    return routes::route_table::create(out).value();
+}
+
+routes::caller_limits idle_limit(milliseconds limit)
+{
+    routes::caller_limits out;
+    out.idle_timeout_ms = limit.count();
+    return out;
+}
+
+// The state of a gateway and one connection of a caller.
+class fixture
+{
+public:
+    explicit fixture(routes::caller_limits limits = {})
+        : ctx(io, {}, make_dialect(),
+              log::json_log::create("error", "i1").value(), fleet::member()),
+          caller_(caller_io_)
+    {
+        ctx.routes = make_routes(limits);
+        asio::ip::tcp::acceptor acceptor(
+            io, {asio::ip::address_v4::loopback(), 0});
+        caller_.connect(acceptor.local_endpoint());
+        caller_.non_blocking(true);
+        asio::co_spawn(io, serve_caller(ctx, acceptor.accept()),
+            [&](std::exception_ptr failure)
+            {
+                ended = true;
+                failed = failure != nullptr;
+            });
+    }
+
+    void apply(routes::caller_limits limits)
+    {
+        ctx.routes = make_routes(limits);
+        ctx.wake_idle_callers();
+    }
+
+    void add_endpoint(const std::string& address)
+    {
+        endpoints::directory_entry entry;
+        entry.id = endpoint_id("e1");
+        entry.service = service_id("s");
+        entry.address = address;
+        entry.slots = 4;
+        ctx.pool.put(entry);
+        ctx.endpoints_known = true;
+    }
+
+    void run(milliseconds time)
+    {
+        io.restart();
+        io.run_for(time);
+    }
+
+    // Sends without running the gateway.
+    boost::system::error_code send(const std::string& text)
+    {
+        boost::system::error_code ec;
+        asio::write(caller_, asio::buffer(text), ec);
+        return ec;
+    }
+
+    // Text that the caller has received since the last call.
+    std::string received()
+    {
+        std::string out;
+        std::array<char, 4096> part;
+        boost::system::error_code ec;
+        while (!ec)
+            out.append(part.data(), caller_.read_some(asio::buffer(part), ec));
+        caller_saw_end = ec != asio::error::would_block;
+        return out;
+    }
+
+    // Status of the answer to one request; 0 without an answer.
+    int exchange(const std::string& text, milliseconds time = 100ms)
+    {
+        send(text);
+        run(time);
+        return status_of(received());
+    }
+
+    static int status_of(const std::string& answer)
+    {
+        const std::string begin = "HTTP/1.1 ";
+        return answer.starts_with(begin)
+                   ? std::atoi(answer.c_str() + begin.size())
+                   : 0;
+    }
+
+    asio::io_context io{1};
+    context ctx;
+    bool ended = false;
+    bool failed = false;
+    bool caller_saw_end = false;
+
+private:
+    asio::io_context caller_io_;
+    asio::ip::tcp::socket caller_;
+};
+
+} // namespace
+
+class caller_connection_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(caller_connection_test);
+    CPPUNIT_TEST(a_request_after_the_idle_limit_is_reset_unread);
+    CPPUNIT_TEST(a_request_that_arrived_at_the_idle_limit_is_answered);
+    CPPUNIT_TEST(a_request_that_arrived_before_the_refusals_is_refused);
+    CPPUNIT_TEST(an_idle_connection_is_closed_once_requests_are_refused);
+    CPPUNIT_TEST(the_idle_limit_follows_a_longer_one_in_force);
+    CPPUNIT_TEST(the_idle_limit_follows_a_shorter_one_in_force);
+    CPPUNIT_TEST(an_exception_is_answered_with_500);
+    CPPUNIT_TEST(a_field_of_more_than_64_kib_is_refused);
+    CPPUNIT_TEST(limits_of_any_length_are_valid);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a request that is read and discarded after the idle
+    // limit: the caller got neither an answer nor a reset.
+    void a_request_after_the_idle_limit_is_reset_unread()
+    {
+        fixture tested(idle_limit(50ms));
+        CPPUNIT_ASSERT_EQUAL(404, tested.exchange(request, 20ms));
+        tested.run(150ms);
+        tested.send(request);
+        tested.run(20ms);
+        CPPUNIT_ASSERT_EQUAL(std::string(), tested.received());
+        CPPUNIT_ASSERT(tested.caller_saw_end);
+        CPPUNIT_ASSERT_MESSAGE(
+            "the request was read", tested.send(request).failed());
+    }
+
+    // Guards against closing a connection whose next request has arrived while
+    // the process had no processor time.
+    void a_request_that_arrived_at_the_idle_limit_is_answered()
+    {
+        fixture tested(idle_limit(50ms));
+        CPPUNIT_ASSERT_EQUAL(404, tested.exchange(request, 20ms));
+        std::this_thread::sleep_for(100ms);
+        CPPUNIT_ASSERT_EQUAL(404, tested.exchange(request));
+    }
+
+    // Guards against a request that is read and discarded because a planned
+    // stop ended the idle wait.
+    void a_request_that_arrived_before_the_refusals_is_refused()
+    {
+        fixture tested;
+        CPPUNIT_ASSERT_EQUAL(404, tested.exchange(request, 20ms));
+        tested.send(request);
+        tested.ctx.stopping = true;
+        tested.ctx.refuses_new_requests = true;
+        tested.ctx.wake_idle_callers();
+        tested.run(50ms);
+        const auto answer = tested.received();
+        CPPUNIT_ASSERT_MESSAGE(answer, fixture::status_of(answer) != 0);
+    }
+
+    // Guards against a request that is read and discarded after a planned stop
+    // has closed its idle connection.
+    void an_idle_connection_is_closed_once_requests_are_refused()
+    {
+        fixture tested;
+        CPPUNIT_ASSERT_EQUAL(404, tested.exchange(request, 20ms));
+        tested.ctx.stopping = true;
+        tested.ctx.refuses_new_requests = true;
+        tested.ctx.wake_idle_callers();
+        tested.run(50ms);
+        CPPUNIT_ASSERT_EQUAL(0, tested.exchange(request));
+        CPPUNIT_ASSERT(tested.caller_saw_end);
+        CPPUNIT_ASSERT_MESSAGE(
+            "the request was read", tested.send(request).failed());
+    }
+    // Guards against closing a connection that its caller may still use by the
+    // configuration in force: the limit was that of the wait's beginning.
+    void the_idle_limit_follows_a_longer_one_in_force()
+    {
+        fixture tested(idle_limit(100ms));
+        CPPUNIT_ASSERT_EQUAL(404, tested.exchange(request, 20ms));
+        tested.apply(idle_limit(2s));
+        tested.run(300ms);
+        CPPUNIT_ASSERT_EQUAL(404, tested.exchange(request));
+    }
+
+    // Guards against connections that stay open for the limit of an earlier
+    // configuration.
+    void the_idle_limit_follows_a_shorter_one_in_force()
+    {
+        fixture tested(idle_limit(60s));
+        CPPUNIT_ASSERT_EQUAL(404, tested.exchange(request, 20ms));
+        tested.apply(idle_limit(50ms));
+        tested.run(150ms);
+        tested.received();
+        CPPUNIT_ASSERT(tested.caller_saw_end);
+    }
+
+    // Guards against an exception that ends the connection without an answer
+    // and leaves the request counted as running, so that a stop waits for it.
+    void an_exception_is_answered_with_500()
+    {
+        fixture tested;
+        tested.ctx.routes = make_stream_routes();
+        tested.ctx.request_adapter = [](const auto&...)
+        { throw std::runtime_error("injected"); };
+        tested.add_endpoint("127.0.0.1:1");
+        CPPUNIT_ASSERT_EQUAL(500, tested.exchange(adapter_request));
+        CPPUNIT_ASSERT(!tested.failed);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), tested.ctx.running_requests);
+        const auto counted = tested.ctx.metrics.prometheus_text();
+        CPPUNIT_ASSERT_MESSAGE(counted,
+            counted.find("tq_gateway_exceptions_total 1") != std::string::npos);
+    }
+
+    // Guards against a crash: Beast throws an exception for a header field that
+    // does not fit its 16-bit sizes.
+    void a_field_of_more_than_64_kib_is_refused()
+    {
+        routes::caller_limits limits;
+        limits.max_header_bytes = 1'000'000;
+        fixture tested(limits);
+        CPPUNIT_ASSERT_EQUAL(
+            431, tested.exchange("GET /x HTTP/1.1\r\nHost: h\r\nX-Request-Id: "
+                                 "r1\r\nLong: " +
+                                 std::string(70'000, 'a') + "\r\n\r\n"));
+    }
+
+    // Guards against time arithmetic that overflows, so that a long limit ends
+    // at once and the request gets no answer.
+    void limits_of_any_length_are_valid()
+    {
+        routes::caller_limits limits;
+        limits.header_timeout_ms = std::numeric_limits<std::int64_t>::max();
+        limits.idle_timeout_ms = std::numeric_limits<std::int64_t>::max();
+        fixture tested(limits);
+        const auto half = request.size() / 2;
+        for (int i = 0; i < 2; ++i)
+        {
+            tested.run(20ms);
+            tested.send(request.substr(0, half));
+            tested.run(20ms);
+            CPPUNIT_ASSERT_EQUAL(404, tested.exchange(request.substr(half)));
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(caller_connection_test);
+
+} // namespace tarragonquay::gateway
