Refuse requests whose model is not a valid name

A gateway counts the demand for the models that callers name and repeats it in its heartbeats, where the names are protobuf strings. One request with a model of invalid UTF-8 made every heartbeat of the gateway unreadable to the others for as long as the demand was counted, so they took it as dead. The adapter of such a request could also end the process of the placement holder: the JSON encoder of an engine command throws on invalid UTF-8.

Requests whose model or adapter has control characters, is not UTF-8 or is longer than 256 bytes are now refused as invalid.

Failed before: a_model_that_is_not_a_name_is_refused ("received.ParseFromString(envelope.SerializeAsString())"). The effect on the command is read from the code, not shown by a run.

--- a/src/gateway/caller_request.cpp
+++ b/src/gateway/caller_request.cpp
@@ -7,6 +7,8 @@
 
 #include <boost/beast/core/string.hpp>
 
+#include "common/plain_name.hpp"
+
 namespace tarragonquay::gateway
 {
 
@@ -103,6 +105,13 @@
     return out;
 }
 
+// Both are repeated in messages to other gateways and in commands.
+bool has_plain_names(const dispatch::prompt& prompt)
+{
+    return is_plain_text(prompt.model.str()) &&
+           is_plain_text(prompt.adapter.str());
+}
+
 } // namespace
 
 bool equal_ignoring_case(std::string_view a, std::string_view b)
@@ -131,6 +140,10 @@
         out.deadline = arrived_at + std::chrono::milliseconds(*wait);
     out.last_event = parse_non_negative(find_field(raw, names.last_event));
     out.prompt = parse_prompt(raw, names);
+    if (out.prompt && !has_plain_names(*out.prompt))
+        return fail(error_code::invalid_argument,
+            "the name of the model or the adapter has characters that are not "
+            "allowed or is too long");
     if (!find_field(raw, names.token_counts).empty() && out.prompt)
         out.tokens = out.prompt->prompt_tokens + out.prompt->output_tokens;
     const std::string connection(find_field(raw, "Connection"));
--- a/src/gateway/caller_request_test.cpp
+++ b/src/gateway/caller_request_test.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "peer.pb.h"
+
 namespace tarragonquay::gateway
 {
 namespace
@@ -49,6 +51,7 @@
     CPPUNIT_TEST(a_prompt_is_decoded);
     CPPUNIT_TEST(unreadable_hints_do_not_fail_a_request);
     CPPUNIT_TEST(a_request_without_an_id_is_refused);
+    CPPUNIT_TEST(a_model_that_is_not_a_name_is_refused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -103,6 +106,31 @@
             !parse_request({"GET", "/", {}, ""}, make_names(), now_));
     }
 
+    // Guards against a heartbeat that peers can't parse: it repeats the names
+    // of the models that callers ask for.
+    void a_model_that_is_not_a_name_is_refused()
+    {
+        for (const std::string& model :
+            {std::string("\xff"), std::string("m/\xc3"), std::string("m/a\tb"),
+                std::string(300, 'm')})
+        {
+            const auto request =
+                parse_request(make_raw({{"Model", model}}), make_names(), now_);
+            peer::Envelope envelope;
+            if (request)
+            {
+                auto& demand =
+                    *envelope.mutable_gateway_heartbeat()->add_model_demands();
+                demand.set_model(request->prompt->model.str());
+                demand.set_adapter(request->prompt->adapter.str());
+            }
+            peer::Envelope received;
+            CPPUNIT_ASSERT_MESSAGE(
+                model, received.ParseFromString(envelope.SerializeAsString()));
+            CPPUNIT_ASSERT_MESSAGE(model, !request);
+        }
+    }
+
 private:
     const time_point now_{std::chrono::hours(1)};
 };
