Ignore numbers of callers' requests that are out of range

A caller that sent a very long wait (up to 2^63 - 1 milliseconds) got a deadline in the past, because the sum with the arrival time overflowed; sums of token counts and the next event's id overflowed in the same way, which is undefined behaviour. Numbers above 1e12 now count as unreadable hints.

Failed before: numbers_out_of_range_are_ignored ("!request->deadline || *request->deadline > now_").

--- a/src/dispatch/prompt.cpp
+++ b/src/dispatch/prompt.cpp
@@ -12,6 +12,8 @@
 
 // Bounds the work for one request; usual prompts have three parts.
 constexpr std::size_t max_parts = 64;
+/// Keeps sums over the parts from overflowing.
+constexpr std::int64_t max_part_tokens = 1'000'000'000'000;
 
 result<prompt_part> parse_part(std::string_view text)
 {
@@ -24,7 +26,8 @@
         const auto id = std::from_chars(text.data(), middle, out.id, 16);
         const auto tokens = std::from_chars(middle + 1, end, out.tokens);
         if (id.ec == std::errc() && id.ptr == middle &&
-            tokens.ec == std::errc() && tokens.ptr == end && out.tokens >= 0)
+            tokens.ec == std::errc() && tokens.ptr == end && out.tokens >= 0 &&
+            out.tokens <= max_part_tokens)
             return out;
     }
     return fail(error_code::invalid_argument,
--- a/src/gateway/caller_request.cpp
+++ b/src/gateway/caller_request.cpp
@@ -27,13 +27,17 @@
     return {};
 }
 
+/// Sums of some of these numbers, and times in milliseconds that are added to a
+/// time point, must not overflow.
+constexpr std::int64_t max_number = 1'000'000'000'000;
+
 std::optional<std::int64_t> parse_non_negative(std::string_view text)
 {
     std::int64_t value = 0;
     const auto* end = text.data() + text.size();
     const auto parsed = std::from_chars(text.data(), end, value);
     if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end ||
-        value < 0)
+        value < 0 || value > max_number)
         return std::nullopt;
     return value;
 }
--- a/src/gateway/caller_request_test.cpp
+++ b/src/gateway/caller_request_test.cpp
@@ -52,6 +52,7 @@
     CPPUNIT_TEST(unreadable_hints_do_not_fail_a_request);
     CPPUNIT_TEST(a_request_without_an_id_is_refused);
     CPPUNIT_TEST(a_model_that_is_not_a_name_is_refused);
+    CPPUNIT_TEST(numbers_out_of_range_are_ignored);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -131,6 +132,22 @@
         }
     }
 
+    // Guards against sums that overflow: the deadline of a caller that would
+    // wait very long was in the past.
+    void numbers_out_of_range_are_ignored()
+    {
+        const std::string largest = "9223372036854775807";
+        const auto request = parse_request(
+            make_raw({{"Model", "m"}, {"Counts", largest + "," + largest},
+                {"Parts", "a:" + largest + ",b:" + largest}, {"Wait", largest},
+                {"Last", largest}}),
+            make_names(), now_);
+        CPPUNIT_ASSERT(!request->deadline || *request->deadline > now_);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), request->tokens.value_or(0));
+        CPPUNIT_ASSERT(request->prompt->parts.empty());
+        CPPUNIT_ASSERT(!request->last_event);
+    }
+
 private:
     const time_point now_{std::chrono::hours(1)};
 };
