--- a/src/gateway/caller_request.cpp
+++ b/src/gateway/caller_request.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/beast/core/string.hpp>
 
+#include "common/plain_name.hpp"
 #include "gateway/interval.hpp"
 
 namespace tarragonquay::gateway
@@ -27,13 +28,17 @@
     return {};
 }
 
+/// Sums of some of these numbers, and times in milliseconds that are added to a
+/// time point, must not overflow.
+constexpr std::int64_t max_number = 1'000'000'000'000;
+
 std::optional<std::int64_t> parse_non_negative(std::string_view text)
 {
     std::int64_t value = 0;
     const auto* end = text.data() + text.size();
     const auto parsed = std::from_chars(text.data(), end, value);
     if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end ||
-        value < 0)
+        value < 0 || value > max_number)
         return std::nullopt;
     return value;
 }
@@ -105,6 +110,13 @@
     return out;
 }
 
+// Both are repeated in messages to other gateways and in commands.
+bool has_plain_names(const dispatch::prompt& prompt)
+{
+    return is_plain_text(prompt.model.str()) &&
+           is_plain_text(prompt.adapter.str());
+}
+
 } // namespace
 
 bool equal_ignoring_case(std::string_view a, std::string_view b)
@@ -133,6 +145,10 @@
         out.deadline = end_of_interval(arrived_at, *wait);
     out.last_event = parse_non_negative(find_field(raw, names.last_event));
     out.prompt = parse_prompt(raw, names);
+    if (out.prompt && !has_plain_names(*out.prompt))
+        return fail(error_code::invalid_argument,
+            "the name of the model or the adapter has characters that are not "
+            "allowed or is too long");
     if (!find_field(raw, names.token_counts).empty() && out.prompt)
         out.tokens = out.prompt->prompt_tokens + out.prompt->output_tokens;
     const std::string connection(find_field(raw, "Connection"));
--- a/src/gateway/caller_request_test.cpp
+++ b/src/gateway/caller_request_test.cpp
@@ -4,6 +4,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "peer.pb.h"
+
 namespace tarragonquay::gateway
 {
 namespace
@@ -52,6 +54,8 @@
     CPPUNIT_TEST(unreadable_hints_do_not_fail_a_request);
     CPPUNIT_TEST(a_request_without_an_id_is_refused);
     CPPUNIT_TEST(a_wait_of_any_length_is_valid);
+    CPPUNIT_TEST(a_model_that_is_not_a_name_is_refused);
+    CPPUNIT_TEST(numbers_out_of_range_are_ignored);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -106,8 +110,46 @@
             !parse_request({"GET", "/", {}, ""}, make_names(), now_));
     }
 
-private:
-    const time_point now_{std::chrono::hours(1)};
+    // Guards against a heartbeat that peers can't parse: it repeats the names
+    // of the models that callers ask for.
+    void a_model_that_is_not_a_name_is_refused()
+    {
+        for (const std::string& model :
+            {std::string("\xff"), std::string("m/\xc3"), std::string("m/a\tb"),
+                std::string(300, 'm')})
+        {
+            const auto request =
+                parse_request(make_raw({{"Model", model}}), make_names(), now_);
+            peer::Envelope envelope;
+            if (request)
+            {
+                auto& demand =
+                    *envelope.mutable_gateway_heartbeat()->add_model_demands();
+                demand.set_model(request->prompt->model.str());
+                demand.set_adapter(request->prompt->adapter.str());
+            }
+            peer::Envelope received;
+            CPPUNIT_ASSERT_MESSAGE(
+                model, received.ParseFromString(envelope.SerializeAsString()));
+            CPPUNIT_ASSERT_MESSAGE(model, !request);
+        }
+    }
+
+    // Guards against sums that overflow: the deadline of a caller that would
+    // wait very long was in the past.
+    void numbers_out_of_range_are_ignored()
+    {
+        const std::string largest = "9223372036854775807";
+        const auto request = parse_request(
+            make_raw({{"Model", "m"}, {"Counts", largest + "," + largest},
+                {"Parts", "a:" + largest + ",b:" + largest}, {"Wait", largest},
+                {"Last", largest}}),
+            make_names(), now_);
+        CPPUNIT_ASSERT(!request->deadline || *request->deadline > now_);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), request->tokens.value_or(0));
+        CPPUNIT_ASSERT(request->prompt->parts.empty());
+        CPPUNIT_ASSERT(!request->last_event);
+    }
 
     // Guards against a deadline that overflows and lies in the past, so that
     // the request is refused at once.
@@ -123,6 +165,9 @@
                 wait, *request->deadline >= now + std::chrono::seconds(5));
         }
     }
+
+private:
+    const time_point now_{std::chrono::hours(1)};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(caller_request_test);
