Refuse prompts with a part that crashes engines

Each request with such a part crashed as many engines as its route has attempts, and so did the next one.

The forwarder now asks the crash evidence before each send: a request with a suspect part is sent alone and not repeated after a crash, one with a part that is known to crash engines is refused. A break before the first event counts as a crash only if the endpoint's port refuses a new connection. Requests that wait at an engine are taken back when their prompt becomes refused.

--- a/src/gateway/call.hpp
+++ b/src/gateway/call.hpp
@@ -2,10 +2,12 @@
 
 #include <utility>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -35,6 +37,21 @@
 
 std::string_view to_string(attempt_outcome value);
 
+/// Marks the parts of a suspect request as in flight at this instance, until
+/// its outcome is known.
+class suspect_flight
+{
+public:
+    suspect_flight(context& ctx, std::vector<std::uint64_t> parts);
+    ~suspect_flight();
+    suspect_flight(const suspect_flight&) = delete;
+    suspect_flight& operator=(const suspect_flight&) = delete;
+
+private:
+    context* ctx_;
+    std::vector<std::uint64_t> parts_;
+};
+
 /// State of a request while the gateway serves it. `routes` is the
 /// configuration at the request's arrival; a later one does not replace it.
 struct call
@@ -53,6 +70,10 @@
     /// Whether an endpoint may have run the request.
     bool may_have_run = false;
     std::set<endpoint_id> tried;
+    /// Set while the request is sent although one of its parts is suspect.
+    std::unique_ptr<suspect_flight> suspect;
+    /// Whether an engine ended while the request waited there.
+    bool lost_in_crash = false;
     /// Endpoint of the latest attempt, for the log.
     endpoint_id endpoint;
     /// Reason code of the outcome, for the log and the metrics.
--- a/src/gateway/context.hpp
+++ b/src/gateway/context.hpp
@@ -90,8 +90,18 @@
         request_adapter;
     /// Parts of prompts under which engines ended, as known to the whole fleet.
     dispatch::crash_evidence evidence;
+    /// Parts of suspect requests that wait at engines for their first event.
+    std::set<std::uint64_t> suspect_parts_in_flight;
     /// Signalled when a verdict of `evidence` may have changed.
     change_signal evidence_changed;
+    /// Sends changes of `evidence` to the other instances.
+    std::function<void()> send_evidence;
+    void announce_evidence()
+    {
+        evidence_changed.raise();
+        if (send_evidence)
+            send_evidence();
+    }
     std::mt19937_64 random{std::random_device{}()};
 };
 
--- /dev/null
+++ b/src/gateway/prompt_guard.cpp
@@ -0,0 +1,174 @@
+#include "gateway/prompt_guard.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+#include <string_view>
+
+#include <fmt/format.h>
+
+#include "common/digest.hpp"
+#include "gateway/forwarder.hpp"
+#include "gateway/stream_relay.hpp"
+
+namespace tarragonquay::gateway
+{
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+/// A port without a listener refuses a connection within a round trip; an
+/// endpoint that does not answer at all may only be unreachable.
+constexpr milliseconds probe_timeout{300};
+/// A suspect request waits for others with the same part for this multiple of
+/// its latency target; an answer that comes later is of little use.
+constexpr int hold_time_in_targets = 2;
+constexpr milliseconds min_hold_time{1'000};
+/// Retry-After of a suspect request that waited in vain, in seconds: by then
+/// the outcome of the request in flight is known.
+constexpr double suspect_retry_s = 1.0;
+/// Final: callers do not send the request again.
+constexpr int status_bad_request = 400;
+
+std::string describe(const std::vector<std::uint64_t>& parts)
+{
+    std::string out;
+    for (const auto part : parts)
+        out += fmt::format("{}{:x}", out.empty() ? "" : ",", part);
+    return out;
+}
+
+std::uint64_t rank(const instance_id& instance, std::uint64_t part)
+{
+    return fast_hash(instance.str(), part);
+}
+
+// Whether this instance sends the one request that finds out whether an expired
+// refusal still applies. Rendezvous hashing gives each part one such instance.
+bool may_probe(const context& ctx, std::uint64_t part)
+{
+    const auto own = rank(ctx.roster.self().id, part);
+    const auto others = ctx.roster.others();
+    return std::none_of(others.begin(), others.end(),
+        [&](const fleet::member& each) { return rank(each.id, part) > own; });
+}
+
+bool any_in_flight(const context& ctx, const std::vector<std::uint64_t>& parts)
+{
+    return std::any_of(parts.begin(), parts.end(),
+        [&](std::uint64_t part)
+        { return ctx.suspect_parts_in_flight.contains(part); });
+}
+
+asio::awaitable<send_permission> refuse_prompt(
+    call& call, const std::vector<std::uint64_t>& parts)
+{
+    call.ctx.log.info("prompt_refused",
+        {{"request_id", call.request.id}, {"parts", describe(parts)},
+            {"crashes",
+                call.ctx.evidence.crashes_under(*call.request.prompt)}});
+    call.ctx.metrics.add("tq_gateway_refused_prompts_total", {});
+    co_await refuse(call, status_bad_request, "crashing_part");
+    co_return send_permission::refused;
+}
+
+} // namespace
+
+suspect_flight::suspect_flight(context& ctx, std::vector<std::uint64_t> parts)
+    : ctx_(&ctx), parts_(std::move(parts))
+{
+    ctx_->suspect_parts_in_flight.insert(parts_.begin(), parts_.end());
+}
+
+suspect_flight::~suspect_flight()
+{
+    for (const auto part : parts_)
+        ctx_->suspect_parts_in_flight.erase(part);
+    ctx_->evidence_changed.raise();
+}
+
+asio::awaitable<send_permission> permit_prompt(call& call)
+{
+    if (!call.request.prompt)
+        co_return send_permission::granted;
+    auto& ctx = call.ctx;
+    const auto& prompt = *call.request.prompt;
+    const auto hold_until = std::min(first_event_deadline(call),
+        call.request.arrived_at +
+            std::max(min_hold_time,
+                milliseconds(
+                    hold_time_in_targets * call.route->target_latency_ms)));
+    while (true)
+    {
+        const auto now = std::chrono::steady_clock::now();
+        const auto verdict = ctx.evidence.judge(prompt, now);
+        if (verdict == dispatch::prompt_verdict::unsuspected)
+            co_return send_permission::granted;
+        auto parts = ctx.evidence.blamed_parts(prompt, now);
+        const bool refused =
+            verdict == dispatch::prompt_verdict::refused ||
+            (verdict == dispatch::prompt_verdict::expired &&
+                (parts.empty() || !may_probe(ctx, parts.front())));
+        if (refused)
+            co_return co_await refuse_prompt(call, parts);
+        if (call.lost_in_crash)
+            co_return send_permission::not_repeated;
+        if (!any_in_flight(ctx, parts))
+        {
+            call.suspect =
+                std::make_unique<suspect_flight>(ctx, std::move(parts));
+            co_return send_permission::granted;
+        }
+        if (now >= hold_until || call.out.caller_gone())
+        {
+            co_await refuse(call, 503, "suspect_part", suspect_retry_s);
+            co_return send_permission::refused;
+        }
+        co_await ctx.evidence_changed.wait(hold_until);
+    }
+}
+
+void note_prompt_answered(call& call)
+{
+    if (!call.request.prompt)
+        return;
+    auto& evidence = call.ctx.evidence;
+    const auto before = evidence.revision();
+    evidence.note_answer(
+        *call.request.prompt, std::chrono::steady_clock::now());
+    call.suspect.reset();
+    if (evidence.revision() != before)
+        call.ctx.announce_evidence();
+}
+
+asio::awaitable<void> note_prompt_lost(call& call,
+    const dispatch::endpoint_choice& at, std::int64_t started_unix_ms)
+{
+    if (!call.request.prompt || call.request.prompt->parts.size() < 2)
+        co_return;
+    auto& ctx = call.ctx;
+    const auto lost_at = std::chrono::steady_clock::now();
+    const auto probe = co_await endpoints::http_connection::open(
+        at.address, lost_at + probe_timeout);
+    const bool unreachable =
+        std::chrono::steady_clock::now() >= lost_at + probe_timeout;
+    if (probe || unreachable)
+        co_return;
+    call.lost_in_crash = true;
+    const auto before = ctx.evidence.revision();
+    ctx.evidence.note_crash(
+        *call.request.prompt, at.id, started_unix_ms, lost_at);
+    ctx.log.info("engine_ended_under_request",
+        {{"request_id", call.request.id}, {"endpoint", at.id.str()},
+            {"crashes", ctx.evidence.crashes_under(*call.request.prompt)},
+            {"verdict",
+                to_string(ctx.evidence.judge(*call.request.prompt, lost_at))}});
+    ctx.metrics.add("tq_gateway_requests_lost_in_crashes_total", {});
+    if (ctx.evidence.revision() != before)
+        ctx.announce_evidence();
+}
+
+} // namespace tarragonquay::gateway
--- a/src/gateway/stream_call.cpp
+++ b/src/gateway/stream_call.cpp
@@ -6,6 +6,7 @@
 
 #include "gateway/call.hpp"
 #include "gateway/forwarder.hpp"
+#include "gateway/prompt_guard.hpp"
 #include "gateway/stream_relay.hpp"
 
 namespace tarragonquay::gateway
@@ -174,14 +175,23 @@
 
 asio::awaitable<void> run_stream_call(call& call)
 {
-    count_demand(call);
     stream_state state;
     state.last_event = call.request.last_event;
+    bool demand_counted = false;
     std::optional<whole_answer> last;
     error cause(error_code::deadline_exceeded, "the deadline has passed");
-    while (
-        std::chrono::steady_clock::now() < call.deadline && take_attempt(call))
+    while (std::chrono::steady_clock::now() < call.deadline)
     {
+        const auto permission = state.begun ? send_permission::granted
+                                            : co_await permit_prompt(call);
+        if (permission == send_permission::refused)
+            co_return;
+        if (permission == send_permission::not_repeated)
+            break;
+        if (!std::exchange(demand_counted, true))
+            count_demand(call);
+        if (!take_attempt(call))
+            break;
         auto to = co_await choose_or_wait(call, state);
         if (!to)
         {
@@ -194,7 +204,13 @@
         const bool in_time = co_await check_in_time(call, *to, state);
         if (!in_time)
             co_return;
+        const auto* entry = call.ctx.pool.find(to->id);
+        const auto started_unix_ms =
+            entry == nullptr ? 0 : entry->started_unix_ms;
         auto end = co_await relay_stream(call, state, *to);
+        if (end.lost_before_event && !state.begun)
+            co_await note_prompt_lost(call, *to, started_unix_ms);
+        call.suspect.reset();
         record_attempt(call, state, to->id, end.outcome);
         if (end.outcome == relay_outcome::complete)
         {
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "gateway/event_framer.hpp"
+#include "gateway/prompt_guard.hpp"
 #include "gateway/ticket_guard.hpp"
 
 namespace tarragonquay::gateway
@@ -82,9 +83,13 @@
         end.outcome = cause.execution() == execution_state::not_run
                           ? relay_outcome::not_connected
                           : relay_outcome::broken;
+        end.lost_before_event =
+            !answered_ && !withdrawn_ &&
+            (cause.code() == error_code::connection_broken ||
+                cause.code() == error_code::incomplete_answer);
         if (call_.out.caller_gone())
             end.outcome = relay_outcome::caller_gone;
-        else
+        else if (!withdrawn_)
             call_.ctx.pool.record_failure(
                 to_.id, std::chrono::steady_clock::now());
         log_attempt(call_, to_.id,
@@ -126,6 +131,24 @@
             });
     }
 
+    // Closes the connection when the request, which waits for its first event,
+    // turns out to hold a part that crashes engines.
+    void withdraw_when_refused(endpoints::http_connection& connection)
+    {
+        if (!call_.request.prompt || state_.begun)
+            return;
+        verdict_changes_ = call_.ctx.evidence_changed.subscribe(
+            [this, &connection]
+            {
+                if (call_.ctx.evidence.judge(*call_.request.prompt,
+                        std::chrono::steady_clock::now()) !=
+                    dispatch::prompt_verdict::refused)
+                    return;
+                withdrawn_ = true;
+                connection.close();
+            });
+    }
+
     time_point next_event_deadline() const
     {
         const auto now = std::chrono::steady_clock::now();
@@ -141,6 +164,7 @@
     {
         ++call_.sends;
         auto request = make_exchange(call_, to_, first_event_deadline(call_));
+        withdraw_when_refused(connection);
         if (may_resume_elsewhere(call_))
             watch_first_event(connection);
         if (state_.last_event)
@@ -222,6 +246,7 @@
     void cancel_close_handlers()
     {
         call_.out.on_caller_gone(nullptr);
+        verdict_changes_ = {};
         cancel_watchdog();
     }
 
@@ -293,6 +318,9 @@
     void note_first_event()
     {
         cancel_watchdog();
+        answered_ = true;
+        verdict_changes_ = {};
+        note_prompt_answered(call_);
         if (call_.request.prompt)
             call_.ctx.pool.note_first_event(ticket_.ticket(), call_.service->id,
                 call_.request.prompt->model, std::chrono::steady_clock::now());
@@ -340,6 +368,11 @@
     const dispatch::endpoint_choice to_;
     ticket_guard ticket_;
     asio::steady_timer watchdog_;
+    /// Whether this endpoint has sent an event.
+    bool answered_ = false;
+    /// Whether the request was taken back because its prompt is refused.
+    bool withdrawn_ = false;
+    change_signal::subscription verdict_changes_;
     /// Reset when the watchdog must no longer close the connection.
     std::shared_ptr<int> watch_token_ = std::make_shared<int>(0);
 };
--- a/src/gateway/stream_relay.hpp
+++ b/src/gateway/stream_relay.hpp
@@ -42,6 +42,8 @@
 {
     relay_outcome outcome = relay_outcome::broken;
     whole_answer answer;
+    /// Whether the endpoint broke the connection before the first event.
+    bool lost_before_event = false;
 };
 
 /// When the caller stops waiting for the first event of the stream.
