Exchange crash evidence between gateways

Each gateway refused prompts only after crashes that it had seen itself.

evidence_exchange decides about times, content and receivers without a network; peer_link sends.

--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -29,8 +29,17 @@
 } // namespace
 
 peer_link::peer_link(context& ctx, documents& docs)
-    : ctx_(ctx), documents_(docs), residency_timer_(ctx.io)
+    : ctx_(ctx),
+      documents_(docs),
+      residency_timer_(ctx.io),
+      evidence_(ctx.evidence),
+      evidence_timer_(ctx.io)
 {
+    ctx_.send_evidence = [this]
+    {
+        evidence_.note_change(std::chrono::steady_clock::now());
+        schedule_evidence();
+    };
     documents_.on_directory_changes(
         [this](std::int64_t after, const remote_store::table_changes& changes)
         { push_changes(after, changes); });
@@ -105,6 +114,10 @@
     else
         send_direct_heartbeats(now);
     probe_lost_member(now);
+    const auto revision = ctx_.evidence.revision();
+    evidence_.tick(now);
+    if (ctx_.evidence.revision() != revision)
+        ctx_.evidence_changed.raise();
 }
 
 void peer_link::expire_silent_members(time_point now)
@@ -381,6 +394,36 @@
         send(each, message);
 }
 
+void peer_link::schedule_evidence()
+{
+    // A due time that is unchanged must not restart the wait.
+    if (evidence_timer_.expiry() == evidence_.send_at())
+        return;
+    evidence_timer_.expires_at(evidence_.send_at());
+    if (evidence_.send_at() == time_point::max())
+        return;
+    evidence_timer_.async_wait(
+        [this](const boost::system::error_code& failed)
+        {
+            if (!failed)
+                send_due_evidence();
+        });
+}
+
+void peer_link::send_due_evidence()
+{
+    const auto update = evidence_.take_due(std::chrono::steady_clock::now());
+    if (update)
+    {
+        peer::Envelope message;
+        *message.mutable_evidence_update() = *update;
+        for (const auto& each :
+            evidence_exchange::receivers(ctx_.roster, router_))
+            send(each, message);
+    }
+    schedule_evidence();
+}
+
 void peer_link::request_adapter(const demanded_model& requested)
 {
     // Many calls may wait for the same adapter.
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -13,6 +13,7 @@
 
 #include "gateway/context.hpp"
 #include "gateway/documents.hpp"
+#include "gateway/evidence_exchange.hpp"
 #include "gateway/known_holder.hpp"
 #include "gateway/peer_messages.hpp"
 #include "gateway/report_router.hpp"
@@ -22,8 +23,9 @@
 {
 
 /// Exchanges messages between gateways: heartbeats with loads and demands,
-/// documents for gateways that lack them, and the models that engines hold. In
-/// a large fleet they go through relays, see report_router.
+/// documents for gateways that lack them, the models that engines hold, and the
+/// evidence of prompt parts that crash engines. In a large fleet they go
+/// through relays, see report_router.
 class peer_link
 {
 public:
@@ -125,6 +127,8 @@
         std::int64_t after, const remote_store::table_changes& changes);
     void send_residency_update(const std::vector<engine_residency>& engines);
     void flush_residency();
+    void schedule_evidence();
+    void send_due_evidence();
 
     // Receiving.
     void receive(const peer::Envelope& message);
@@ -144,6 +148,8 @@
     void receive_directory_changes(const peer::Directory_changes& update);
     void receive_residency(
         const instance_id& from, const peer::Envelope& message);
+    void receive_evidence(
+        const instance_id& from, const peer::Evidence_update& update);
 
     context& ctx_;
     documents& documents_;
@@ -175,6 +181,10 @@
     /// Engines whose state is sent in the next residency update.
     std::map<endpoint_id, engine_residency> residency_queue_;
     boost::asio::steady_timer residency_timer_;
+    evidence_exchange evidence_;
+    boost::asio::steady_timer evidence_timer_;
+    /// Earliest time of the next log line on ignored entries of evidence.
+    time_point next_evidence_warning_{};
 };
 
 } // namespace tarragonquay::gateway
--- a/src/gateway/peer_receive.cpp
+++ b/src/gateway/peer_receive.cpp
@@ -14,6 +14,8 @@
 /// Minimum interval between requests for documents; an answer takes a few
 /// milliseconds.
 constexpr milliseconds documents_request_interval{200};
+/// Minimum interval between log lines on ignored entries of evidence.
+constexpr std::chrono::minutes evidence_warning_interval{1};
 
 } // namespace
 
@@ -32,6 +34,8 @@
         return receive_directory_changes(message.directory_changes());
     case peer::Envelope::kResidencyUpdate:
         return receive_residency(from, message);
+    case peer::Envelope::kEvidenceUpdate:
+        return receive_evidence(from, message.evidence_update());
     case peer::Envelope::kAdapterRequest:
         if (on_adapter_request_)
             on_adapter_request_(
@@ -77,6 +81,12 @@
     const bool without_relay = beat.scope() == peer::REPORT_SCOPE_OWN;
     if (router_.relayed() && (without_relay || unknown))
         send_introduction(from, now);
+    if (const auto update = evidence_.message(now); unknown && update)
+    {
+        peer::Envelope message;
+        *message.mutable_evidence_update() = *update;
+        send(from, message);
+    }
 }
 
 void peer_link::handle_report(const instance_id& from,
@@ -248,4 +258,21 @@
             send(each, message);
 }
 
+void peer_link::receive_evidence(
+    const instance_id& from, const peer::Evidence_update& update)
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto revision = ctx_.evidence.revision();
+    const auto ignored = evidence_.receive(update, now);
+    if (ctx_.evidence.revision() != revision)
+        ctx_.evidence_changed.raise();
+    if (ignored > 0 && now >= next_evidence_warning_)
+    {
+        next_evidence_warning_ = now + evidence_warning_interval;
+        ctx_.log.warning(
+            "evidence_ignored", {{"peer", from.str()}, {"entries", ignored}});
+    }
+    schedule_evidence();
+}
+
 } // namespace tarragonquay::gateway
