End the exchange of answers that clear nothing

With a part that had once been answered, gateways sent each other their evidence 40 times a second without end, and the records of a part that crashes engines were cleared, so that its requests were sent again.

The time of an answer is later by the transmission time at each instance that hears of it. Instances took each other's reports as later answers, forwarded them as news, and the time advanced until it cleared crashes after the answer. A cleared part also stayed reported for as long as it was answered at least each 5 s, and an answer older than 5 s was not reported to an instance that still had crashes before it, for example after a partition.

An answer is now stored and forwarded only if it clears crashes, or if none was known. It is reported for 5 s after it cleared crashes and after each report of a crash that it cleared, also if it is known only from answers of this instance that cleared nothing here.

--- a/src/dispatch/crash_evidence.cpp
+++ b/src/dispatch/crash_evidence.cpp
@@ -119,7 +119,7 @@
                 answered_.emplace(part, answered_part{now, position});
             }
             const auto found = records_.find(part);
-            if (found != records_.end() && add_answer(found->second, now))
+            if (found != records_.end() && add_answer(found->second, now, now))
                 changed();
         });
     while (answered_.size() > max_answered_parts)
@@ -144,7 +144,7 @@
         changed();
 }
 
-part_record& crash_evidence::record_of(std::uint64_t part)
+crash_evidence::known_part& crash_evidence::record_of(std::uint64_t part)
 {
     auto [found, added] = records_.try_emplace(part);
     if (added)
@@ -156,7 +156,7 @@
     return found->second;
 }
 
-bool crash_evidence::add_crash(part_record& to, const crash_record& crash)
+bool crash_evidence::add_crash(known_part& to, const crash_record& crash)
 {
     if (to.answered_at && crash.at <= *to.answered_at)
         return false;
@@ -183,13 +183,36 @@
     return true;
 }
 
-bool crash_evidence::add_answer(part_record& to, time_point at)
+// An answer that clears nothing is not stored. Reported times grow by the
+// transmission time with each hop, so instances that took each other's as later
+// answers would exchange them endlessly and clear crashes after the answer.
+bool crash_evidence::add_answer(known_part& to, time_point at, time_point now)
 {
     if (to.answered_at && at <= *to.answered_at)
         return false;
+    const auto cleared = std::erase_if(
+        to.crashes, [&](const crash_record& each) { return each.at <= at; });
+    if (cleared == 0 && to.answered_at)
+        return false;
     to.answered_at = at;
-    return std::erase_if(to.crashes,
-               [&](const crash_record& each) { return each.at <= at; }) != 0;
+    to.report_answer_until = now + cleared_lifetime;
+    return true;
+}
+
+// Whether an answer that this instance knows of has cleared the crash. Its
+// reporter lacks the answer, which is then reported again.
+bool crash_evidence::is_cleared(
+    known_part& by, const crash_record& crash, time_point now)
+{
+    auto answer = by.answered_at;
+    // Answers that cleared nothing here are not in the record.
+    if (const auto own = answered_.find(by.part); own != answered_.end())
+        answer = std::max(answer, std::optional(own->second.at));
+    if (!answer || crash.at > *answer)
+        return false;
+    by.answered_at = answer;
+    by.report_answer_until = now + cleared_lifetime;
+    return true;
 }
 
 void crash_evidence::make_room()
@@ -207,8 +230,7 @@
 {
     std::vector<part_record> out;
     for (const auto& [part, each] : records_)
-        if (!each.crashes.empty() ||
-            (each.answered_at && now - *each.answered_at < cleared_lifetime))
+        if (!each.crashes.empty() || now < each.report_answer_until)
             out.push_back(each);
     return out;
 }
@@ -216,7 +238,7 @@
 bool crash_evidence::merge(
     const std::vector<part_record>& reported, time_point now)
 {
-    bool news = false;
+    bool lacks_answer = false;
     bool verdicts_changed = false;
     for (const auto& each : reported)
     {
@@ -224,28 +246,33 @@
             continue;
         auto& own = record_of(each.part);
         if (each.answered_at)
-        {
             // A report from an instance whose clock advances differently must
             // not clear crashes that come later.
-            const auto at = std::min(*each.answered_at, now);
-            news = news || !own.answered_at || at > *own.answered_at;
-            verdicts_changed = add_answer(own, at) || verdicts_changed;
-        }
+            verdicts_changed =
+                add_answer(own, std::min(*each.answered_at, now), now) ||
+                verdicts_changed;
         for (const auto& crash : each.crashes)
         {
+            if (is_cleared(own, crash, now))
+            {
+                // This instance may have heard of the crash later than of the
+                // answer.
+                const auto removed =
+                    std::erase_if(own.crashes, [&](const crash_record& known)
+                        { return known.process == crash.process; });
+                verdicts_changed = verdicts_changed || removed != 0;
+                lacks_answer = true;
+                continue;
+            }
             const bool added = add_crash(
                 own, {crash.process, crash.request, std::min(crash.at, now)});
             verdicts_changed = added || verdicts_changed;
-            // The reporter does not know the answer that cleared this crash.
-            const bool outdated =
-                own.answered_at && crash.at <= *own.answered_at;
-            news = news || added || outdated;
         }
     }
     make_room();
     if (verdicts_changed)
         changed();
-    return news;
+    return verdicts_changed || lacks_answer;
 }
 
 void crash_evidence::expire(time_point now)
@@ -273,9 +300,8 @@
                 std::erase_if(record.crashes, [now](const crash_record& each)
                     { return now - each.at >= record_lifetime; });
             verdicts_changed = verdicts_changed || expired != 0;
-            outdated = record.crashes.empty() &&
-                       (!record.answered_at ||
-                           now - *record.answered_at >= cleared_lifetime);
+            outdated =
+                record.crashes.empty() && now >= record.report_answer_until;
         }
         verdicts_changed = verdicts_changed || outdated;
         next = outdated ? records_.erase(next) : std::next(next);
--- a/src/dispatch/crash_evidence.hpp
+++ b/src/dispatch/crash_evidence.hpp
@@ -83,8 +83,8 @@
     /// expired, up to the maximum.
     static constexpr std::chrono::seconds initial_refusal{60};
     static constexpr std::chrono::seconds max_refusal{3'600};
-    /// How long the answer that cleared a part is still reported, so that late
-    /// reports of the crashes before it have no effect.
+    /// How long the answer that cleared a part is still reported after it
+    /// cleared crashes here or a report of cleared crashes has arrived.
     static constexpr std::chrono::seconds cleared_lifetime{5};
     /// Parts with records; those with the fewest crashes are dropped first.
     static constexpr std::size_t max_parts = 64;
@@ -134,16 +134,23 @@
         std::set<std::uint64_t> suspects;
     };
 
-    bool add_crash(part_record& to, const crash_record& crash);
-    bool add_answer(part_record& to, time_point at);
-    part_record& record_of(std::uint64_t part);
+    struct known_part : part_record
+    {
+        /// A part without crashes is reported until this time.
+        time_point report_answer_until;
+    };
+
+    bool add_crash(known_part& to, const crash_record& crash);
+    bool add_answer(known_part& to, time_point at, time_point now);
+    bool is_cleared(known_part& by, const crash_record& crash, time_point now);
+    known_part& record_of(std::uint64_t part);
     void changed();
     void make_room();
     const findings& current() const;
     findings evaluate() const;
     const finding* find_refusal(const prompt& request) const;
 
-    std::map<std::uint64_t, part_record> records_;
+    std::map<std::uint64_t, known_part> records_;
     /// Latest answers, least recent first in the list.
     struct answered_part
     {
