--- /dev/null
+++ b/src/dispatch/evidence_merge_test.cpp
@@ -0,0 +1,76 @@
+#include "dispatch/crash_evidence.hpp"
+
+#include <chrono>
+#include <string>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tarragonquay::dispatch
+{
+
+using namespace std::chrono_literals;
+
+// Two instances that exchange their records.
+class evidence_merge_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(evidence_merge_test);
+    CPPUNIT_TEST(the_request_of_a_crash_affects_the_verdict_at_once);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::uint64_t bad = 5;
+    static constexpr duration delay = 30ms;
+
+    static prompt make_request(std::uint64_t request)
+    {
+        prompt out;
+        out.parts = {{bad, 1}, {request, 1}};
+        return out;
+    }
+
+    void crash(crash_evidence& at, int process, std::uint64_t request)
+    {
+        at.note_crash(make_request(request),
+            endpoint_id("e" + std::to_string(process)), 1, now_);
+    }
+
+    // As the exchange does it: times grow by the transmission time.
+    bool send(const crash_evidence& from, crash_evidence& to)
+    {
+        auto records = from.records(now_);
+        now_ += delay;
+        for (auto& each : records)
+        {
+            if (each.answered_at)
+                *each.answered_at += delay;
+            for (auto& crash : each.crashes)
+                crash.at += delay;
+        }
+        return to.merge(records, now_);
+    }
+
+public:
+    // Guards against a verdict from before the merge: three crashes prove the
+    // cause only if they lost two different requests.
+    void the_request_of_a_crash_affects_the_verdict_at_once()
+    {
+        for (int process = 1; process <= 3; ++process)
+            crash(a_, process, 900);
+        CPPUNIT_ASSERT(
+            prompt_verdict::suspect == a_.judge(make_request(1), now_));
+        crash(b_, 1, 100);
+        const auto revision = a_.revision();
+        CPPUNIT_ASSERT(send(b_, a_));
+        CPPUNIT_ASSERT(a_.revision() != revision);
+        CPPUNIT_ASSERT(
+            prompt_verdict::refused == a_.judge(make_request(1), now_));
+    }
+
+private:
+    time_point now_{std::chrono::hours(30)};
+    crash_evidence a_;
+    crash_evidence b_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(evidence_merge_test);
+
+} // namespace tarragonquay::dispatch
