--- a/src/gateway/stream_call.cpp
+++ b/src/gateway/stream_call.cpp
@@ -5,6 +5,7 @@
 
 #include "gateway/call.hpp"
 #include "gateway/forwarder.hpp"
+#include "gateway/prompt_guard.hpp"
 #include "gateway/stream_relay.hpp"
 
 namespace tarragonquay::gateway
@@ -136,14 +137,24 @@
 
 asio::awaitable<void> run_stream_call(call& call)
 {
-    count_demand(call);
     stream_state state;
     state.last_event = call.request.last_event;
+    bool demand_counted = false;
     std::optional<whole_answer> last;
     error cause(error_code::deadline_exceeded, "the deadline has passed");
     while (std::chrono::steady_clock::now() < call.deadline &&
-           may_send(call, state) && take_repeat(call))
+           may_send(call, state))
     {
+        const auto permission = state.begun ? send_permission::granted
+                                            : co_await permit_prompt(call);
+        if (permission == send_permission::refused)
+            co_return;
+        if (permission == send_permission::not_repeated)
+            break;
+        if (!std::exchange(demand_counted, true))
+            count_demand(call);
+        if (!take_repeat(call))
+            break;
         auto to = co_await choose_or_wait(call, state);
         if (!to)
         {
@@ -158,6 +169,10 @@
             co_return;
         auto end = co_await relay_stream(call, state, *to);
         record_attempt(call, state, end.endpoint, end.outcome);
+        if (end.lost)
+            co_await note_prompt_lost(
+                call, end.lost->at, end.lost->started_unix_ms);
+        call.suspect.reset();
         if (end.outcome == relay_outcome::complete)
         {
             call.reason = "answered";
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "gateway/event_framer.hpp"
+#include "gateway/prompt_guard.hpp"
 #include "gateway/ticket_guard.hpp"
 
 namespace tarragonquay::gateway
@@ -105,6 +106,7 @@
                 close_connection();
                 takeover_.close();
             });
+        withdraw_when_refused();
         if (connection_)
         {
             watch_first_event();
@@ -117,6 +119,33 @@
         co_return co_await exchange();
     }
 
+    // Takes the request, which waits for its first event, back when it turns
+    // out to hold a part that crashes engines.
+    void withdraw_when_refused()
+    {
+        if (!call_.request.prompt || state_.begun)
+            return;
+        verdict_changes_ = call_.ctx.evidence_changed.subscribe(
+            [this]
+            {
+                if (call_.ctx.evidence.judge(*call_.request.prompt,
+                        std::chrono::steady_clock::now()) !=
+                    dispatch::prompt_verdict::refused)
+                    return;
+                withdrawn_ = true;
+                close_connection();
+                takeover_.close();
+            });
+    }
+
+    // Whether the endpoint broke the connection before the first event.
+    bool is_lost(const error& cause) const
+    {
+        return !state_.begun && !withdrawn_ &&
+               (cause.code() == error_code::connection_broken ||
+                   cause.code() == error_code::incomplete_answer);
+    }
+
     void close_connection()
     {
         if (connection_)
@@ -158,9 +187,11 @@
         end.outcome = cause.execution() == execution_state::not_run
                           ? relay_outcome::not_connected
                           : relay_outcome::broken;
+        if (is_lost(cause))
+            end.lost = {to_, ticket_->ticket().started_unix_ms};
         if (call_.out.caller_gone())
             end.outcome = relay_outcome::caller_gone;
-        else
+        else if (!withdrawn_)
             call_.ctx.pool.record_failure(
                 to_.id, std::chrono::steady_clock::now());
         log_attempt(call_, to_.id,
@@ -265,6 +296,7 @@
     void cancel_close_handlers()
     {
         call_.out.on_caller_gone(nullptr);
+        verdict_changes_ = {};
         takeover_.close();
     }
 
@@ -345,6 +377,8 @@
 
     void note_first_event()
     {
+        verdict_changes_ = {};
+        note_prompt_answered(call_);
         if (call_.request.prompt)
             call_.ctx.pool.note_first_event(ticket_->ticket(),
                 call_.service->id, call_.request.prompt->model,
@@ -352,24 +386,28 @@
     }
 
     // Returns the complete events in the framer, concatenated. Fails if their
-    // ids do not continue the stream.
+    // ids do not continue the stream; then none of them counts as delivered.
     result<std::string> take_events(event_framer& framer)
     {
         std::string out;
+        auto last = state_.last_event;
         while (true)
         {
             auto event = framer.pop();
             if (!event)
                 return tl::unexpected<error>(event.error());
             if (!*event)
+            {
+                state_.last_event = last;
                 return out;
+            }
             const auto& id = (*event)->id;
-            if (id && state_.last_event && *id != *state_.last_event + 1)
+            if (id && last && *id != *last + 1)
                 return fail(error_code::wrong_answer,
                     "the stream skipped or repeated an event",
                     execution_state::unknown);
             if (id)
-                state_.last_event = id;
+                last = id;
             out += (*event)->bytes;
         }
     }
@@ -397,6 +435,9 @@
     /// Number of the send.
     int send_ = 0;
     time_point silent_since_ = std::chrono::steady_clock::now();
+    /// Whether the request was taken back because its prompt is refused.
+    bool withdrawn_ = false;
+    change_signal::subscription verdict_changes_;
     stream_takeover takeover_;
 };
 
--- a/src/gateway/stream_takeover.cpp
+++ b/src/gateway/stream_takeover.cpp
@@ -156,6 +156,9 @@
 
     std::optional<dispatch::endpoint_choice> choose(time_point now)
     {
+        // A request that may crash engines waits at one engine only.
+        if (call_.suspect)
+            return std::nullopt;
         const auto to = choose_next(call_, state_, {current_}, now);
         if (!to || !take_repeat(call_))
             return std::nullopt;
