--- a/src/gateway/prompt_guard.cpp
+++ b/src/gateway/prompt_guard.cpp
@@ -30,8 +30,6 @@
 /// Retry-After of a suspect request that waited in vain, in seconds: by then
 /// the outcome of the request in flight is known.
 constexpr double suspect_retry_s = 1.0;
-/// Final: callers do not send the request again.
-constexpr int status_bad_request = 400;
 
 std::string describe(const std::vector<std::uint64_t>& parts)
 {
@@ -63,15 +61,23 @@
         { return ctx.suspect_parts_in_flight.contains(part); });
 }
 
+// A client error would be wrong: the request is well-formed and permitted, and
+// may be served once the refusal has expired.
 asio::awaitable<send_permission> refuse_prompt(
-    call& call, const std::vector<std::uint64_t>& parts)
+    call& call, const std::vector<std::uint64_t>& parts, time_point now)
 {
+    const std::chrono::duration<double> retry_after =
+        call.ctx.evidence.refused_until(*call.request.prompt, now) - now;
     call.ctx.log.info("prompt_refused",
         {{"request_id", call.request.id}, {"parts", describe(parts)},
             {"crashes",
                 call.ctx.evidence.crashes_under(*call.request.prompt)}});
     call.ctx.metrics.add("tq_gateway_refused_prompts_total", {});
-    co_await refuse(call, status_bad_request, "crashing_part");
+    if (call.may_have_run)
+        co_await refuse(call, 502, "crashing_part");
+    else
+        co_await refuse(call, 503, "crashing_part",
+            std::max(suspect_retry_s, retry_after.count()));
     co_return send_permission::refused;
 }
 
@@ -113,7 +119,7 @@
             (verdict == dispatch::prompt_verdict::expired &&
                 (parts.empty() || !may_probe(ctx, parts.front())));
         if (refused)
-            co_return co_await refuse_prompt(call, parts);
+            co_return co_await refuse_prompt(call, parts, now);
         if (call.lost_in_crash)
             co_return send_permission::not_repeated;
         if (!any_in_flight(ctx, parts))
