Explain requests that were refused for a part of their prompt

The logs did not show which requests were lost together when an engine ended, nor what they had in common. Each such request now leaves engine_ended_under_request with the parts of its prompt, and tqctl explain lists these lines of all gateways for a refused prompt. A request that may crash an engine goes to the one with the fewest requests at risk.

--- a/src/dispatch/endpoint_pool.cpp
+++ b/src/dispatch/endpoint_pool.cpp
@@ -218,7 +218,7 @@
 
 result<endpoint_choice> endpoint_pool::choose_engine(const service_id& service,
     const prompt& request, const std::set<endpoint_id>& excluded,
-    time_point now) const
+    time_point now, engine_preference preference) const
 {
     const auto all = candidates(service, excluded, now);
     if (all.empty())
@@ -239,12 +239,23 @@
     const auto* home = *std::max_element(holders.begin(), holders.end(),
         [&](const record* a, const record* b)
         { return rank(a->id_hash, shared) < rank(b->id_hash, shared); });
+    const auto requests_at_risk = [&](const record& endpoint)
+    {
+        return preference == engine_preference::fewest_requests
+                   ? total_load(endpoint, now).requests
+                   : std::int64_t(0);
+    };
     std::optional<endpoint_choice> best;
+    std::pair<std::int64_t, time_point> best_rank;
     for (const auto* each : holders)
     {
         auto option = estimate(*each, service, request, each == home, now);
-        if (!best || option.expected_at < best->expected_at)
-            best = std::move(option);
+        const auto option_rank =
+            std::pair(requests_at_risk(*each), option.expected_at);
+        if (best && option_rank >= best_rank)
+            continue;
+        best = std::move(option);
+        best_rank = option_rank;
     }
     return *best;
 }
--- a/src/dispatch/endpoint_pool.hpp
+++ b/src/dispatch/endpoint_pool.hpp
@@ -90,12 +90,24 @@
     void mark_missing(const endpoint_id& id, const model_id& model,
         const adapter_id& adapter, time_point now);
 
-    /// The engine with the earliest expected first event. Fails with
-    /// no_endpoint when the service has no usable engine, and with
-    /// model_not_ready when none of them holds the model or the adapter.
+    /// What weighs most in the choice of an engine.
+    enum class engine_preference
+    {
+        /// The earliest expected first event.
+        earliest_answer,
+        /// As few running requests as possible: the request may crash the
+        /// engine, and all others there would be lost with it.
+        fewest_requests
+    };
+
+    /// The best engine by this preference. Fails with no_endpoint when the
+    /// service has no usable engine, and with model_not_ready when none of them
+    /// holds the model or the adapter.
     result<endpoint_choice> choose_engine(const service_id& service,
         const prompt& request, const std::set<endpoint_id>& excluded,
-        time_point now) const;
+        time_point now,
+        engine_preference preference =
+            engine_preference::earliest_answer) const;
     /// The endpoint of a plain service with the least load per slot. Fails with
     /// no_endpoint when the service has no usable endpoint.
     result<endpoint_choice> choose_plain(const service_id& service,
--- a/src/explain/request_story.cpp
+++ b/src/explain/request_story.cpp
@@ -73,6 +73,8 @@
 {
     std::set<std::string> instances;
     std::set<std::string> endpoints;
+    /// Parts of the prompt for which the request was refused.
+    std::set<std::string> refused_parts;
     std::string model;
     std::string adapter;
     std::int64_t begin_ms = 0;
@@ -88,6 +90,18 @@
     scope.adapter = inputs->value("adapter", scope.adapter);
 }
 
+std::set<std::string> parts_of(const log_line& line)
+{
+    std::set<std::string> out;
+    const auto parts = line.fields.find("parts");
+    if (parts == line.fields.end() || !parts->is_array())
+        return out;
+    for (const auto& each : *parts)
+        if (each.is_string())
+            out.insert(each.get<std::string>());
+    return out;
+}
+
 request_scope scope_of(const std::vector<log_line>& own)
 {
     request_scope out;
@@ -98,6 +112,8 @@
         if (const auto endpoint = line.text("endpoint"); !endpoint.empty())
             out.endpoints.insert(endpoint);
         add_inputs(out, line);
+        if (line.event == "prompt_refused" || line.event == "prompt_held")
+            out.refused_parts.merge(parts_of(line));
         out.begin_ms =
             std::min(out.begin_ms, line.time_ms - line.number("elapsed_ms"));
         out.end_ms = std::max(out.end_ms, line.time_ms);
@@ -141,8 +157,22 @@
            scope.instances.contains(line.instance);
 }
 
+// Crashes are remembered for longer than the history of other events.
+bool concerns_parts(const log_line& line, const request_scope& scope)
+{
+    if (line.event != "engine_ended_under_request" ||
+        scope.refused_parts.empty() || line.time_ms > scope.end_ms)
+        return false;
+    const auto parts = parts_of(line);
+    return std::any_of(parts.begin(), parts.end(),
+        [&](const std::string& each)
+        { return scope.refused_parts.contains(each); });
+}
+
 bool is_related(const log_line& line, const request_scope& scope)
 {
+    if (concerns_parts(line, scope))
+        return true;
     return line.time_ms >= scope.begin_ms - history_ms &&
            line.time_ms <= scope.end_ms &&
            (is_lease_line(line) || concerns_endpoint(line, scope) ||
@@ -161,7 +191,7 @@
 
 /// The first rule with the reason of the request and an event that occurred
 /// applies.
-constexpr std::array<cause_rule, 13> cause_rules{{
+constexpr std::array<cause_rule, 16> cause_rules{{
     {"rate_limited", "limit_reached", true,
         "the request exceeded the remaining limit of the workspace; compare "
         "demand_of_all with rate"},
@@ -180,6 +210,13 @@
         "an endpoint failed, and no other one could be used"},
     {"no_endpoint", "endpoint_gone", true,
         "the endpoint left, and no other one could be used"},
+    {"crashing_part", "engine_ended_under_request", false,
+        "engines ended under requests with the same part of the prompt"},
+    {"suspect_part", "engine_ended_under_request", false,
+        "engines ended under requests with the same part of the prompt, and "
+        "another such request was in flight"},
+    {"unanswered", "engine_ended_under_request", false,
+        "the engine process ended while the request waited there"},
     {"unanswered", "attempt_failed", false,
         "the attempt failed, and it is unknown whether the request ran"},
     {"timeout", "attempt_failed", false, "the endpoint did not answer in time"},
--- a/src/explain/request_story_test.cpp
+++ b/src/explain/request_story_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(unknown_request_is_not_found);
     CPPUNIT_TEST(refusal_over_a_limit_is_explained_by_the_limit);
     CPPUNIT_TEST(lost_answer_is_explained_by_the_failed_send);
+    CPPUNIT_TEST(refused_prompt_is_explained_by_earlier_crashes);
     CPPUNIT_TEST(broken_stream_is_explained_by_its_first_failure);
     CPPUNIT_TEST(missing_model_is_explained_by_the_lost_lease);
     CPPUNIT_TEST(regained_lease_explains_nothing);
@@ -127,6 +128,31 @@
             std::string("endpoint_gone"), report.lines.front().event);
     }
 
+    // Guards against a report that does not show the crashes of engines at
+    // other gateways, for which a prompt was refused.
+    void refused_prompt_is_explained_by_earlier_crashes()
+    {
+        const auto ended = [&](const char* instance, std::int64_t time_ms,
+                               const char* request, const char* part)
+        {
+            return line(instance, time_ms, "engine_ended_under_request",
+                {{"request_id", request}, {"endpoint", "i-1"},
+                    {"parts", {"a1", part}}});
+        };
+        const auto report = report_of("5f",
+            {ended("g2", 1'000, "1f", "b2"), ended("g3", 1'100, "2f", "c3"),
+                ended("g1", 1'200, "3f", "b2"),
+                line("g1", 51'000, "prompt_refused",
+                    {{"request_id", "5f"}, {"parts", {"b2"}}}),
+                line("g1", 51'000, "request_refused",
+                    {{"request_id", "5f"}, {"status", 503},
+                        {"reason", "crashing_part"}})});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), report.lines.size());
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("engine_ended_under_request"), cause_of(report));
+        CPPUNIT_ASSERT_EQUAL(std::string("g2"), report.lines.front().instance);
+    }
+
     // Guards against a report that names the last failed endpoint as the cause
     // instead of the first.
     void broken_stream_is_explained_by_its_first_failure()
--- a/src/gateway/prompt_guard.cpp
+++ b/src/gateway/prompt_guard.cpp
@@ -31,11 +31,20 @@
 /// the outcome of the request in flight is known.
 constexpr double suspect_retry_s = 1.0;
 
-std::string describe(const std::vector<std::uint64_t>& parts)
+// Ids of parts as callers write them.
+std::vector<std::string> to_text(const std::vector<std::uint64_t>& parts)
 {
-    std::string out;
+    std::vector<std::string> out;
     for (const auto part : parts)
-        out += fmt::format("{}{:x}", out.empty() ? "" : ",", part);
+        out.push_back(fmt::format("{:x}", part));
+    return out;
+}
+
+std::vector<std::uint64_t> shared_parts(const dispatch::prompt& from)
+{
+    std::vector<std::uint64_t> out;
+    for (std::size_t i = 0; i + 1 < from.parts.size(); ++i)
+        out.push_back(from.parts[i].id);
     return out;
 }
 
@@ -69,7 +78,7 @@
     const std::chrono::duration<double> retry_after =
         call.ctx.evidence.refused_until(*call.request.prompt, now) - now;
     call.ctx.log.info("prompt_refused",
-        {{"request_id", call.request.id}, {"parts", describe(parts)},
+        {{"request_id", call.request.id}, {"parts", to_text(parts)},
             {"crashes",
                 call.ctx.evidence.crashes_under(*call.request.prompt)}});
     call.ctx.metrics.add("tq_gateway_refused_prompts_total", {});
@@ -130,6 +139,8 @@
         }
         if (now >= hold_until || call.out.caller_gone())
         {
+            ctx.log.info("prompt_held",
+                {{"request_id", call.request.id}, {"parts", to_text(parts)}});
             co_await refuse(call, 503, "suspect_part", suspect_retry_s);
             co_return send_permission::refused;
         }
@@ -169,6 +180,7 @@
         *call.request.prompt, at.id, started_unix_ms, lost_at);
     ctx.log.info("engine_ended_under_request",
         {{"request_id", call.request.id}, {"endpoint", at.id.str()},
+            {"parts", to_text(shared_parts(*call.request.prompt))},
             {"crashes", ctx.evidence.crashes_under(*call.request.prompt)},
             {"verdict",
                 to_string(ctx.evidence.judge(*call.request.prompt, lost_at))}});
--- a/src/gateway/stream_call.cpp
+++ b/src/gateway/stream_call.cpp
@@ -34,8 +34,12 @@
 {
     if (!call.request.prompt || !call.service->engines)
         return call.ctx.pool.choose_plain(call.service->id, excluded, now);
-    return call.ctx.pool.choose_engine(
-        call.service->id, *call.request.prompt, excluded, now);
+    using preference = dispatch::endpoint_pool::engine_preference;
+    const bool may_crash_engines = call.suspect || call.lost_in_crash;
+    return call.ctx.pool.choose_engine(call.service->id, *call.request.prompt,
+        excluded, now,
+        may_crash_engines ? preference::fewest_requests
+                          : preference::earliest_answer);
 }
 
 // Chooses the best endpoint that has not been tried. If there is none, an
