Stop instances from returning expired crashes to each other

Records of crashes were kept and sent without end. Instances drop expired records at different moments; one that had not dropped a crash yet reported it, and the other added it again as news.

merge() does not add crashes that expire within two seconds, and an answer of an unknown part is news only together with a crash.

Failed before: expired_crashes_are_not_returned and expired_refusals_are_not_returned (evidence_merge_test.cpp, assertion failed, expression: a_.records(now_).empty()).

--- a/src/dispatch/crash_evidence.cpp
+++ b/src/dispatch/crash_evidence.cpp
@@ -16,6 +16,11 @@
 /// that were on their way when the part was refused.
 constexpr std::chrono::seconds series_gap{30};
 
+/// Reported crashes that expire within this time are not added. Others may have
+/// dropped them already and would return them to each other. Exceeds the
+/// interval of expire() and the transmission time.
+constexpr std::chrono::seconds expiry_margin{2};
+
 std::uint64_t process_key(
     const endpoint_id& endpoint, std::int64_t started_unix_ms)
 {
@@ -53,6 +58,19 @@
     return out;
 }
 
+bool has_crash(const part_record& in, std::uint64_t process)
+{
+    return std::any_of(in.crashes.begin(), in.crashes.end(),
+        [process](const crash_record& each)
+        { return each.process == process; });
+}
+
+bool remove_crash(part_record& from, std::uint64_t process)
+{
+    return std::erase_if(from.crashes, [process](const crash_record& each)
+               { return each.process == process; }) != 0;
+}
+
 bool proves_cause(const std::vector<crash_record>& crashes)
 {
     std::set<std::uint64_t> requests;
@@ -198,7 +216,8 @@
     if (cleared == 0 && to.answered_at)
         return false;
     to.answered_at = at;
-    to.report_answer_until = now + cleared_lifetime;
+    if (cleared != 0)
+        to.report_answer_until = now + cleared_lifetime;
     return true;
 }
 
@@ -241,41 +260,81 @@
 bool crash_evidence::merge(
     const std::vector<part_record>& reported, time_point now)
 {
-    bool lacks_answer = false;
+    bool news = false;
     bool verdicts_changed = false;
+    std::vector<crash_position> added;
     for (const auto& each : reported)
     {
-        if (each.crashes.empty() && !records_.contains(each.part))
+        const bool known = records_.contains(each.part);
+        if (each.crashes.empty() && !known)
             continue;
         auto& own = record_of(each.part);
-        if (each.answered_at)
-            // A report from an instance whose clock advances differently must
-            // not clear crashes that come later.
-            verdicts_changed =
-                add_answer(own, std::min(*each.answered_at, now), now) ||
-                verdicts_changed;
+        // A report from an instance whose clock advances differently must not
+        // clear crashes that come later. For an unknown part, the answer is
+        // news only together with a crash.
+        if (each.answered_at &&
+            add_answer(own, std::min(*each.answered_at, now), now) && known)
+            verdicts_changed = true;
         for (const auto& crash : each.crashes)
         {
             if (is_cleared(own, crash, now))
             {
                 // This instance may have heard of the crash later than of the
                 // answer.
-                const auto removed =
-                    std::erase_if(own.crashes, [&](const crash_record& known)
-                        { return known.process == crash.process; });
-                verdicts_changed = verdicts_changed || removed != 0;
-                lacks_answer = true;
+                if (remove_crash(own, crash.process))
+                    verdicts_changed = true;
+                news = true;
                 continue;
             }
-            const bool added = add_crash(
-                own, {crash.process, crash.request, std::min(crash.at, now)});
-            verdicts_changed = added || verdicts_changed;
+            const bool repeated = has_crash(own, crash.process);
+            if (!add_crash(own,
+                    {crash.process, crash.request, std::min(crash.at, now)}))
+                continue;
+            if (repeated)
+                verdicts_changed = true;
+            else
+                added.push_back({each.part, crash.process});
         }
     }
     make_room();
+    verdicts_changed = keep_lasting(added, now) || verdicts_changed;
     if (verdicts_changed)
         changed();
-    return verdicts_changed || lacks_answer;
+    return verdicts_changed || news;
+}
+
+// Removes those of the added crashes that expire soon. Returns whether others
+// remain.
+bool crash_evidence::keep_lasting(
+    const std::vector<crash_position>& added, time_point now)
+{
+    if (added.empty())
+        return false;
+    const auto refused = evaluate().refused;
+    bool remain = false;
+    for (const auto& each : added)
+    {
+        const auto found = records_.find(each.part);
+        if (found == records_.end())
+            continue;
+        auto& crashes = found->second.crashes;
+        const auto crash = std::find_if(crashes.begin(), crashes.end(),
+            [&](const crash_record& known)
+            { return known.process == each.process; });
+        if (crash == crashes.end())
+            continue;
+        const auto refusal = std::find_if(refused.begin(), refused.end(),
+            [&](const finding& known)
+            { return known.parts.contains(each.part); });
+        const auto from =
+            refusal == refused.end() ? crash->at : refusal->refused_until;
+        if (now - from < record_lifetime - expiry_margin)
+            remain = true;
+        else
+            crashes.erase(crash);
+    }
+    findings_.reset();
+    return remain;
 }
 
 void crash_evidence::expire(time_point now)
--- a/src/dispatch/crash_evidence.hpp
+++ b/src/dispatch/crash_evidence.hpp
@@ -140,10 +140,17 @@
         time_point report_answer_until;
     };
 
+    struct crash_position
+    {
+        std::uint64_t part = 0;
+        std::uint64_t process = 0;
+    };
+
     bool add_crash(known_part& to, const crash_record& crash);
     bool add_answer(known_part& to, time_point at, time_point now);
     bool is_cleared(known_part& by, const crash_record& crash, time_point now);
     known_part& record_of(std::uint64_t part);
+    bool keep_lasting(const std::vector<crash_position>& added, time_point now);
     void changed();
     void make_room();
     const findings& current() const;
--- a/src/dispatch/evidence_merge_test.cpp
+++ b/src/dispatch/evidence_merge_test.cpp
@@ -14,6 +14,8 @@
 class evidence_merge_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(evidence_merge_test);
+    CPPUNIT_TEST(expired_crashes_are_not_returned);
+    CPPUNIT_TEST(expired_refusals_are_not_returned);
     CPPUNIT_TEST(the_request_of_a_crash_affects_the_verdict_at_once);
     CPPUNIT_TEST_SUITE_END();
 
@@ -48,7 +50,45 @@
         return to.merge(records, now_);
     }
 
+    // Both drop expired records, each at its own second.
+    void exchange_for(duration time)
+    {
+        for (const auto end = now_ + time; now_ < end; now_ += 440ms)
+        {
+            a_.expire(now_);
+            send(b_, a_);
+            b_.expire(now_);
+            send(a_, b_);
+        }
+    }
+
 public:
+    // Guards against two instances that drop and return an expired crash in
+    // turn and thereby keep it forever.
+    void expired_crashes_are_not_returned()
+    {
+        crash(a_, 1, 101);
+        crash(a_, 2, 102);
+        CPPUNIT_ASSERT(send(a_, b_));
+        exchange_for(62s);
+        CPPUNIT_ASSERT(a_.records(now_).empty());
+        CPPUNIT_ASSERT(b_.records(now_).empty());
+    }
+
+    // As above, for a refused part, whose records live longer.
+    void expired_refusals_are_not_returned()
+    {
+        for (int process = 1; process <= 3; ++process)
+            crash(a_, process, 100 + static_cast<std::uint64_t>(process));
+        CPPUNIT_ASSERT(send(a_, b_));
+        exchange_for(118s);
+        CPPUNIT_ASSERT(
+            prompt_verdict::expired == b_.judge(make_request(1), now_));
+        exchange_for(4s);
+        CPPUNIT_ASSERT(a_.records(now_).empty());
+        CPPUNIT_ASSERT(b_.records(now_).empty());
+    }
+
     // Guards against a verdict from before the merge: three crashes prove the
     // cause only if they lost two different requests.
     void the_request_of_a_crash_affects_the_verdict_at_once()
