Limit the exchange of evidence that exceeds the tables

With more than 64 parts or more than 16 crashes of a part, gateways sent each other their evidence 40 times a second without end, and a part that crashes engines could stay unsuspected.

merge() counted an entry as news even if it was evicted at once. Eviction among parts with as many crashes depended on their ids, so a new part with a low id was never kept, and a cleared part was evicted before its answer was reported.

Entries that take the place of others are not news; they spread with the repetitions, within one second for each hop. Parts that were never answered and the latest crashes are kept. Cleared parts have a limit of their own.

--- a/experiment/evidence_fleet_test.cpp
+++ b/experiment/evidence_fleet_test.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(an_instance_sends_nothing_but_repetitions_after_agreement);
     CPPUNIT_TEST(a_part_that_is_answered_causes_no_lasting_messages);
     CPPUNIT_TEST(records_disappear_when_they_have_expired);
+    CPPUNIT_TEST(more_parts_than_fit_cause_no_endless_exchange);
+    CPPUNIT_TEST(more_crashes_than_fit_cause_no_endless_exchange);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint64_t bad = 666;
@@ -224,6 +226,40 @@
                 with(size), std::size_t(0), tested.messages());
         }
     }
+
+    // Guards against instances that evict different parts and send them to each
+    // other again and again.
+    void more_parts_than_fit_cause_no_endless_exchange()
+    {
+        for (const auto size : {std::size_t(7), std::size_t(65)})
+        {
+            evidence_fleet tested({size});
+            for (std::uint64_t i = 0; i < 12; ++i)
+            {
+                std::vector<std::uint64_t> parts;
+                for (std::uint64_t part = 0; part < 10; ++part)
+                    parts.push_back(1'000 + (i * 37 + part) % 100);
+                tested.crash(100 + i, {parts}, i);
+            }
+            tested.run(100ms);
+            lose_four(tested);
+            assert_agreed(tested, 4s, prompt_verdict::refused);
+            assert_only_repetitions(tested);
+        }
+    }
+
+    // As above, for crashes of one part.
+    void more_crashes_than_fit_cause_no_endless_exchange()
+    {
+        for (const auto size : {std::size_t(7), std::size_t(65)})
+        {
+            evidence_fleet tested({size});
+            for (std::uint64_t i = 0; i < 40; ++i)
+                tested.crash(i, {{bad}}, i);
+            assert_agreed(tested, 1s, prompt_verdict::refused);
+            assert_only_repetitions(tested);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(evidence_fleet_test);
--- a/src/dispatch/crash_evidence.cpp
+++ b/src/dispatch/crash_evidence.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <tuple>
 #include <utility>
 
 #include "common/digest.hpp"
@@ -81,6 +82,17 @@
            crashes.size() >= crash_evidence::crashes_of_one_request;
 }
 
+// Order of eviction. Among parts with as many crashes, those that were answered
+// are the less likely cause. Keeping the latest lets a part that crashes
+// engines gather crashes when the table is full.
+std::tuple<std::size_t, bool, time_point> strength(const part_record& of)
+{
+    time_point latest = time_point::min();
+    for (const auto& each : of.crashes)
+        latest = std::max(latest, each.at);
+    return {of.crashes.size(), !of.answered_at.has_value(), latest};
+}
+
 time_point refusal_end(const std::vector<crash_record>& crashes)
 {
     std::vector<time_point> times;
@@ -237,23 +249,56 @@
     return true;
 }
 
+// Parts with crashes and cleared ones have separate limits. Otherwise a full
+// table would drop each answer before it is reported.
 void crash_evidence::make_room()
 {
-    while (records_.size() > max_parts)
-    {
-        const auto weakest = std::min_element(records_.begin(), records_.end(),
-            [](const auto& a, const auto& b)
-            { return a.second.crashes.size() < b.second.crashes.size(); });
-        records_.erase(weakest);
-    }
+    std::vector<const known_part*> crashed;
+    std::vector<const known_part*> cleared;
+    for (const auto& [part, each] : records_)
+        (each.crashes.empty() ? cleared : crashed).push_back(&each);
+    for (const auto* each : weakest_beyond(max_parts, crashed))
+        records_.erase(each->part);
+    for (const auto* each : weakest_beyond(max_parts, cleared))
+        records_.erase(each->part);
+}
+
+std::vector<const crash_evidence::known_part*> crash_evidence::weakest_beyond(
+    std::size_t limit, std::vector<const known_part*> of)
+{
+    if (of.size() <= limit)
+        return {};
+    std::stable_sort(of.begin(), of.end(),
+        [](const known_part* a, const known_part* b)
+        { return strength(*a) < strength(*b); });
+    of.resize(of.size() - limit);
+    return of;
 }
 
 std::vector<part_record> crash_evidence::records(time_point now) const
 {
     std::vector<part_record> out;
     for (const auto& [part, each] : records_)
-        if (!each.crashes.empty() || now < each.report_answer_until)
+        if (each.crashes.empty() && now < each.report_answer_until)
             out.push_back(each);
+    const auto by_answer = [](const part_record& a, const part_record& b)
+    { return a.answered_at > b.answered_at; };
+    if (out.size() > max_reported_answers)
+    {
+        std::stable_sort(out.begin(), out.end(), by_answer);
+        out.resize(max_reported_answers);
+    }
+    std::vector<const known_part*> crashed;
+    for (const auto& [part, each] : records_)
+        if (!each.crashes.empty())
+            crashed.push_back(&each);
+    const auto left_out = weakest_beyond(max_parts - out.size(), crashed);
+    for (const auto* each : crashed)
+        if (std::find(left_out.begin(), left_out.end(), each) == left_out.end())
+            out.push_back(*each);
+    std::sort(out.begin(), out.end(),
+        [](const part_record& a, const part_record& b)
+        { return a.part < b.part; });
     return out;
 }
 
@@ -263,6 +308,10 @@
     bool news = false;
     bool verdicts_changed = false;
     std::vector<crash_position> added;
+    const auto parts_with_crashes =
+        std::count_if(records_.begin(), records_.end(),
+            [](const auto& each) { return !each.second.crashes.empty(); });
+    const bool full = static_cast<std::size_t>(parts_with_crashes) >= max_parts;
     for (const auto& each : reported)
     {
         const bool known = records_.contains(each.part);
@@ -274,7 +323,7 @@
         // news only together with a crash.
         if (each.answered_at &&
             add_answer(own, std::min(*each.answered_at, now), now) && known)
-            verdicts_changed = true;
+            news = verdicts_changed = true;
         for (const auto& crash : each.crashes)
         {
             if (is_cleared(own, crash, now))
@@ -287,31 +336,39 @@
                 continue;
             }
             const bool repeated = has_crash(own, crash.process);
+            // Instances may evict different entries that are almost as old.
+            // They must not be news, or they would be exchanged endlessly.
+            const bool displaces =
+                (full && !known) || own.crashes.size() == max_crashes;
             if (!add_crash(own,
                     {crash.process, crash.request, std::min(crash.at, now)}))
                 continue;
             if (repeated)
-                verdicts_changed = true;
+                news = verdicts_changed = true;
             else
-                added.push_back({each.part, crash.process});
+                added.push_back({each.part, crash.process, displaces});
         }
     }
     make_room();
-    verdicts_changed = keep_lasting(added, now) || verdicts_changed;
+    for (const auto& each : remove_ending(added, now))
+    {
+        verdicts_changed = true;
+        news = news || !each.displaces;
+    }
     if (verdicts_changed)
         changed();
-    return verdicts_changed || news;
+    return news;
 }
 
-// Removes those of the added crashes that expire soon. Returns whether others
-// remain.
-bool crash_evidence::keep_lasting(
+// Removes those of the added crashes that expire soon. Returns the others, but
+// without those that have been evicted.
+std::vector<crash_evidence::crash_position> crash_evidence::remove_ending(
     const std::vector<crash_position>& added, time_point now)
 {
     if (added.empty())
-        return false;
+        return {};
     const auto refused = evaluate().refused;
-    bool remain = false;
+    std::vector<crash_position> out;
     for (const auto& each : added)
     {
         const auto found = records_.find(each.part);
@@ -329,12 +386,12 @@
         const auto from =
             refusal == refused.end() ? crash->at : refusal->refused_until;
         if (now - from < record_lifetime - expiry_margin)
-            remain = true;
+            out.push_back(each);
         else
             crashes.erase(crash);
     }
     findings_.reset();
-    return remain;
+    return out;
 }
 
 void crash_evidence::expire(time_point now)
--- a/src/dispatch/crash_evidence.hpp
+++ b/src/dispatch/crash_evidence.hpp
@@ -86,8 +86,11 @@
     /// How long the answer that cleared a part is still reported after it
     /// cleared crashes here or a report of cleared crashes has arrived.
     static constexpr std::chrono::seconds cleared_lifetime{5};
-    /// Parts with records; those with the fewest crashes are dropped first.
+    /// Parts with records; those with the fewest crashes are dropped first,
+    /// then those that were answered, then those with the oldest crashes.
     static constexpr std::size_t max_parts = 64;
+    /// Cleared parts in the records that are sent, the latest answers first.
+    static constexpr std::size_t max_reported_answers = 16;
     /// Crash records of one part; the oldest are dropped first.
     static constexpr std::size_t max_crashes = 16;
     /// Parts whose latest answer is remembered.
@@ -112,7 +115,8 @@
     /// Records to be sent to other instances; at most `max_parts`.
     std::vector<part_record> records(time_point now) const;
     /// Adds the records of another instance. Returns whether they contained
-    /// news or lacked an answer that this instance knows of.
+    /// news or lacked an answer that this instance knows of. Entries that
+    /// displace others, because there is no room left, are no news.
     bool merge(const std::vector<part_record>& reported, time_point now);
     /// Drops records that have expired.
     void expire(time_point now);
@@ -144,15 +148,21 @@
     {
         std::uint64_t part = 0;
         std::uint64_t process = 0;
+        /// The crash took the place of another or its part that of another.
+        bool displaces = false;
     };
 
     bool add_crash(known_part& to, const crash_record& crash);
     bool add_answer(known_part& to, time_point at, time_point now);
     bool is_cleared(known_part& by, const crash_record& crash, time_point now);
     known_part& record_of(std::uint64_t part);
-    bool keep_lasting(const std::vector<crash_position>& added, time_point now);
+    std::vector<crash_position> remove_ending(
+        const std::vector<crash_position>& added, time_point now);
     void changed();
     void make_room();
+    /// The weakest entries in excess of the limit.
+    static std::vector<const known_part*> weakest_beyond(
+        std::size_t limit, std::vector<const known_part*> of);
     const findings& current() const;
     findings evaluate() const;
     const finding* find_refusal(const prompt& request) const;
