--- a/experiment/main.cpp
+++ b/experiment/main.cpp
@@ -5,6 +5,7 @@
 
 #include <CLI/CLI.hpp>
 
+#include "experiment/evidence_experiment.hpp"
 #include "experiment/fairness_experiment.hpp"
 #include "experiment/limits_experiment.hpp"
 #include "experiment/placement_experiment.hpp"
@@ -33,6 +34,7 @@
         {"routing", "Choices of an endpoint", all::run_routing},
         {"fairness", "Queue disciplines", all::run_fairness},
         {"placement", "Planners", all::run_placement},
+        {"evidence", "Exchange of crash evidence", all::run_evidence},
         {"plans", "Real time of one plan", all::run_plan_times},
     };
     return list;
