Damage unsigned 64-bit fields in message tests

The mutator left fields of type fixed64 as they were, so that no test saw damaged keys, digests and part ids. The fuzz tests of membership, limits, tarragonquayd, peering and tqgatewayd pass with it.

--- a/tests/support/message_mutation.hpp
+++ b/tests/support/message_mutation.hpp
@@ -72,6 +72,9 @@
             return access.SetInt32(&message, &field, integer<std::int32_t>());
         case field_type::CPPTYPE_INT64:
             return access.SetInt64(&message, &field, integer<std::int64_t>());
+        case field_type::CPPTYPE_UINT64:
+            return access.SetUInt64(&message, &field,
+                static_cast<std::uint64_t>(integer<std::int64_t>()));
         case field_type::CPPTYPE_DOUBLE:
             return access.SetDouble(&message, &field, number());
         case field_type::CPPTYPE_BOOL:
