--- a/src/dispatch/crash_evidence.cpp
+++ b/src/dispatch/crash_evidence.cpp
@@ -96,6 +96,7 @@
 time_point refusal_end(const std::vector<crash_record>& crashes)
 {
     std::vector<time_point> times;
+    times.reserve(crashes.size());
     for (const auto& each : crashes)
         times.push_back(each.at);
     std::sort(times.begin(), times.end());
