--- a/src/dispatch/crash_evidence.cpp
+++ b/src/dispatch/crash_evidence.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <tuple>
 #include <utility>
 
 #include "common/digest.hpp"
@@ -16,6 +17,11 @@
 /// that were on their way when the part was refused.
 constexpr std::chrono::seconds series_gap{30};
 
+/// Reported crashes that expire within this time are not added. Others may have
+/// dropped them already and would return them to each other. Exceeds the
+/// interval of expire() and the transmission time.
+constexpr std::chrono::seconds expiry_margin{2};
+
 std::uint64_t process_key(
     const endpoint_id& endpoint, std::int64_t started_unix_ms)
 {
@@ -53,6 +59,19 @@
     return out;
 }
 
+bool has_crash(const part_record& in, std::uint64_t process)
+{
+    return std::any_of(in.crashes.begin(), in.crashes.end(),
+        [process](const crash_record& each)
+        { return each.process == process; });
+}
+
+bool remove_crash(part_record& from, std::uint64_t process)
+{
+    return std::erase_if(from.crashes, [process](const crash_record& each)
+               { return each.process == process; }) != 0;
+}
+
 bool proves_cause(const std::vector<crash_record>& crashes)
 {
     std::set<std::uint64_t> requests;
@@ -63,9 +82,21 @@
            crashes.size() >= crash_evidence::crashes_of_one_request;
 }
 
+// Order of eviction. Among parts with as many crashes, those that were answered
+// are the less likely cause. Keeping the latest lets a part that crashes
+// engines gather crashes when the table is full.
+std::tuple<std::size_t, bool, time_point> strength(const part_record& of)
+{
+    time_point latest = time_point::min();
+    for (const auto& each : of.crashes)
+        latest = std::max(latest, each.at);
+    return {of.crashes.size(), !of.answered_at.has_value(), latest};
+}
+
 time_point refusal_end(const std::vector<crash_record>& crashes)
 {
     std::vector<time_point> times;
+    times.reserve(crashes.size());
     for (const auto& each : crashes)
         times.push_back(each.at);
     std::sort(times.begin(), times.end());
@@ -198,7 +229,8 @@
     if (cleared == 0 && to.answered_at)
         return false;
     to.answered_at = at;
-    to.report_answer_until = now + cleared_lifetime;
+    if (cleared != 0)
+        to.report_answer_until = now + cleared_lifetime;
     return true;
 }
 
@@ -218,64 +250,149 @@
     return true;
 }
 
+// Parts with crashes and cleared ones have separate limits. Otherwise a full
+// table would drop each answer before it is reported.
 void crash_evidence::make_room()
 {
-    while (records_.size() > max_parts)
-    {
-        const auto weakest = std::min_element(records_.begin(), records_.end(),
-            [](const auto& a, const auto& b)
-            { return a.second.crashes.size() < b.second.crashes.size(); });
-        records_.erase(weakest);
-    }
+    std::vector<const known_part*> crashed;
+    std::vector<const known_part*> cleared;
+    for (const auto& [part, each] : records_)
+        (each.crashes.empty() ? cleared : crashed).push_back(&each);
+    for (const auto* each : weakest_beyond(max_parts, crashed))
+        records_.erase(each->part);
+    for (const auto* each : weakest_beyond(max_parts, cleared))
+        records_.erase(each->part);
+}
+
+std::vector<const crash_evidence::known_part*> crash_evidence::weakest_beyond(
+    std::size_t limit, std::vector<const known_part*> of)
+{
+    if (of.size() <= limit)
+        return {};
+    std::stable_sort(of.begin(), of.end(),
+        [](const known_part* a, const known_part* b)
+        { return strength(*a) < strength(*b); });
+    of.resize(of.size() - limit);
+    return of;
 }
 
 std::vector<part_record> crash_evidence::records(time_point now) const
 {
     std::vector<part_record> out;
     for (const auto& [part, each] : records_)
-        if (!each.crashes.empty() || now < each.report_answer_until)
+        if (each.crashes.empty() && now < each.report_answer_until)
             out.push_back(each);
+    const auto by_answer = [](const part_record& a, const part_record& b)
+    { return a.answered_at > b.answered_at; };
+    if (out.size() > max_reported_answers)
+    {
+        std::stable_sort(out.begin(), out.end(), by_answer);
+        out.resize(max_reported_answers);
+    }
+    std::vector<const known_part*> crashed;
+    for (const auto& [part, each] : records_)
+        if (!each.crashes.empty())
+            crashed.push_back(&each);
+    const auto left_out = weakest_beyond(max_parts - out.size(), crashed);
+    for (const auto* each : crashed)
+        if (std::find(left_out.begin(), left_out.end(), each) == left_out.end())
+            out.push_back(*each);
+    std::sort(out.begin(), out.end(),
+        [](const part_record& a, const part_record& b)
+        { return a.part < b.part; });
     return out;
 }
 
 bool crash_evidence::merge(
     const std::vector<part_record>& reported, time_point now)
 {
-    bool lacks_answer = false;
+    bool news = false;
     bool verdicts_changed = false;
+    std::vector<crash_position> added;
+    const auto parts_with_crashes =
+        std::count_if(records_.begin(), records_.end(),
+            [](const auto& each) { return !each.second.crashes.empty(); });
+    const bool full = static_cast<std::size_t>(parts_with_crashes) >= max_parts;
     for (const auto& each : reported)
     {
-        if (each.crashes.empty() && !records_.contains(each.part))
+        const bool known = records_.contains(each.part);
+        if (each.crashes.empty() && !known)
             continue;
         auto& own = record_of(each.part);
-        if (each.answered_at)
-            // A report from an instance whose clock advances differently must
-            // not clear crashes that come later.
-            verdicts_changed =
-                add_answer(own, std::min(*each.answered_at, now), now) ||
-                verdicts_changed;
+        // A report from an instance whose clock advances differently must not
+        // clear crashes that come later. For an unknown part, the answer is
+        // news only together with a crash.
+        if (each.answered_at &&
+            add_answer(own, std::min(*each.answered_at, now), now) && known)
+            news = verdicts_changed = true;
         for (const auto& crash : each.crashes)
         {
             if (is_cleared(own, crash, now))
             {
                 // This instance may have heard of the crash later than of the
                 // answer.
-                const auto removed =
-                    std::erase_if(own.crashes, [&](const crash_record& known)
-                        { return known.process == crash.process; });
-                verdicts_changed = verdicts_changed || removed != 0;
-                lacks_answer = true;
+                if (remove_crash(own, crash.process))
+                    verdicts_changed = true;
+                news = true;
                 continue;
             }
-            const bool added = add_crash(
-                own, {crash.process, crash.request, std::min(crash.at, now)});
-            verdicts_changed = added || verdicts_changed;
+            const bool repeated = has_crash(own, crash.process);
+            // Instances may evict different entries that are almost as old.
+            // They must not be news, or they would be exchanged endlessly.
+            const bool displaces =
+                (full && !known) || own.crashes.size() == max_crashes;
+            if (!add_crash(own,
+                    {crash.process, crash.request, std::min(crash.at, now)}))
+                continue;
+            if (repeated)
+                news = verdicts_changed = true;
+            else
+                added.push_back({each.part, crash.process, displaces});
         }
     }
     make_room();
+    for (const auto& each : remove_ending(added, now))
+    {
+        verdicts_changed = true;
+        news = news || !each.displaces;
+    }
     if (verdicts_changed)
         changed();
-    return verdicts_changed || lacks_answer;
+    return news;
+}
+
+// Removes those of the added crashes that expire soon. Returns the others, but
+// without those that have been evicted.
+std::vector<crash_evidence::crash_position> crash_evidence::remove_ending(
+    const std::vector<crash_position>& added, time_point now)
+{
+    if (added.empty())
+        return {};
+    const auto refused = evaluate().refused;
+    std::vector<crash_position> out;
+    for (const auto& each : added)
+    {
+        const auto found = records_.find(each.part);
+        if (found == records_.end())
+            continue;
+        auto& crashes = found->second.crashes;
+        const auto crash = std::find_if(crashes.begin(), crashes.end(),
+            [&](const crash_record& known)
+            { return known.process == each.process; });
+        if (crash == crashes.end())
+            continue;
+        const auto refusal = std::find_if(refused.begin(), refused.end(),
+            [&](const finding& known)
+            { return known.parts.contains(each.part); });
+        const auto from =
+            refusal == refused.end() ? crash->at : refusal->refused_until;
+        if (now - from < record_lifetime - expiry_margin)
+            out.push_back(each);
+        else
+            crashes.erase(crash);
+    }
+    findings_.reset();
+    return out;
 }
 
 void crash_evidence::expire(time_point now)
