Test that whole requests are answered beside changes and stops

Callers on kept connections use two gateways while the configuration changes about ten times a second, settings are reloaded and both gateways are stopped and started again. Each request without a complete answer counts if a gateway has logged its id, or if the gateway accepted further bytes on the connection after its end, which a closed socket resets.

--- /dev/null
+++ b/tests/unanswered_test.cpp
@@ -0,0 +1,334 @@
+#include <atomic>
+#include <mutex>
+#include <random>
+#include <stop_token>
+#include <thread>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "support/gateway_system.hpp"
+
+namespace tarragonquay::test_support
+{
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using nlohmann::json;
+
+constexpr int gateway_count = 2;
+constexpr int callers_per_gateway = 5;
+/// Time of one case, without the start of its processes.
+constexpr milliseconds play_time{9'000};
+/// Times in a case at which a gateway is stopped.
+constexpr milliseconds first_stop{1'000};
+constexpr milliseconds second_stop{5'000};
+/// Time that the settings give a gateway to stop, and the part of it after
+/// which new requests are refused.
+constexpr milliseconds stop_time{4'000};
+constexpr milliseconds refusals_begin{1'200};
+
+/// What a caller saw of one request.
+struct outcome
+{
+    /// 0 without an answer.
+    int status = 0;
+    bool complete = false;
+    /// The connection ended without an answer, but the gateway has received
+    /// further bytes, so it may have read and discarded the request.
+    bool swallowed = false;
+};
+
+/// A connection that is kept between requests.
+class kept_connection
+{
+public:
+    explicit kept_connection(const std::string& address) : stream_(io_)
+    {
+        const auto colon = address.rfind(':');
+        beast::error_code ec;
+        stream_.socket().connect(
+            {asio::ip::make_address(address.substr(0, colon)),
+                static_cast<std::uint16_t>(
+                    std::stoi(address.substr(colon + 1)))},
+            ec);
+        open_ = !ec;
+    }
+
+    bool open() const { return open_; }
+
+    void write(const std::string& text)
+    {
+        beast::error_code ignored;
+        asio::write(stream_.socket(), asio::buffer(text), ignored);
+    }
+
+    outcome read()
+    {
+        outcome out;
+        http::response_parser<http::string_body> parser;
+        beast::error_code failed;
+        stream_.expires_after(answer_time);
+        http::async_read(stream_, buffer_, parser,
+            [&](beast::error_code ec, std::size_t) { failed = ec; });
+        io_.restart();
+        io_.run();
+        if (parser.is_header_done())
+            out.status = static_cast<int>(parser.get().result_int());
+        out.complete = !failed && parser.is_done();
+        open_ = out.complete && parser.keep_alive();
+        if (failed == http::error::end_of_stream)
+            out.swallowed = accepts_more();
+        return out;
+    }
+
+private:
+    static constexpr milliseconds answer_time{8'000};
+
+    // A socket that was closed resets the connection when bytes arrive.
+    bool accepts_more()
+    {
+        constexpr milliseconds reset_time{20};
+        write("x");
+        std::this_thread::sleep_for(reset_time);
+        beast::error_code ec;
+        asio::write(stream_.socket(), asio::buffer("x", 1), ec);
+        return !ec;
+    }
+
+    asio::io_context io_;
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_;
+    bool open_ = false;
+};
+
+std::string to_text(const http_call& call)
+{
+    std::string out = call.method + " " + call.target + " HTTP/1.1\r\n";
+    for (const auto& [name, value] : call.headers)
+        out += fmt::format("{}: {}\r\n", name, value);
+    return out + fmt::format("Content-Length: {}\r\n\r\n{}", call.body.size(),
+                     call.body);
+}
+
+/// Callers that keep their connections for as long as the newest configuration
+/// permits, while the configuration changes and gateways are stopped.
+class play
+{
+public:
+    explicit play(std::uint32_t seed) : seed_(seed), system_(gateway_count) {}
+
+    void run()
+    {
+        constexpr int callers = gateway_count * callers_per_gateway;
+        std::vector<std::jthread> threads;
+        threads.reserve(std::size_t(callers) + 1);
+        for (int i = 0; i < callers; ++i)
+            threads.emplace_back([this, i](const std::stop_token& stop)
+                { keep_calling(i, stop); });
+        threads.emplace_back([this](const std::stop_token& stop)
+            { change_configurations(stop); });
+        const auto begin = std::chrono::steady_clock::now();
+        std::this_thread::sleep_until(begin + first_stop);
+        replace(0);
+        std::this_thread::sleep_until(begin + second_stop);
+        replace(1);
+        std::this_thread::sleep_until(begin + play_time);
+        for (auto& each : threads)
+            each.request_stop();
+        threads.clear();
+        for (auto& each : system_.gateways)
+            keep_log(*each);
+    }
+
+    /// Requests that were read whole and got no complete answer, by what their
+    /// caller and the gateways know.
+    std::string unanswered() const
+    {
+        std::string out = failures_;
+        for (const auto& [id, seen] : without_answer_)
+            if (seen.swallowed || seen.status != 0 ||
+                logs_.find("\"request_id\":\"" + id + "\"") !=
+                    std::string::npos)
+                out += fmt::format("{} (status {}{}); ", id, seen.status,
+                    seen.swallowed ? ", read and discarded" : "");
+        return out;
+    }
+
+    std::size_t answered() const { return answered_; }
+    std::size_t reset_unread() const { return without_answer_.size(); }
+
+private:
+    static int draw(std::mt19937& random, int low, int high)
+    {
+        return std::uniform_int_distribution(low, high)(random);
+    }
+
+    void keep_calling(int number, const std::stop_token& stop)
+    {
+        std::mt19937 random(seed_ * 1'000 + std::uint32_t(number));
+        const int gateway = number % gateway_count;
+        auto connection =
+            std::make_unique<kept_connection>(system_.entry(gateway));
+        for (int i = 0; !stop.stop_requested(); ++i)
+        {
+            if (!connection->open())
+                connection =
+                    std::make_unique<kept_connection>(system_.entry(gateway));
+            if (!connection->open())
+            {
+                std::this_thread::sleep_for(milliseconds(20));
+                continue;
+            }
+            const auto* target = i % 3 == 2   ? "/stream/x"
+                                 : i % 3 == 1 ? "/safe/x"
+                                              : "/once/x";
+            auto call = system_.make_call(
+                target, i % 3 == 2 ? "m" : "", i % 2 == 0 ? "k1" : "k2");
+            const auto id = fmt::format("u{}-{}", number, i);
+            call.headers["Request-Id"] = id;
+            connection->write(to_text(call));
+            note(id, connection->read());
+            // Callers use a connection for four fifths of the idle limit.
+            std::this_thread::sleep_for(
+                milliseconds(draw(random, 0, idle_limit_ms_ * 4 / 5)));
+        }
+    }
+
+    void note(const std::string& id, const outcome& seen)
+    {
+        const std::scoped_lock lock(mutex_);
+        if (seen.complete)
+            ++answered_;
+        else
+            without_answer_[id] = seen;
+    }
+
+    void change_configurations(const std::stop_token& stop)
+    {
+        std::mt19937 random(seed_);
+        for (int version = 4; !stop.stop_requested(); ++version)
+        {
+            auto next = make_configuration(version);
+            const int idle_ms = draw(random, 300, 1'500);
+            next["limits"] = {{"idle_timeout_ms", idle_ms},
+                {"header_timeout_ms", draw(random, 1'000, 3'000)},
+                {"max_body_bytes", draw(random, 1, 1'000)}};
+            auto& routes = next["routes"];
+            for (int i = 0; i < 2; ++i)
+                routes[i]["timeout_ms"] = draw(random, 300, 5'000);
+            routes[0].erase("service");
+            routes[0]["weighted_backends"] = {
+                {{"service", "orders"}, {"weight", draw(random, 0, 3)}},
+                {{"service", "other"}, {"weight", draw(random, 0, 1)}}};
+            next["services"].push_back(
+                {{"name", "other"}, {"max_connections", 100}});
+            if (draw(random, 0, 3) == 0)
+                routes.erase(1);
+            if (draw(random, 0, 3) == 0)
+                next["tenants"][0]["api_keys"] = {"k1"};
+            if (draw(random, 0, 3) == 0)
+                next["tenants"][0].update(
+                    {{"rate_per_s", 20}, {"burst", draw(random, 0, 50)}});
+            system_.configure(next);
+            idle_limit_ms_ = idle_ms;
+            if (draw(random, 0, 3) == 0)
+                signal(draw(random, 0, gateway_count - 1), SIGHUP);
+            std::this_thread::sleep_for(milliseconds(draw(random, 20, 200)));
+        }
+    }
+
+    // Also called while the gateway is replaced.
+    void signal(int i, int number)
+    {
+        const std::scoped_lock lock(processes_);
+        if (system_.gateways[std::size_t(i)]->running())
+            system_.gateways[std::size_t(i)]->send_signal(number);
+    }
+
+    void replace(int i)
+    {
+        signal(i, SIGTERM);
+        const bool ended = eventually(
+            [&]
+            {
+                const std::scoped_lock lock(processes_);
+                return !system_.gateways[std::size_t(i)]->running();
+            },
+            stop_time);
+        const std::scoped_lock lock(processes_);
+        if (!ended)
+            failures_ += fmt::format("gateway {} did not stop; ", i);
+        keep_log(*system_.gateways[std::size_t(i)]);
+        system_.start(i);
+    }
+
+    void keep_log(const process& gateway)
+    {
+        // Lines are written at most 250 ms late.
+        std::this_thread::sleep_for(milliseconds(300));
+        logs_ += gateway.output();
+    }
+
+    const std::uint32_t seed_;
+    gateway_system system_;
+    std::mutex processes_;
+    std::mutex mutex_;
+    std::map<std::string, outcome> without_answer_;
+    std::size_t answered_ = 0;
+    std::atomic<int> idle_limit_ms_ = 1'000;
+    std::string logs_;
+    std::string failures_;
+};
+
+} // namespace
+
+class unanswered_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(unanswered_test);
+    CPPUNIT_TEST(requests_beside_changes_and_stops_are_answered);
+    CPPUNIT_TEST(a_request_that_is_partly_read_is_answered_before_a_stop);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against whole requests that get neither an answer nor a refusal
+    // beside changes of the configuration and planned stops.
+    void requests_beside_changes_and_stops_are_answered()
+    {
+        const auto* given = std::getenv("TQ_UNANSWERED_SEED");
+        play played(given == nullptr
+                        ? 1
+                        : static_cast<std::uint32_t>(std::atoi(given)));
+        played.run();
+        CPPUNIT_ASSERT_EQUAL(std::string(), played.unanswered());
+        // Too few requests would show nothing.
+        CPPUNIT_ASSERT(played.answered() > 50);
+    }
+
+    // Guards against a stop that ends the process while a request is being
+    // read.
+    void a_request_that_is_partly_read_is_answered_before_a_stop()
+    {
+        gateway_system system;
+        const auto text = to_text(system.make_call("/safe/x", "", "k1"));
+        kept_connection connection(system.entry(0));
+        connection.write(text.substr(0, text.size() - 1));
+        std::this_thread::sleep_for(milliseconds(100));
+        system.gateways[0]->send_signal(SIGTERM);
+        std::this_thread::sleep_for(refusals_begin + milliseconds(300));
+        connection.write(text.substr(text.size() - 1));
+        CPPUNIT_ASSERT_EQUAL(503, connection.read().status);
+        CPPUNIT_ASSERT(system.gateways[0]->wait(stop_time));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(unanswered_test);
+
+} // namespace tarragonquay::test_support
