Do not count discarded events as delivered

When an endpoint's stream skipped or repeated an event, the events before the invalid one in the same read were discarded, but the id of the last of them was already stored as the caller's last event. The next endpoint was asked for what follows, and its stream, if it repeated the lost events, was taken for invalid; if not, the caller missed them.

The id is now stored only together with the events that are delivered.

Test: an_invalid_event_loses_none_of_the_events_before_it. Before, the stream ended after event 1: equality assertion failed - Expected: id: 1 data: 1 id: 2 data: 2 id: 3 data: 3 - Actual : id: 1 data: 1

--- a/src/gateway/forwarder_test.cpp
+++ b/src/gateway/forwarder_test.cpp
@@ -269,6 +269,7 @@
     CPPUNIT_TEST(a_long_stream_that_breaks_is_resumed);
     CPPUNIT_TEST(a_broken_stream_returns_to_its_endpoint_after_a_rejection);
     CPPUNIT_TEST(a_late_first_event_is_delivered_after_a_rejection_elsewhere);
+    CPPUNIT_TEST(an_invalid_event_loses_none_of_the_events_before_it);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -586,6 +587,19 @@
         CPPUNIT_ASSERT_EQUAL(event(1), tested.out.stream);
         CPPUNIT_ASSERT(tested.out.ended);
     }
+
+    // Guards against counting events as delivered that arrived together with an
+    // invalid one and were discarded.
+    void an_invalid_event_loses_none_of_the_events_before_it()
+    {
+        fixture tested({{stream_head + chunk(event(1)), then::silent,
+                           {{100ms, chunk(event(2) + event(4))}}}},
+            {{stream_head + chunk(event(2) + event(3)) + stream_end,
+                then::keep_open}});
+        tested.run("/stream/x");
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2) + event(3), tested.out.stream);
+        CPPUNIT_ASSERT(tested.out.ended);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(forwarder_test);
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -352,24 +352,28 @@
     }
 
     // Returns the complete events in the framer, concatenated. Fails if their
-    // ids do not continue the stream.
+    // ids do not continue the stream; then none of them counts as delivered.
     result<std::string> take_events(event_framer& framer)
     {
         std::string out;
+        auto last = state_.last_event;
         while (true)
         {
             auto event = framer.pop();
             if (!event)
                 return tl::unexpected<error>(event.error());
             if (!*event)
+            {
+                state_.last_event = last;
                 return out;
+            }
             const auto& id = (*event)->id;
-            if (id && state_.last_event && *id != *state_.last_event + 1)
+            if (id && last && *id != *last + 1)
                 return fail(error_code::wrong_answer,
                     "the stream skipped or repeated an event",
                     execution_state::unknown);
             if (id)
-                state_.last_event = id;
+                last = id;
             out += (*event)->bytes;
         }
     }
