Ask a silent stream's own endpoint again when there is no other

A connection can go silent for good while new ones work. Since a silent stream is kept until another endpoint accepts it, a stream whose only endpoint is reached over such a connection lasted until its caller left; before, it was closed and resumed at its endpoint.

When no other endpoint can be asked, the takeover now sends the request once to the current endpoint over another connection. The first one stays open until the answer begins, and an event on it withdraws the second request. The send takes a repeat from the budget but no attempt.

Test: a_silent_connection_is_replaced_at_the_only_endpoint. Before: equality assertion failed - Expected: id: 1 data: 1 id: 2 data: 2 - Actual : id: 1 data: 1 Also adds a_moved_stream_that_breaks_returns_to_its_first_endpoint and checks that an endpoint that was left counts as failed and one that went on does not. The pause in a_silent_stream_goes_on_after_a_rejection_elsewhere ends between two searches, so that the number of sends does not depend on which of them is earlier.

--- a/src/gateway/stream_state.cpp
+++ b/src/gateway/stream_state.cpp
@@ -18,6 +18,16 @@
         call.service->id, *call.request.prompt, excluded, now);
 }
 
+result<dispatch::endpoint_choice> choose_from(
+    const call& call, const std::set<endpoint_id>& permitted, time_point now)
+{
+    std::set<endpoint_id> others;
+    for (const auto& entry : call.ctx.pool.entries())
+        if (!permitted.contains(entry.id))
+            others.insert(entry.id);
+    return choose_among(call, others, now);
+}
+
 } // namespace
 
 bool may_send(const call& call, const stream_state& state)
@@ -39,14 +49,19 @@
     }
     if (untried || state.retryable_endpoints.empty())
         return untried;
-    auto others = excluded;
-    for (const auto& entry : call.ctx.pool.entries())
-        if (!state.retryable_endpoints.contains(entry.id))
-            others.insert(entry.id);
-    auto again = choose_among(call, others, now);
+    auto permitted = state.retryable_endpoints;
+    for (const auto& id : excluded)
+        permitted.erase(id);
+    auto again = choose_from(call, permitted, now);
     return again ? again : untried;
 }
 
+result<dispatch::endpoint_choice> choose_again(
+    const call& call, const endpoint_id& endpoint, time_point now)
+{
+    return choose_from(call, {endpoint}, now);
+}
+
 std::unique_ptr<ticket_guard> make_ticket(
     call& call, const dispatch::endpoint_choice& to)
 {
--- a/src/gateway/stream_state.hpp
+++ b/src/gateway/stream_state.hpp
@@ -48,6 +48,10 @@
     const stream_state& state, const std::set<endpoint_id>& excluded,
     time_point now);
 
+/// Chooses this endpoint, if it can be used.
+result<dispatch::endpoint_choice> choose_again(
+    const call& call, const endpoint_id& endpoint, time_point now);
+
 /// Records at the endpoint pool that the request is sent to an endpoint.
 std::unique_ptr<ticket_guard> make_ticket(
     call& call, const dispatch::endpoint_choice& to);
--- a/src/gateway/stream_takeover.cpp
+++ b/src/gateway/stream_takeover.cpp
@@ -156,7 +156,11 @@
 
     std::optional<dispatch::endpoint_choice> choose(time_point now)
     {
-        const auto to = choose_next(call_, state_, {current_}, now);
+        auto to = choose_next(call_, state_, {current_}, now);
+        // The connection alone may have gone silent.
+        if (!to && state_.begun && !current_asked_ &&
+            !call_.tried.contains(current_))
+            to = choose_again(call_, current_, now);
         if (!to || !take_repeat(call_))
             return std::nullopt;
         return *to;
@@ -171,6 +175,7 @@
         if (call_.sends - call_.sends_to_known + 1 < call_.route->max_attempts)
             deadline_ = std::min(
                 deadline_, std::max(now, to.expected_at) + retry_interval_);
+        current_asked_ = current_asked_ || to.id == current_;
         asked_ = std::move(to);
     }
 
@@ -187,6 +192,8 @@
         }
         connection_.emplace(std::move(*connection));
         count_send(call_, asked_->id);
+        if (asked_->id == current_)
+            ++call_.sends_to_known;
         send_ = call_.sends;
         const auto request =
             make_stream_exchange(call_, state_, *asked_, deadline_);
@@ -249,7 +256,9 @@
 
     void note_tried(relay_outcome outcome)
     {
-        record_attempt(call_, state_, asked_->id, outcome);
+        // The relay records the attempt at the current endpoint.
+        if (asked_->id != current_)
+            record_attempt(call_, state_, asked_->id, outcome);
         call_.may_have_run = call_.may_have_run ||
                              outcome == relay_outcome::broken ||
                              outcome == relay_outcome::answered;
@@ -268,6 +277,7 @@
     const milliseconds retry_interval_;
     const std::function<void()> on_accepted_;
     bool running_ = false;
+    bool current_asked_ = false;
     phase phase_ = phase::waiting;
     /// Time of the next search; no value while there is none to begin.
     std::optional<time_point> due_at_;
--- a/src/gateway/stream_takeover.hpp
+++ b/src/gateway/stream_takeover.hpp
@@ -27,13 +27,15 @@
 };
 
 /// Looks for an endpoint that takes over a stream from a silent one, whose
-/// connection stays open meanwhile. At most one endpoint is asked at a time.
+/// connection stays open meanwhile. At most one endpoint is asked at a time. A
+/// begun stream's own endpoint is asked once over a new connection when there
+/// is no other, since the connection alone may have gone silent.
 class stream_takeover
 {
 public:
-    /// `current` is never asked. `on_accepted` is called when another endpoint
-    /// has begun the stream. After a search without success, the next one
-    /// begins when `retry_interval` has passed.
+    /// `current` is the silent endpoint. `on_accepted` is called when another
+    /// endpoint has begun the stream. After a search without success, the next
+    /// one begins when `retry_interval` has passed.
     stream_takeover(call& call, stream_state& state, endpoint_id current,
         std::chrono::milliseconds retry_interval,
         std::function<void()> on_accepted);
