Skip repeated refusals and close the connection that carried them

An endpoint that wrote an earlier refusal twice before the answer to the next request on a kept connection made the gateway answer 502, although the answer to the request followed: only one answer with another id was skipped. After one skipped answer the connection was used again, so that a later refusal with the id of a retry could be believed.

Up to three answers with another id are now skipped, and a connection that carried one is closed after the answer. Refusals without an id or with another id were not believed before either; the tests keep this.

Failed before: a_refusal_of_another_request_is_not_believed (expected 200, actual 502, with the refusal of r0 sent twice) and an_unsolicited_refusal_ends_the_use_of_a_connection (expected 200, actual 502).

--- a/src/endpoints/http_connection.cpp
+++ b/src/endpoints/http_connection.cpp
@@ -67,6 +67,8 @@
     std::optional<http::response_parser<http::buffer_body>> parser;
     bool answer_started = false;
     bool failed = false;
+    /// The server has sent an answer that belongs to no pending request.
+    bool sent_unsolicited = false;
 };
 
 http_connection::http_connection(std::unique_ptr<implementation> impl)
@@ -146,6 +148,7 @@
             close();
             co_return head;
         }
+        impl.sent_unsolicited = true;
         const auto rest = co_await skip_body(request.deadline);
         if (!rest)
             co_return tl::unexpected<error>(rest.error());
@@ -276,8 +279,9 @@
     const auto& impl = *implementation_;
     // Bytes after the answer mean that client and server disagree about its
     // length.
-    return !impl.failed && impl.parser && impl.parser->is_done() &&
-           impl.parser->get().keep_alive() && impl.buffer.size() == 0;
+    return !impl.failed && !impl.sent_unsolicited && impl.parser &&
+           impl.parser->is_done() && impl.parser->get().keep_alive() &&
+           impl.buffer.size() == 0;
 }
 
 asio::any_io_executor http_connection::executor() const
--- a/src/endpoints/http_connection.hpp
+++ b/src/endpoints/http_connection.hpp
@@ -103,7 +103,8 @@
     /// answer.
     std::optional<std::chrono::seconds> idle_timeout() const;
     /// Whether the answer was read completely and the connection can be used
-    /// for another request.
+    /// for another request. A server that sent an answer to another request may
+    /// do so again, so its connection can't.
     bool reusable() const;
     boost::asio::any_io_executor executor() const;
     void close();
--- a/src/endpoints/scripted_server.hpp
+++ b/src/endpoints/scripted_server.hpp
@@ -36,6 +36,8 @@
         /// Keeps the connection open without sending anything more.
         silent
     } after = then::close;
+    /// Sent before `text` on a connection that carried an earlier request.
+    std::string before_on_reuse = {};
 };
 
 /// Loopback server that answers requests in order with predefined bytes.
@@ -90,7 +92,7 @@
     asio::awaitable<void> serve(asio::ip::tcp::socket socket)
     {
         std::string buffer;
-        while (!script_.empty())
+        for (bool reused = false; !script_.empty(); reused = true)
         {
             boost::system::error_code ec;
             const auto size = co_await asio::async_read_until(socket,
@@ -105,6 +107,9 @@
             auto answer = script_.front();
             script_.pop_front();
             fill_id(answer.text, requests.back());
+            fill_id(answer.before_on_reuse, requests.back());
+            if (reused)
+                answer.text.insert(0, answer.before_on_reuse);
             co_await asio::async_write(socket, asio::buffer(answer.text),
                 asio::redirect_error(asio::use_awaitable, ec));
             if (answer.after == scripted_answer::then::close)
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -18,8 +18,8 @@
 /// connecting again is faster.
 constexpr milliseconds connect_timeout{300};
 /// Number of answers to earlier requests that may be skipped on a reused
-/// connection.
-constexpr int skipped_answers = 1;
+/// connection. Faulty endpoints were seen to repeat one or two.
+constexpr int skipped_answers = 3;
 /// Routes with a longer latency target get a lower priority than other routes
 /// of the same configured priority.
 constexpr std::int64_t interactive_target_ms = 1'000;
--- a/src/gateway/forwarder_test.cpp
+++ b/src/gateway/forwarder_test.cpp
@@ -167,16 +167,19 @@
         ctx.routes = make_routes();
         ctx.endpoints_known = true;
         for (int i = 0; i < 2; ++i)
-        {
-            endpoints::directory_entry entry;
-            entry.id = endpoint_id("e" + std::to_string(i));
-            entry.service = service_id("s");
-            entry.address = servers[i].address();
-            // The first one is in the gateway's zone, so it is chosen first.
-            entry.availability_zone = i == 0 ? "z1" : "z2";
-            entry.slots = 4;
-            ctx.pool.put(entry);
-        }
+            add_endpoint(i);
+    }
+
+    void add_endpoint(int i)
+    {
+        endpoints::directory_entry entry;
+        entry.id = endpoint_id("e" + std::to_string(i));
+        entry.service = service_id("s");
+        entry.address = servers[i].address();
+        // The first one is in the gateway's zone, so it is chosen first.
+        entry.availability_zone = i == 0 ? "z1" : "z2";
+        entry.slots = 4;
+        ctx.pool.put(entry);
     }
 
     void run(const std::string& path, const std::string& key = "k")
@@ -245,6 +248,8 @@
     CPPUNIT_TEST(a_stream_that_may_not_be_resumed_does_not_look_complete);
     CPPUNIT_TEST(a_caller_that_closes_at_the_end_of_a_stream_is_harmless);
     CPPUNIT_TEST(an_answer_of_another_request_is_skipped);
+    CPPUNIT_TEST(a_refusal_of_another_request_is_not_believed);
+    CPPUNIT_TEST(an_unsolicited_refusal_ends_the_use_of_a_connection);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -408,6 +413,68 @@
         CPPUNIT_ASSERT_EQUAL(200, tested.out.whole->status);
         CPPUNIT_ASSERT_EQUAL(std::string("ok"), tested.out.whole->body);
     }
+
+    // Guards against telling the caller that its request has not run, and
+    // against a second run, because of a refusal that an endpoint repeats.
+    void a_refusal_of_another_request_is_not_believed()
+    {
+        const std::string earlier =
+            "HTTP/1.1 503 Full\r\nX-Request-Id: r0\r\nNot-Run: 1\r\n"
+            "Content-Length: 0\r\n\r\n";
+        const std::string without_id =
+            "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+        const std::string misdirected =
+            "HTTP/1.1 421 No\r\nX-Request-Id: r0\r\nContent-Length: "
+            "2\r\n\r\n{}";
+        for (const auto& extra : {earlier, without_id, misdirected,
+                 earlier + earlier, earlier + without_id + misdirected})
+        {
+            for (const auto* path : {"/once/x", "/safe/x"})
+            {
+                fixture tested({{extra + ok_answer, then::keep_open}},
+                    {{ok_answer, then::keep_open}});
+                tested.run(path);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                    path + extra, 200, tested.out.whole->status);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                    path + extra, std::size_t(1), tested.arrivals());
+            }
+            for (const auto* path : {"/stream-once/x", "/stream/x"})
+            {
+                fixture tested(
+                    {{extra + stream_head + chunk(event(1)) + stream_end,
+                        then::keep_open}},
+                    {});
+                tested.run(path);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                    path + extra, event(1), tested.out.stream);
+                CPPUNIT_ASSERT_EQUAL(std::size_t(1), tested.arrivals());
+            }
+        }
+    }
+
+    // Guards against reading a refusal that arrives with or after an answer as
+    // the answer to the next request.
+    void an_unsolicited_refusal_ends_the_use_of_a_connection()
+    {
+        const std::string earlier =
+            "HTTP/1.1 503 Full\r\nX-Request-Id: r1\r\nNot-Run: 1\r\n"
+            "Content-Length: 0\r\n\r\n";
+        for (const auto& first : {ok_answer + earlier,
+                 "HTTP/1.1 503 Full\r\nX-Request-Id: r0\r\nNot-Run: "
+                 "1\r\nContent-Length: 0\r\n\r\n" +
+                     ok_answer})
+        {
+            fixture tested({{first, then::keep_open},
+                               {ok_answer, then::keep_open, earlier}},
+                {});
+            tested.run("/once/x");
+            CPPUNIT_ASSERT_EQUAL(200, tested.out.whole->status);
+            tested.run("/once/x");
+            CPPUNIT_ASSERT_EQUAL(200, tested.out.whole->status);
+            CPPUNIT_ASSERT_EQUAL(2, tested.servers[0].connections);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(forwarder_test);
