Close a connection after a refusal

A caller that is told "not run, try again" sends the request again under the same id. An endpoint that wrote the earlier refusal once more on the kept connection, before the answer to the retry, was believed, since the id matched: the caller was told that the retry had not run, or it was sent to a second endpoint, while the first one ran it.

A connection that carried a refusal (or a status that promises "not run") is now closed, so that a later refusal with that id can only be the answer to the request that was sent on its own connection. Refusals are rare, because the pool avoids a full endpoint for some time after one.

Failed before: an_earlier_refusal_is_not_taken_for_the_answer_to_a_retry (connections: expected 2, actual 1).

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -147,6 +147,13 @@
     return attempt_outcome::answered;
 }
 
+bool may_keep_connection(
+    attempt_outcome outcome, const endpoints::answer_head& head)
+{
+    return outcome == attempt_outcome::answered &&
+           !promises_not_run(head.status);
+}
+
 whole_answer make_caller_answer(
     const call& call, endpoints::answer_head head, std::string body)
 {
--- a/src/gateway/call.hpp
+++ b/src/gateway/call.hpp
@@ -94,6 +94,12 @@
 attempt_outcome classify_head(
     const call& call, const endpoints::answer_head& head);
 
+/// Whether the connection may be used again after this answer. A refusal that
+/// the endpoint repeats on it would be taken for the answer to a retry, which
+/// has the same request id.
+bool may_keep_connection(
+    attempt_outcome outcome, const endpoints::answer_head& head);
+
 /// Converts an endpoint's answer to the one for the caller. On routes that must
 /// not repeat requests, a status that means "not run" (408, 421, 429, 503)
 /// becomes 502, because the endpoint did not confirm that it has not run.
--- a/src/gateway/forwarder_test.cpp
+++ b/src/gateway/forwarder_test.cpp
@@ -249,6 +249,7 @@
     CPPUNIT_TEST(a_caller_that_closes_at_the_end_of_a_stream_is_harmless);
     CPPUNIT_TEST(an_answer_of_another_request_is_skipped);
     CPPUNIT_TEST(a_refusal_of_another_request_is_not_believed);
+    CPPUNIT_TEST(an_earlier_refusal_is_not_taken_for_the_answer_to_a_retry);
     CPPUNIT_TEST(an_unsolicited_refusal_ends_the_use_of_a_connection);
     CPPUNIT_TEST_SUITE_END();
 
@@ -453,6 +454,37 @@
         }
     }
 
+    // Guards against the answer "not run" to a request that runs: the caller
+    // sends a refused request again under the same id, and the endpoint writes
+    // the refusal once more on the kept connection.
+    void an_earlier_refusal_is_not_taken_for_the_answer_to_a_retry()
+    {
+        const std::string misdirected =
+            "HTTP/1.1 421 No\r\nX-Request-Id: {id}\r\nEndpoint: "
+            "e0\r\nContent-Length: 0\r\n\r\n";
+        const std::string full =
+            "HTTP/1.1 503 Full\r\nX-Request-Id: {id}\r\nStamp: s\r\n"
+            "Content-Length: 0\r\n\r\n";
+        for (const auto& refusal : {rejected_answer, misdirected, full})
+            for (const auto* path : {"/once/x", "/stream-once/x"})
+            {
+                fixture tested({{refusal, then::keep_open},
+                                   {ok_answer, then::keep_open, refusal}},
+                    {});
+                tested.ctx.pool.erase(endpoint_id("e1"));
+                tested.run(path);
+                CPPUNIT_ASSERT(tested.out.whole->status >= 500);
+                // The endpoint registers again, so that it is tried at once.
+                tested.ctx.pool.erase(endpoint_id("e0"));
+                tested.add_endpoint(0);
+                tested.run(path);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                    path + refusal, std::size_t(2), tested.arrivals());
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                    path + refusal, 2, tested.servers[0].connections);
+            }
+    }
+
     // Guards against reading a refusal that arrives with or after an answer as
     // the answer to the next request.
     void an_unsolicited_refusal_ends_the_use_of_a_connection()
--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -86,7 +86,7 @@
             error(error_code::wrong_answer,
                 "the answer was not made by the endpoint",
                 execution_state::unknown));
-    if (connection.reusable())
+    if (may_keep_connection(kind, *head) && connection.reusable())
         call.ctx.connections.put(to.address, std::move(connection),
             std::chrono::steady_clock::now());
     attempt_end end;
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -180,7 +180,8 @@
             co_return handle_failure(error(error_code::wrong_answer,
                 "the answer was not made by the endpoint",
                 execution_state::unknown));
-        return_to_pool(connection);
+        if (may_keep_connection(kind, head))
+            return_to_pool(connection);
         relay_end end;
         if (kind == attempt_outcome::answered)
         {
