Treat a stream with a too large event as possibly run

A stream that was cut off because one event exceeded 1 MiB counted as a request that had not been sent: the error had the default execution state "not run". A request that must not be repeated was sent to a second endpoint, or its caller was told to try again, although the first endpoint ran it.

Failed before: a_stream_with_a_too_large_event_is_not_sent_again (arrivals: expected 1, actual 2).

--- a/src/gateway/event_framer.cpp
+++ b/src/gateway/event_framer.cpp
@@ -49,7 +49,8 @@
     {
         if (buffer_.size() > max_event_bytes)
             return fail(error_code::malformed_message,
-                "an event of the stream is too large");
+                "an event of the stream is too large",
+                execution_state::unknown);
         return std::optional<framed_event>();
     }
     framed_event out;
--- a/src/gateway/forwarder_test.cpp
+++ b/src/gateway/forwarder_test.cpp
@@ -8,6 +8,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "endpoints/scripted_server.hpp"
+#include "gateway/engine_client.hpp"
+#include "gateway/event_framer.hpp"
 
 namespace tarragonquay::gateway
 {
@@ -36,6 +38,13 @@
     out.headers.endpoint = "Endpoint";
     out.headers.not_executed = "Not-Run";
     out.headers.stamp = "Stamp";
+    out.report_path = "/report";
+    out.decode_engine_report = [](std::string_view text)
+    {
+        endpoints::engine_report report;
+        report.accepted_commands = static_cast<std::int64_t>(text.size());
+        return result<endpoints::engine_report>(report);
+    };
     return out;
 }
 
@@ -211,6 +220,25 @@
         CPPUNIT_ASSERT(done);
     }
 
+    result<endpoints::engine_report> read_report()
+    {
+        const auto entry = *ctx.pool.find(endpoint_id("e0"));
+        std::optional<result<endpoints::engine_report>> read;
+        asio::co_spawn(io, read_engine_report(ctx, entry),
+            [&](std::exception_ptr, result<endpoints::engine_report> got)
+            { read = std::move(got); });
+        const auto limit = std::chrono::steady_clock::now() + 20s;
+        while (!read && std::chrono::steady_clock::now() < limit)
+        {
+            for (auto& server : servers)
+                server.context.poll();
+            io.restart();
+            io.run_for(1ms);
+        }
+        CPPUNIT_ASSERT(read);
+        return *read;
+    }
+
     std::size_t arrivals() const
     {
         return servers[0].requests.size() + servers[1].requests.size();
@@ -251,6 +279,7 @@
     CPPUNIT_TEST(a_refusal_of_another_request_is_not_believed);
     CPPUNIT_TEST(an_earlier_refusal_is_not_taken_for_the_answer_to_a_retry);
     CPPUNIT_TEST(an_unsolicited_refusal_ends_the_use_of_a_connection);
+    CPPUNIT_TEST(a_stream_with_a_too_large_event_is_not_sent_again);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -507,6 +536,19 @@
             CPPUNIT_ASSERT_EQUAL(2, tested.servers[0].connections);
         }
     }
+
+    // Guards against running a request twice: a stream that was cut off at a
+    // too large event counted as a request that was not sent.
+    void a_stream_with_a_too_large_event_is_not_sent_again()
+    {
+        const std::string large(event_framer::max_event_bytes + 1, 'x');
+        fixture tested({{stream_head + chunk(large), then::silent}},
+            {{stream_head + chunk(event(1)) + stream_end, then::keep_open}});
+        tested.run("/stream-once/x");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), tested.arrivals());
+        CPPUNIT_ASSERT(!tested.out.ended);
+        CPPUNIT_ASSERT(!tested.out.whole || tested.out.whole->status != 503);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(forwarder_test);
