Read engines' reports over new connections

Reports carry no request id and used the connections of callers' requests. An answer to an earlier request that an engine wrote once more on such a connection was taken for the report: the report failed, or an older one was applied.

Reports now use a new connection each, as commands do; one gateway reads them, about ten times a second per engine while a command is pending.

Failed before: a_report_is_not_read_from_a_kept_connection ("read.has_value()", with an earlier refusal ahead of the report).

--- a/src/gateway/engine_client.cpp
+++ b/src/gateway/engine_client.cpp
@@ -24,6 +24,9 @@
     out.target = std::move(target);
     out.headers.push_back(
         {ctx.dialect.headers.expected_endpoint, engine.id.str()});
+    // Answers carry no request id. Without this, the request uses a new
+    // connection, where no answer to an earlier request can arrive.
+    out.idempotent = false;
     out.deadline = std::chrono::steady_clock::now() + call_timeout;
     return out;
 }
@@ -87,7 +90,6 @@
     context& ctx, endpoints::directory_entry engine)
 {
     auto request = make_request(ctx, engine, ctx.dialect.report_path);
-    request.idempotent = true;
     const auto answer =
         co_await endpoints::exchange(ctx.connections, std::move(request));
     if (!answer)
--- a/src/gateway/forwarder_test.cpp
+++ b/src/gateway/forwarder_test.cpp
@@ -280,6 +280,7 @@
     CPPUNIT_TEST(an_earlier_refusal_is_not_taken_for_the_answer_to_a_retry);
     CPPUNIT_TEST(an_unsolicited_refusal_ends_the_use_of_a_connection);
     CPPUNIT_TEST(a_stream_with_a_too_large_event_is_not_sent_again);
+    CPPUNIT_TEST(a_report_is_not_read_from_a_kept_connection);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -549,6 +550,23 @@
         CPPUNIT_ASSERT(!tested.out.ended);
         CPPUNIT_ASSERT(!tested.out.whole || tested.out.whole->status != 503);
     }
+
+    // Guards against taking a repeated answer to an earlier request for an
+    // engine's report, which carries no request id.
+    void a_report_is_not_read_from_a_kept_connection()
+    {
+        const std::string report =
+            "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nreport";
+        fixture tested({{ok_answer, then::keep_open},
+                           {report, then::keep_open,
+                               "HTTP/1.1 503 Full\r\nContent-Length: "
+                               "0\r\n\r\n"}},
+            {});
+        tested.run("/once/x");
+        const auto read = tested.read_report();
+        CPPUNIT_ASSERT(read.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(6), read->accepted_commands);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(forwarder_test);
