Refuse a table whose pages repeat

A store that answered the same page with "more" again and again made the reader collect its rows until the deadline, without a limit of the memory. The first key of the next page must now grow.

Failed before: table_whose_pages_repeat_is_refused (requests: expected 2, actual 50).

--- a/src/remote_store/http_table_store.hpp
+++ b/src/remote_store/http_table_store.hpp
@@ -111,7 +111,12 @@
                 all.version = page->version;
             if (!page->more || all.rows.empty())
                 co_return all;
-            from = all.rows.back().key + '\0';
+            auto next = all.rows.back().key + '\0';
+            // Otherwise the same page would be collected until the deadline.
+            if (next <= from)
+                co_return fail(error_code::malformed_message,
+                    "the store repeats a page of the table");
+            from = std::move(next);
         }
     }
 
--- a/src/remote_store/http_table_store_test.cpp
+++ b/src/remote_store/http_table_store_test.cpp
@@ -53,9 +53,12 @@
     {
         return {"GET", "/feed/" + table, {}};
     }
-    static result<table_changes> decode_table(const http_answer& /*reply*/)
+    // The answer "more" is a page that is followed by others.
+    static result<table_changes> decode_table(const http_answer& reply)
     {
-        return table_changes{};
+        if (reply.body != "more")
+            return table_changes{};
+        return table_changes{{{"k", "v", 1}}, 1, true};
     }
 };
 
@@ -69,6 +72,7 @@
     CPPUNIT_TEST(read_without_an_answer_reports_the_store_as_unavailable);
     CPPUNIT_TEST(each_completed_call_is_reported);
     CPPUNIT_TEST(feed_that_cannot_connect_is_reported);
+    CPPUNIT_TEST(table_whose_pages_repeat_is_refused);
     CPPUNIT_TEST_SUITE_END();
 
     using server = endpoints::testing::scripted_server;
@@ -170,6 +174,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), records.size());
         CPPUNIT_ASSERT(records[0].is_feed && records[0].failure.has_value());
     }
+
+    // Guards against collecting the same rows again and again, without a limit
+    // of the memory.
+    void table_whose_pages_repeat_is_refused()
+    {
+        const std::string more =
+            "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore";
+        server peer(std::vector<endpoints::testing::scripted_answer>(
+            50, {more, then::keep_open}));
+        table_store tested(peer.context, peer.address());
+        const auto got = peer.run(tested.read_table("t", soon()));
+        CPPUNIT_ASSERT(!got);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), peer.requests.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(http_table_store_test);
