--- a/src/gateway/forwarder_test.cpp
+++ b/src/gateway/forwarder_test.cpp
@@ -8,6 +8,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "endpoints/scripted_server.hpp"
+#include "gateway/collected_bytes.hpp"
 #include "gateway/engine_client.hpp"
 #include "gateway/event_framer.hpp"
 
@@ -282,6 +283,7 @@
     CPPUNIT_TEST(a_stream_with_a_too_large_event_is_not_sent_again);
     CPPUNIT_TEST(a_report_is_not_read_from_a_kept_connection);
     CPPUNIT_TEST(endless_answers_end_within_bounds);
+    CPPUNIT_TEST(the_limit_of_collected_answers_is_shared);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -569,6 +571,24 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(6), read->accepted_commands);
     }
 
+    // Guards against a limit that each of many large answers may use, and
+    // against one that ended calls still use up.
+    void the_limit_of_collected_answers_is_shared()
+    {
+        fixture tested({{ok_answer, then::keep_open}, {ok_answer}}, {});
+        tested.ctx.collected_answer_bytes = collected_bytes::max_total - 1;
+        tested.run("/once/x");
+        CPPUNIT_ASSERT_EQUAL(502, tested.out.whole->status);
+        CPPUNIT_ASSERT_EQUAL(
+            collected_bytes::max_total - 1, tested.ctx.collected_answer_bytes);
+        tested.ctx.collected_answer_bytes = 0;
+        tested.ctx.pool.erase(endpoint_id("e1"));
+        tested.run("/once/x");
+        CPPUNIT_ASSERT_EQUAL(200, tested.out.whole->status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), tested.ctx.collected_answer_bytes);
+        CPPUNIT_ASSERT_EQUAL(2, tested.servers[0].connections);
+    }
+
     // Guards against answers without end, which took as much memory as their
     // endpoint sent: they end with an error, and the request counts as run.
     void endless_answers_end_within_bounds()
