--- a/src/gateway/forwarder_test.cpp
+++ b/src/gateway/forwarder_test.cpp
@@ -738,7 +738,7 @@
             for (const auto* path : {"/once/x", "/stream-once/x"})
             {
                 fixture tested({{refusal, then::keep_open},
-                                   {ok_answer, then::keep_open, refusal}},
+                                   {ok_answer, then::keep_open, {}, refusal}},
                     {});
                 tested.ctx.pool.erase(endpoint_id("e1"));
                 tested.run(path);
@@ -767,7 +767,7 @@
                      ok_answer})
         {
             fixture tested({{first, then::keep_open},
-                               {ok_answer, then::keep_open, earlier}},
+                               {ok_answer, then::keep_open, {}, earlier}},
                 {});
             tested.run("/once/x");
             CPPUNIT_ASSERT_EQUAL(200, tested.out.whole->status);
@@ -797,7 +797,7 @@
         const std::string report =
             "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nreport";
         fixture tested({{ok_answer, then::keep_open},
-                           {report, then::keep_open,
+                           {report, then::keep_open, {},
                                "HTTP/1.1 503 Full\r\nContent-Length: "
                                "0\r\n\r\n"}},
             {});
