Judge anew when a crash gets another request

A crash of a process that is known already was merged without a new evaluation, so a gateway kept "suspect" for a part that others refused, and its peers did not hear of the change. The test failed with

a_changed_request_of_a_crash_changes_the_verdict - Expected: refused - Actual : suspect

The changed request now counts as news and invalidates the verdicts.

--- a/src/dispatch/crash_evidence.cpp
+++ b/src/dispatch/crash_evidence.cpp
@@ -170,9 +170,11 @@
         // same one of the requests that they lost, so that records converge.
         if (crash.at >= found->at && crash.request >= found->request)
             return false;
+        const bool other_request = crash.request < found->request;
         found->at = std::min(found->at, crash.at);
         found->request = std::min(found->request, crash.request);
-        return false;
+        findings_.reset();
+        return other_request;
     }
     all.push_back(crash);
     if (all.size() > max_crashes)
--- a/src/dispatch/crash_evidence_test.cpp
+++ b/src/dispatch/crash_evidence_test.cpp
@@ -94,6 +94,7 @@
     CPPUNIT_TEST(old_crashes_are_forgotten);
     CPPUNIT_TEST(records_are_bounded_and_keep_the_part_with_most_crashes);
     CPPUNIT_TEST(a_repeated_report_is_no_news);
+    CPPUNIT_TEST(a_changed_request_of_a_crash_changes_the_verdict);
     CPPUNIT_TEST(times_in_the_future_count_as_now);
     CPPUNIT_TEST_SUITE_END();
 
