Keep a reported answer of a part without crash records

A report of the answer that cleared a part was dropped by gateways that knew no crash under it. A report of the crashes that was made earlier and came later then counted, and the part was refused although it was answered.

--- a/src/dispatch/crash_evidence.cpp
+++ b/src/dispatch/crash_evidence.cpp
@@ -222,7 +222,7 @@
     bool verdicts_changed = false;
     for (const auto& each : reported)
     {
-        if (each.crashes.empty() && !records_.contains(each.part))
+        if (each.crashes.empty() && !each.answered_at)
             continue;
         auto& own = record_of(each.part);
         if (each.answered_at)
--- a/src/dispatch/crash_evidence_test.cpp
+++ b/src/dispatch/crash_evidence_test.cpp
@@ -93,9 +93,11 @@
     CPPUNIT_TEST(an_answer_to_a_request_after_expiry_ends_the_refusal);
     CPPUNIT_TEST(old_crashes_are_forgotten);
     CPPUNIT_TEST(records_are_bounded_and_keep_the_part_with_most_crashes);
+    CPPUNIT_TEST(a_reported_answer_prevails_over_late_reports);
     CPPUNIT_TEST(a_repeated_report_is_no_news);
     CPPUNIT_TEST(a_changed_request_of_a_crash_changes_the_verdict);
     CPPUNIT_TEST(times_in_the_future_count_as_now);
+    CPPUNIT_TEST(reports_in_any_order_give_the_same_verdicts);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -378,6 +380,30 @@
         CPPUNIT_ASSERT_EQUAL(std::string("refused"), one.verdict({bad}));
     }
 
+    // Guards against gateways that drop different crashes of the same time and
+    // send each other the dropped ones for ever.
+    void full_records_of_two_gateways_converge()
+    {
+        gateway_evidence one;
+        gateway_evidence two;
+        for (int i = 0; i < 16; ++i)
+        {
+            one.crash({bad}, i, i, 1s);
+            two.crash({bad}, i, 100 + i, 1s);
+        }
+        const auto exchange = [](gateway_evidence& from, gateway_evidence& to)
+        {
+            return to.evidence.merge(
+                from.evidence.records(start + 2s), start + 2s);
+        };
+        exchange(one, two);
+        exchange(two, one);
+        CPPUNIT_ASSERT(!exchange(one, two));
+        CPPUNIT_ASSERT(!exchange(two, one));
+        CPPUNIT_ASSERT(one.evidence.records(start + 2s) ==
+                       two.evidence.records(start + 2s));
+    }
+
     // Guards against a verdict that is kept although a report shows that the
     // crashes were under different requests.
     void a_changed_request_of_a_crash_changes_the_verdict()
