Treat crashes older than a full record as no news

A crash that was dropped at once, since the record of its part was full of later ones, counted as added: each repetition of the report was news and raised the revision, which wakes all requests that wait.

crashes_older_than_a_full_record_are_no_news - Expression: !one.evidence.merge(reporter.evidence.records(start + 2s), ..)

Records of one time are dropped in the order of processes, equal everywhere.

--- a/src/dispatch/crash_evidence.cpp
+++ b/src/dispatch/crash_evidence.cpp
@@ -177,12 +177,17 @@
         return other_request;
     }
     all.push_back(crash);
-    if (all.size() > max_crashes)
-        all.erase(std::min_element(all.begin(), all.end(),
-            [](const crash_record& a, const crash_record& b)
-            { return a.at < b.at; }));
     std::sort(all.begin(), all.end());
-    return true;
+    if (all.size() <= max_crashes)
+        return true;
+    // Ordered by process among equal times, so that all instances drop the
+    // same record.
+    const auto oldest = std::min_element(all.begin(), all.end(),
+        [](const crash_record& a, const crash_record& b)
+        { return a.at < b.at; });
+    const bool kept = oldest->process != crash.process;
+    all.erase(oldest);
+    return kept;
 }
 
 bool crash_evidence::add_answer(part_record& to, time_point at)
