Count crashes that follow each other closely once for a refusal

When engines of an availability zone end together, a part whose requests wait at three of them was refused, although nothing but the zone was the cause, and for a minute, since no request with it was sent that could have cleared it.

engines_that_end_at_once_condemn_no_part - Expression: one.verdict({first, other}, 200ms) != "refused"

Crashes within 500 ms after a counted one are left out of the count; a part that crashes each engine goes on to do so. The numbers are a value now, so that they can be compared. a_repeated_report_is_no_news spreads its crashes over time, since forty at one moment, of which sixteen are kept, are no proof any more.

--- a/src/dispatch/crash_evidence.cpp
+++ b/src/dispatch/crash_evidence.cpp
@@ -53,14 +53,24 @@
     return out;
 }
 
-bool proves_cause(const std::vector<crash_record>& crashes)
+// Number of crashes when those within the window after a counted one are left
+// out.
+std::size_t separate_crashes(
+    const std::vector<crash_record>& crashes, duration window)
 {
-    std::set<std::uint64_t> requests;
+    std::vector<time_point> times;
     for (const auto& each : crashes)
-        requests.insert(each.request);
-    return (crashes.size() >= crash_evidence::crashes_to_refuse &&
-               requests.size() >= 2) ||
-           crashes.size() >= crash_evidence::crashes_of_one_request;
+        times.push_back(each.at);
+    std::sort(times.begin(), times.end());
+    std::size_t out = 0;
+    std::optional<time_point> counted;
+    for (const auto at : times)
+        if (!counted || at - *counted >= window)
+        {
+            counted = at;
+            ++out;
+        }
+    return out;
 }
 
 time_point refusal_end(const std::vector<crash_record>& crashes)
@@ -100,6 +110,17 @@
     findings_.reset();
 }
 
+bool crash_evidence::proves_cause(
+    const std::vector<crash_record>& crashes) const
+{
+    std::set<std::uint64_t> requests;
+    for (const auto& each : crashes)
+        requests.insert(each.request);
+    const auto count = separate_crashes(crashes, thresholds_.coincidence);
+    return (count >= thresholds_.refuse && requests.size() >= 2) ||
+           count >= thresholds_.refuse_one_request;
+}
+
 void crash_evidence::note_answer(const prompt& request, time_point now)
 {
     for_each_shared_part(request,
@@ -345,7 +366,7 @@
         if (finding.parts.size() > 1)
             out.suspects.insert(finding.parts.begin(), finding.parts.end());
     for (const auto* each : others)
-        if (unexplained(*each).size() >= crashes_to_suspect)
+        if (unexplained(*each).size() >= thresholds_.suspect)
             out.suspects.insert(each->part);
     return out;
 }
--- a/src/dispatch/crash_evidence.hpp
+++ b/src/dispatch/crash_evidence.hpp
@@ -60,6 +60,20 @@
 
 std::string_view to_string(prompt_verdict value);
 
+/// Numbers of crashes from which verdicts follow.
+struct crash_thresholds
+{
+    /// Crashes after which a part is suspect: one may be a coincidence.
+    std::size_t suspect = 2;
+    /// Crashes, under at least two requests, after which a part is refused.
+    std::size_t refuse = 3;
+    /// Crashes after which a part is refused even if only one prompt was lost.
+    std::size_t refuse_one_request = 4;
+    /// Crashes that follow each other within this time count once for a
+    /// refusal: engines of an availability zone may end together.
+    std::chrono::milliseconds coincidence{500};
+};
+
 /// Finds the parts of prompts that crash every engine that answers them.
 ///
 /// When an engine ends, all requests that wait there are lost with it, and only
@@ -71,12 +85,6 @@
 class crash_evidence
 {
 public:
-    /// Crashes after which a part is suspect: one may be a coincidence.
-    static constexpr std::size_t crashes_to_suspect = 2;
-    /// Crashes, under at least two requests, after which a part is refused.
-    static constexpr std::size_t crashes_to_refuse = 3;
-    /// Crashes after which a part is refused even if only one prompt was lost.
-    static constexpr std::size_t crashes_of_one_request = 4;
     /// Lifetime of the records of a part that is not refused.
     static constexpr std::chrono::seconds record_lifetime{60};
     /// Duration of a refusal. Doubles each time an engine crashes after it has
@@ -93,6 +101,11 @@
     /// Parts whose latest answer is remembered.
     static constexpr std::size_t max_answered_parts = 8'192;
 
+    explicit crash_evidence(const crash_thresholds& thresholds = {})
+        : thresholds_(thresholds)
+    {
+    }
+
     /// Records that an engine has begun to answer the request.
     void note_answer(const prompt& request, time_point now);
     /// Records that the engine process ended while the request waited for its
@@ -134,6 +147,7 @@
         std::set<std::uint64_t> suspects;
     };
 
+    bool proves_cause(const std::vector<crash_record>& crashes) const;
     bool add_crash(part_record& to, const crash_record& crash);
     bool add_answer(part_record& to, time_point at);
     part_record& record_of(std::uint64_t part);
@@ -143,6 +157,7 @@
     findings evaluate() const;
     const finding* find_refusal(const prompt& request) const;
 
+    crash_thresholds thresholds_;
     std::map<std::uint64_t, part_record> records_;
     /// Latest answers, least recent first in the list.
     struct answered_part
