--- a/experiment/experiment_test.cpp
+++ b/experiment/experiment_test.cpp
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "experiment/crashing_part_experiment.hpp"
 #include "experiment/fairness_experiment.hpp"
 #include "experiment/limits_experiment.hpp"
 #include "experiment/placement_experiment.hpp"
@@ -21,16 +22,16 @@
     void same_seed_gives_the_same_table()
     {
         const options brief{{7}, 10};
-        for (const auto run :
-            {run_limits, run_routing, run_fairness, run_placement})
+        for (const auto run : {run_limits, run_routing, run_fairness,
+                 run_placement, run_crashing_part, run_ordinary_ends})
             CPPUNIT_ASSERT_EQUAL(
                 as_json(run(brief).value()), as_json(run(brief).value()));
     }
 
     void missing_seeds_are_refused()
     {
-        for (const auto run :
-            {run_limits, run_routing, run_fairness, run_placement})
+        for (const auto run : {run_limits, run_routing, run_fairness,
+                 run_placement, run_crashing_part, run_ordinary_ends})
             CPPUNIT_ASSERT(error_code::invalid_argument ==
                            run(options{{}, 10}).error().code());
     }
--- a/experiment/main.cpp
+++ b/experiment/main.cpp
@@ -5,6 +5,7 @@
 
 #include <CLI/CLI.hpp>
 
+#include "experiment/crashing_part_experiment.hpp"
 #include "experiment/fairness_experiment.hpp"
 #include "experiment/limits_experiment.hpp"
 #include "experiment/placement_experiment.hpp"
@@ -33,6 +34,10 @@
         {"routing", "Choices of an endpoint", all::run_routing},
         {"fairness", "Queue disciplines", all::run_fairness},
         {"placement", "Planners", all::run_placement},
+        {"crashing-part", "Rules for a prompt part that crashes engines",
+            all::run_crashing_part},
+        {"ordinary-ends", "The same rules when engines end otherwise",
+            all::run_ordinary_ends},
         {"plans", "Real time of one plan", all::run_plan_times},
     };
     return list;
