--- a/src/dispatch/crash_evidence.cpp
+++ b/src/dispatch/crash_evidence.cpp
@@ -53,18 +53,24 @@
     return out;
 }
 
+std::vector<time_point> ordered_times(const std::vector<crash_record>& crashes)
+{
+    std::vector<time_point> out;
+    out.reserve(crashes.size());
+    for (const auto& each : crashes)
+        out.push_back(each.at);
+    std::sort(out.begin(), out.end());
+    return out;
+}
+
 // Number of crashes when those within the window after a counted one are left
 // out.
 std::size_t separate_crashes(
     const std::vector<crash_record>& crashes, duration window)
 {
-    std::vector<time_point> times;
-    for (const auto& each : crashes)
-        times.push_back(each.at);
-    std::sort(times.begin(), times.end());
     std::size_t out = 0;
     std::optional<time_point> counted;
-    for (const auto at : times)
+    for (const auto at : ordered_times(crashes))
         if (!counted || at - *counted >= window)
         {
             counted = at;
@@ -75,10 +81,7 @@
 
 time_point refusal_end(const std::vector<crash_record>& crashes)
 {
-    std::vector<time_point> times;
-    for (const auto& each : crashes)
-        times.push_back(each.at);
-    std::sort(times.begin(), times.end());
+    const auto times = ordered_times(crashes);
     std::chrono::seconds refusal = crash_evidence::initial_refusal;
     for (std::size_t i = 1; i < times.size(); ++i)
         if (times[i] - times[i - 1] >= series_gap)
