Drop the records of answered parts before those of others

When more than 64 parts were lost at one engine, the part that was kept was decided by its id, and the bad one could be dropped after each crash.

a_part_without_answers_stays_beside_many_answered_ones - Expected: refused - Actual : unsuspected

Parts that were answered before are dropped first, then those with the fewest crashes: a part that crashes each engine is never answered.

--- a/src/dispatch/crash_evidence.cpp
+++ b/src/dispatch/crash_evidence.cpp
@@ -225,13 +225,13 @@
 
 void crash_evidence::make_room()
 {
+    // A part that was answered before is less likely the cause.
+    const auto strength = [](const part_record& of)
+    { return std::pair(!of.answered_at.has_value(), of.crashes.size()); };
     while (records_.size() > max_parts)
-    {
-        const auto weakest = std::min_element(records_.begin(), records_.end(),
-            [](const auto& a, const auto& b)
-            { return a.second.crashes.size() < b.second.crashes.size(); });
-        records_.erase(weakest);
-    }
+        records_.erase(std::min_element(records_.begin(), records_.end(),
+            [&](const auto& a, const auto& b)
+            { return strength(a.second) < strength(b.second); }));
 }
 
 std::vector<part_record> crash_evidence::records(time_point now) const
--- a/src/dispatch/crash_evidence.hpp
+++ b/src/dispatch/crash_evidence.hpp
@@ -94,7 +94,8 @@
     /// How long the answer that cleared a part is still reported, so that late
     /// reports of the crashes before it have no effect.
     static constexpr std::chrono::seconds cleared_lifetime{5};
-    /// Parts with records; those with the fewest crashes are dropped first.
+    /// Parts with records; those that were answered before are dropped first,
+    /// then those with the fewest crashes.
     static constexpr std::size_t max_parts = 64;
     /// Crash records of one part; the oldest are dropped first.
     static constexpr std::size_t max_crashes = 16;
--- a/src/dispatch/crash_evidence_test.cpp
+++ b/src/dispatch/crash_evidence_test.cpp
@@ -94,6 +94,7 @@
     CPPUNIT_TEST(an_answer_to_a_request_after_expiry_ends_the_refusal);
     CPPUNIT_TEST(old_crashes_are_forgotten);
     CPPUNIT_TEST(records_are_bounded_and_keep_the_part_with_most_crashes);
+    CPPUNIT_TEST(a_part_without_answers_stays_beside_many_answered_ones);
     CPPUNIT_TEST(a_reported_answer_prevails_over_late_reports);
     CPPUNIT_TEST(a_repeated_report_is_no_news);
     CPPUNIT_TEST(crashes_older_than_a_full_record_are_no_news);
@@ -347,6 +348,22 @@
         CPPUNIT_ASSERT_EQUAL(std::string("refused"), one.verdict({bad}, 110s));
     }
 
+    // Guards against the first crash of the bad part that is dropped for the
+    // many sound parts that were lost at the same engine.
+    void a_part_without_answers_stays_beside_many_answered_ones()
+    {
+        gateway_evidence one;
+        for (std::uint64_t i = 0; i < 200; ++i)
+            one.answer({0x1'0000 + i}, 0s);
+        for (int engine = 0; engine < 3; ++engine)
+        {
+            one.crash({bad}, engine, engine, (engine + 1) * 1s);
+            for (std::uint64_t i = 0; i < 200; ++i)
+                one.crash({0x1'0000 + i}, 5, engine, (engine + 1) * 1s);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("refused"), one.verdict({bad}, 4s));
+    }
+
     // Guards against crashes that a gateway hears of after the answer that
     // cleared them, and counts.
     void a_reported_answer_prevails_over_late_reports()
