Treat an answer that clears nothing more as no news

Ages of reported answers grow by the time of the transfer at each gateway, so the receiver stored a later time and told it on, for as long as the answer was kept.

An answer is news if it is the first one known of the part or clears crashes.

--- a/src/dispatch/crash_evidence.cpp
+++ b/src/dispatch/crash_evidence.cpp
@@ -259,8 +259,11 @@
             // A report from an instance whose clock advances differently must
             // not clear crashes that come later.
             const auto at = std::min(*each.answered_at, now);
-            news = news || !own.answered_at || at > *own.answered_at;
-            verdicts_changed = add_answer(own, at) || verdicts_changed;
+            const bool first = !own.answered_at.has_value();
+            const bool cleared = add_answer(own, at);
+            // A later time alone is none: times grow with each transfer.
+            news = news || first || cleared;
+            verdicts_changed = cleared || verdicts_changed;
         }
         for (const auto& crash : each.crashes)
         {
--- a/src/dispatch/crash_evidence_test.cpp
+++ b/src/dispatch/crash_evidence_test.cpp
@@ -97,6 +97,7 @@
     CPPUNIT_TEST(a_part_without_answers_stays_beside_many_answered_ones);
     CPPUNIT_TEST(a_reported_answer_prevails_over_late_reports);
     CPPUNIT_TEST(a_repeated_report_is_no_news);
+    CPPUNIT_TEST(an_answer_that_clears_nothing_more_is_no_news);
     CPPUNIT_TEST(crashes_older_than_a_full_record_are_no_news);
     CPPUNIT_TEST(a_changed_request_of_a_crash_changes_the_verdict);
     CPPUNIT_TEST(times_in_the_future_count_as_now);
@@ -399,6 +400,43 @@
         CPPUNIT_ASSERT_EQUAL(std::string("refused"), one.verdict({bad}, 8s));
     }
 
+    // Guards against records that two gateways, which expire them at different
+    // moments, send back to each other for ever.
+    void expired_records_do_not_return_with_reports()
+    {
+        gateway_evidence one;
+        gateway_evidence reporter;
+        for (auto* each : {&one, &reporter})
+        {
+            each->crash({other}, 1, 1, 0s);
+            each->refuse({bad}, 2s);
+        }
+        for (const auto at : {61s, 122s})
+        {
+            one.evidence.expire(start + at);
+            const auto before = one.evidence.records(start + at);
+            CPPUNIT_ASSERT(!one.evidence.merge(
+                reporter.evidence.records(start + at), start + at));
+            CPPUNIT_ASSERT(before == one.evidence.records(start + at));
+        }
+    }
+
+    // Guards against gateways that tell each other of one answer for ever,
+    // since its age is a little smaller after each transfer.
+    void an_answer_that_clears_nothing_more_is_no_news()
+    {
+        gateway_evidence reporter;
+        reporter.refuse({other});
+        gateway_evidence one;
+        one.evidence.merge(reporter.evidence.records(start + 2s), start + 2s);
+        reporter.answer({other}, 3s);
+        CPPUNIT_ASSERT(one.evidence.merge(
+            reporter.evidence.records(start + 3s), start + 3s));
+        auto later = reporter.evidence.records(start + 3s);
+        *later.front().answered_at += 1ms;
+        CPPUNIT_ASSERT(!one.evidence.merge(later, start + 4s));
+    }
+
     // Guards against reports of dropped crashes that are news each time.
     void crashes_older_than_a_full_record_are_no_news()
     {
