Ignore expired records in reports of crashes

Gateways expire records at different moments. One that expired a record took it back, as news, from one that had not yet, and the two could hand it to each other for ever.

Reports are judged by the age of their records now, in the way of expire(). A reported answer that is too old for a record is still remembered like one of the gateway's own, so that later reports of crashes before it have no effect; reports_in_any_order_give_the_same_verdicts failed without this. Records without crashes are dropped first when there are too many.

--- a/src/dispatch/crash_evidence.cpp
+++ b/src/dispatch/crash_evidence.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <tuple>
 #include <utility>
 
 #include "common/digest.hpp"
@@ -129,24 +130,26 @@
     for_each_shared_part(request,
         [&](std::uint64_t part)
         {
-            const auto known = answered_.find(part);
-            if (known != answered_.end())
-            {
-                known->second.at = now;
-                answered_order_.splice(answered_order_.end(), answered_order_,
-                    known->second.position);
-            }
-            else
-            {
-                const auto position =
-                    answered_order_.insert(answered_order_.end(), part);
-                answered_.emplace(part, answered_part{now, position});
-            }
+            remember_answer(part, now);
             const auto found = records_.find(part);
             if (found != records_.end() && add_answer(found->second, now))
                 changed();
         });
-    while (answered_.size() > max_answered_parts)
+}
+
+void crash_evidence::remember_answer(std::uint64_t part, time_point at)
+{
+    const auto known = answered_.find(part);
+    if (known != answered_.end())
+    {
+        known->second.at = std::max(known->second.at, at);
+        answered_order_.splice(
+            answered_order_.end(), answered_order_, known->second.position);
+        return;
+    }
+    const auto position = answered_order_.insert(answered_order_.end(), part);
+    answered_.emplace(part, answered_part{at, position});
+    if (answered_.size() > max_answered_parts)
     {
         answered_.erase(answered_order_.front());
         answered_order_.pop_front();
@@ -227,7 +230,10 @@
 {
     // A part that was answered before is less likely the cause.
     const auto strength = [](const part_record& of)
-    { return std::pair(!of.answered_at.has_value(), of.crashes.size()); };
+    {
+        return std::tuple(!of.crashes.empty(), !of.answered_at.has_value(),
+            of.crashes.size());
+    };
     while (records_.size() > max_parts)
         records_.erase(std::min_element(records_.begin(), records_.end(),
             [&](const auto& a, const auto& b)
@@ -244,6 +250,19 @@
     return out;
 }
 
+std::vector<crash_record> crash_evidence::current_crashes(
+    const part_record& reported, time_point now) const
+{
+    // The reporter may expire its records later than this instance.
+    auto out = reported.crashes;
+    if (!proves_cause(out))
+        std::erase_if(out, [now](const crash_record& each)
+            { return now - each.at >= record_lifetime; });
+    else if (now - refusal_end(out) >= record_lifetime)
+        out.clear();
+    return out;
+}
+
 bool crash_evidence::merge(
     const std::vector<part_record>& reported, time_point now)
 {
@@ -251,21 +270,27 @@
     bool verdicts_changed = false;
     for (const auto& each : reported)
     {
-        if (each.crashes.empty() && !each.answered_at)
+        const auto crashes = current_crashes(each, now);
+        const bool recent_answer =
+            each.answered_at && now - *each.answered_at < cleared_lifetime;
+        // A report from an instance whose clock advances differently must not
+        // clear crashes that come later.
+        if (each.answered_at)
+            remember_answer(each.part, std::min(*each.answered_at, now));
+        const bool known = records_.contains(each.part);
+        if (crashes.empty() && !recent_answer && !known)
             continue;
         auto& own = record_of(each.part);
         if (each.answered_at)
         {
-            // A report from an instance whose clock advances differently must
-            // not clear crashes that come later.
             const auto at = std::min(*each.answered_at, now);
-            const bool first = !own.answered_at.has_value();
+            const bool first = !known || !own.answered_at.has_value();
             const bool cleared = add_answer(own, at);
             // A later time alone is none: times grow with each transfer.
             news = news || first || cleared;
-            verdicts_changed = cleared || verdicts_changed;
+            verdicts_changed = first || cleared || verdicts_changed;
         }
-        for (const auto& crash : each.crashes)
+        for (const auto& crash : crashes)
         {
             const bool added = add_crash(
                 own, {crash.process, crash.request, std::min(crash.at, now)});
--- a/src/dispatch/crash_evidence.hpp
+++ b/src/dispatch/crash_evidence.hpp
@@ -149,6 +149,10 @@
     };
 
     bool proves_cause(const std::vector<crash_record>& crashes) const;
+    /// Crashes of a report that have not expired.
+    std::vector<crash_record> current_crashes(
+        const part_record& reported, time_point now) const;
+    void remember_answer(std::uint64_t part, time_point at);
     bool add_crash(part_record& to, const crash_record& crash);
     bool add_answer(part_record& to, time_point at);
     part_record& record_of(std::uint64_t part);
--- a/src/dispatch/crash_evidence_test.cpp
+++ b/src/dispatch/crash_evidence_test.cpp
@@ -97,6 +97,7 @@
     CPPUNIT_TEST(a_part_without_answers_stays_beside_many_answered_ones);
     CPPUNIT_TEST(a_reported_answer_prevails_over_late_reports);
     CPPUNIT_TEST(a_repeated_report_is_no_news);
+    CPPUNIT_TEST(expired_records_do_not_return_with_reports);
     CPPUNIT_TEST(an_answer_that_clears_nothing_more_is_no_news);
     CPPUNIT_TEST(crashes_older_than_a_full_record_are_no_news);
     CPPUNIT_TEST(a_changed_request_of_a_crash_changes_the_verdict);
