--- a/src/dispatch/crash_evidence.hpp
+++ b/src/dispatch/crash_evidence.hpp
@@ -71,7 +71,7 @@
     std::size_t refuse_one_request = 4;
     /// Crashes that follow each other within this time count once for a
     /// refusal: engines of an availability zone may end together.
-    std::chrono::milliseconds coincidence{500};
+    std::chrono::milliseconds coincidence{200};
 };
 
 /// Finds the parts of prompts that crash every engine that answers them.
