--- a/src/dispatch/crash_evidence.cpp
+++ b/src/dispatch/crash_evidence.cpp
@@ -72,14 +72,30 @@
                { return each.process == process; }) != 0;
 }
 
-bool proves_cause(const std::vector<crash_record>& crashes)
+std::vector<time_point> ordered_times(const std::vector<crash_record>& crashes)
 {
-    std::set<std::uint64_t> requests;
+    std::vector<time_point> out;
+    out.reserve(crashes.size());
     for (const auto& each : crashes)
-        requests.insert(each.request);
-    return (crashes.size() >= crash_evidence::crashes_to_refuse &&
-               requests.size() >= 2) ||
-           crashes.size() >= crash_evidence::crashes_of_one_request;
+        out.push_back(each.at);
+    std::sort(out.begin(), out.end());
+    return out;
+}
+
+// Number of crashes when those within the window after a counted one are left
+// out.
+std::size_t separate_crashes(
+    const std::vector<crash_record>& crashes, duration window)
+{
+    std::size_t out = 0;
+    std::optional<time_point> counted;
+    for (const auto at : ordered_times(crashes))
+        if (!counted || at - *counted >= window)
+        {
+            counted = at;
+            ++out;
+        }
+    return out;
 }
 
 // Order of eviction. Among parts with as many crashes, those that were answered
@@ -95,11 +111,7 @@
 
 time_point refusal_end(const std::vector<crash_record>& crashes)
 {
-    std::vector<time_point> times;
-    times.reserve(crashes.size());
-    for (const auto& each : crashes)
-        times.push_back(each.at);
-    std::sort(times.begin(), times.end());
+    const auto times = ordered_times(crashes);
     std::chrono::seconds refusal = crash_evidence::initial_refusal;
     for (std::size_t i = 1; i < times.size(); ++i)
         if (times[i] - times[i - 1] >= series_gap)
@@ -131,29 +143,42 @@
     findings_.reset();
 }
 
+bool crash_evidence::proves_cause(
+    const std::vector<crash_record>& crashes) const
+{
+    std::set<std::uint64_t> requests;
+    for (const auto& each : crashes)
+        requests.insert(each.request);
+    const auto count = separate_crashes(crashes, thresholds_.coincidence);
+    return (count >= thresholds_.refuse && requests.size() >= 2) ||
+           count >= thresholds_.refuse_one_request;
+}
+
 void crash_evidence::note_answer(const prompt& request, time_point now)
 {
     for_each_shared_part(request,
         [&](std::uint64_t part)
         {
-            const auto known = answered_.find(part);
-            if (known != answered_.end())
-            {
-                known->second.at = now;
-                answered_order_.splice(answered_order_.end(), answered_order_,
-                    known->second.position);
-            }
-            else
-            {
-                const auto position =
-                    answered_order_.insert(answered_order_.end(), part);
-                answered_.emplace(part, answered_part{now, position});
-            }
+            remember_answer(part, now);
             const auto found = records_.find(part);
             if (found != records_.end() && add_answer(found->second, now, now))
                 changed();
         });
-    while (answered_.size() > max_answered_parts)
+}
+
+void crash_evidence::remember_answer(std::uint64_t part, time_point at)
+{
+    const auto known = answered_.find(part);
+    if (known != answered_.end())
+    {
+        known->second.at = std::max(known->second.at, at);
+        answered_order_.splice(
+            answered_order_.end(), answered_order_, known->second.position);
+        return;
+    }
+    const auto position = answered_order_.insert(answered_order_.end(), part);
+    answered_.emplace(part, answered_part{at, position});
+    if (answered_.size() > max_answered_parts)
     {
         answered_.erase(answered_order_.front());
         answered_order_.pop_front();
@@ -209,12 +234,17 @@
         return other_request;
     }
     all.push_back(crash);
-    if (all.size() > max_crashes)
-        all.erase(std::min_element(all.begin(), all.end(),
-            [](const crash_record& a, const crash_record& b)
-            { return a.at < b.at; }));
     std::sort(all.begin(), all.end());
-    return true;
+    if (all.size() <= max_crashes)
+        return true;
+    // Ordered by process among equal times, so that all instances drop the
+    // same record.
+    const auto oldest = std::min_element(all.begin(), all.end(),
+        [](const crash_record& a, const crash_record& b)
+        { return a.at < b.at; });
+    const bool kept = oldest->process != crash.process;
+    all.erase(oldest);
+    return kept;
 }
 
 // An answer that clears nothing is not stored. Reported times grow by the
@@ -315,6 +345,9 @@
     const bool full = static_cast<std::size_t>(parts_with_crashes) >= max_parts;
     for (const auto& each : reported)
     {
+        // Crashes before this answer may be reported later.
+        if (each.answered_at)
+            remember_answer(each.part, std::min(*each.answered_at, now));
         const bool known = records_.contains(each.part);
         if (each.crashes.empty() && !known)
             continue;
@@ -484,7 +517,7 @@
         if (finding.parts.size() > 1)
             out.suspects.insert(finding.parts.begin(), finding.parts.end());
     for (const auto* each : others)
-        if (unexplained(*each).size() >= crashes_to_suspect)
+        if (unexplained(*each).size() >= thresholds_.suspect)
             out.suspects.insert(each->part);
     return out;
 }
