Wake only the coroutine whose wait has timed out

Found in review, not seen in a run: each timed-out wait raised the signal for all, so N requests that are held for a suspect part caused N wake-ups of each. Each wait now has a timer of its own, which a change cancels.

--- a/src/gateway/change_signal.hpp
+++ b/src/gateway/change_signal.hpp
@@ -51,10 +51,7 @@
         std::list<handler>::iterator position_;
     };
 
-    explicit change_signal(boost::asio::io_context& context)
-        : timer_(context, time_point::max())
-    {
-    }
+    explicit change_signal(boost::asio::io_context& context) : io_(context) {}
 
     /// The handler must not add or end subscriptions.
     [[nodiscard]] subscription subscribe(handler on_change)
@@ -67,7 +64,6 @@
 
     void raise()
     {
-        timer_.expires_at(time_point::max());
         for (const auto& each : handlers_)
             each();
     }
@@ -75,22 +71,15 @@
     /// Returns at the next change or at the deadline.
     boost::asio::awaitable<void> wait(time_point deadline)
     {
-        boost::asio::steady_timer limit(timer_.get_executor(), deadline);
-        limit.async_wait(
-            [this](const boost::system::error_code& failed)
-            {
-                if (!failed)
-                    raise();
-            });
+        boost::asio::steady_timer limit(io_, deadline);
+        const auto woken = subscribe([&limit] { limit.cancel(); });
         boost::system::error_code ignored;
-        co_await timer_.async_wait(
+        co_await limit.async_wait(
             boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
     }
 
 private:
-    // Setting the expiry cancels the pending waits, which resumes the waiting
-    // coroutines.
-    boost::asio::steady_timer timer_;
+    boost::asio::io_context& io_;
     std::list<handler> handlers_;
 };
 
