Judge a prompt again right before each send

A request that waited for its model, or for a connection, was sent although its prompt had been refused meanwhile, and its crash then left no evidence; the same for a caller that left during the connect. A stream that is silent before its first event was taken over although its prompt had become suspect.

Beside it, also from the review: a request that may have run gets 502 instead of 503 when it was held in vain; only a refused connection counts as the end of an engine, not a local failure to connect; and the instance that tries an expired refusal changes every 10 s among the ready ones, since the first one may get no request with the part.

--- a/src/dispatch/crash_evidence.cpp
+++ b/src/dispatch/crash_evidence.cpp
@@ -109,7 +109,7 @@
     return {of.crashes.size(), !of.answered_at.has_value(), latest};
 }
 
-time_point refusal_end(const std::vector<crash_record>& crashes)
+time_point end_of_refusal(const std::vector<crash_record>& crashes)
 {
     const auto times = ordered_times(crashes);
     std::chrono::seconds refusal = crash_evidence::initial_refusal;
@@ -498,7 +498,7 @@
             continue;
         }
         const auto processes = processes_of(record.crashes);
-        finding found{{record.part}, refusal_end(record.crashes)};
+        finding found{{record.part}, end_of_refusal(record.crashes)};
         // Parts that always came together can't be told apart yet.
         for (auto next = std::next(at); next != order.end();)
         {
@@ -577,9 +577,14 @@
 
 time_point crash_evidence::refused_until(
     const prompt& request, time_point now) const
+{
+    return std::max(now, refusal_end(request));
+}
+
+time_point crash_evidence::refusal_end(const prompt& request) const
 {
     const auto* refusal = find_refusal(request);
-    return refusal == nullptr ? now : std::max(now, refusal->refused_until);
+    return refusal == nullptr ? time_point() : refusal->refused_until;
 }
 
 std::size_t crash_evidence::crashes_under(const prompt& request) const
--- a/src/dispatch/crash_evidence.hpp
+++ b/src/dispatch/crash_evidence.hpp
@@ -122,6 +122,9 @@
         const prompt& request, time_point now) const;
     /// When the refusal of the request expires; `now` when it is not refused.
     time_point refused_until(const prompt& request, time_point now) const;
+    /// When the refusal of the request expires or has expired; the start of the
+    /// clock when it was never refused.
+    time_point refusal_end(const prompt& request) const;
     /// Largest number of recent crashes under one part of the request.
     std::size_t crashes_under(const prompt& request) const;
 
--- a/src/endpoints/http_connection.cpp
+++ b/src/endpoints/http_connection.cpp
@@ -104,6 +104,20 @@
     co_return http_connection(std::move(impl));
 }
 
+asio::awaitable<bool> http_connection::is_refused(
+    std::string address, time_point deadline)
+{
+    const auto target = parse_socket_address(address);
+    if (!target)
+        co_return false;
+    beast::tcp_stream stream(co_await asio::this_coro::executor);
+    stream.expires_at(deadline);
+    boost::system::error_code ec;
+    co_await stream.async_connect(
+        *target, asio::redirect_error(asio::use_awaitable, ec));
+    co_return ec == asio::error::connection_refused;
+}
+
 namespace
 {
 
--- a/src/endpoints/http_connection.hpp
+++ b/src/endpoints/http_connection.hpp
@@ -80,6 +80,11 @@
     static boost::asio::awaitable<result<http_connection>> open(
         std::string address, time_point deadline);
 
+    /// Whether the address refuses a new connection: no process listens there.
+    /// False when it accepts, does not answer in time, or can't be reached.
+    static boost::asio::awaitable<bool> is_refused(
+        std::string address, time_point deadline);
+
     http_connection(http_connection&&) noexcept;
     http_connection& operator=(http_connection&&) noexcept;
     ~http_connection();
--- a/src/endpoints/scripted_server.hpp
+++ b/src/endpoints/scripted_server.hpp
@@ -87,6 +87,10 @@
         return std::move(*out);
     }
 
+    /// Closes the port when the next request has arrived, as a process does
+    /// that ends.
+    void refuse_new_connections() { closes_port_ = true; }
+
     asio::io_context context;
     int connections = 0;
     /// Connections that the client closed while a request was unanswered, a
@@ -123,6 +127,8 @@
             // The tests' requests are so small that their bodies arrive
             // together with the heads.
             buffer.clear();
+            if (closes_port_)
+                acceptor_.close(ec);
             auto answer = script_.front();
             script_.pop_front();
             fill_id(answer.text, requests.back());
@@ -177,6 +183,7 @@
     }
 
     asio::ip::tcp::acceptor acceptor_;
+    bool closes_port_ = false;
     std::deque<scripted_answer> script_;
 };
 
--- a/src/gateway/prompt_guard.cpp
+++ b/src/gateway/prompt_guard.cpp
@@ -23,6 +23,8 @@
 /// A port without a listener refuses a connection within a round trip; an
 /// endpoint that does not answer at all may only be unreachable.
 constexpr milliseconds probe_timeout{300};
+/// How long one instance may try an expired refusal before the next one.
+constexpr std::chrono::seconds probe_turn{10};
 /// A suspect request waits for others with the same part for this multiple of
 /// its latency target; an answer that comes later is of little use.
 constexpr int hold_time_in_targets = 2;
@@ -48,19 +50,22 @@
     return out;
 }
 
-std::uint64_t rank(const instance_id& instance, std::uint64_t part)
+// Whether this instance sends the one request that finds out whether a refusal
+// that ended at `expired_at` still applies. Rendezvous hashing gives each part
+// one such instance at a time; it changes, since not every instance gets
+// requests with the part.
+bool may_probe(const context& ctx, std::uint64_t part, time_point expired_at,
+    time_point now)
 {
-    return fast_hash(instance.str(), part);
-}
-
-// Whether this instance sends the one request that finds out whether an expired
-// refusal still applies. Rendezvous hashing gives each part one such instance.
-bool may_probe(const context& ctx, std::uint64_t part)
-{
-    const auto own = rank(ctx.roster.self().id, part);
+    const auto turn =
+        static_cast<std::uint64_t>((now - expired_at) / probe_turn);
+    const auto rank = [&](const instance_id& instance)
+    { return fast_hash(instance.str(), part + turn); };
+    const auto own = rank(ctx.roster.self().id);
     const auto others = ctx.roster.others();
     return std::none_of(others.begin(), others.end(),
-        [&](const fleet::member& each) { return rank(each.id, part) > own; });
+        [&](const fleet::member& each)
+        { return each.ready && rank(each.id) > own; });
 }
 
 bool any_in_flight(const context& ctx, const std::vector<std::uint64_t>& parts)
@@ -76,7 +81,7 @@
     call& call, const std::vector<std::uint64_t>& parts, time_point now)
 {
     const std::chrono::duration<double> retry_after =
-        call.ctx.evidence.refused_until(*call.request.prompt, now) - now;
+        call.ctx.evidence.refusal_end(*call.request.prompt) - now;
     call.ctx.log.info("prompt_refused",
         {{"request_id", call.request.id}, {"parts", to_text(parts)},
             {"crashes",
@@ -123,10 +128,10 @@
         if (verdict == dispatch::prompt_verdict::unsuspected)
             co_return send_permission::granted;
         auto parts = ctx.evidence.blamed_parts(prompt, now);
-        const bool refused =
-            verdict == dispatch::prompt_verdict::refused ||
-            (verdict == dispatch::prompt_verdict::expired &&
-                (parts.empty() || !may_probe(ctx, parts.front())));
+        const bool refused = verdict == dispatch::prompt_verdict::refused ||
+                             (verdict == dispatch::prompt_verdict::expired &&
+                                 !may_probe(ctx, parts.front(),
+                                     ctx.evidence.refusal_end(prompt), now));
         if (refused)
             co_return co_await refuse_prompt(call, parts, now);
         if (call.lost_in_crash)
@@ -141,7 +146,10 @@
         {
             ctx.log.info("prompt_held",
                 {{"request_id", call.request.id}, {"parts", to_text(parts)}});
-            co_await refuse(call, 503, "suspect_part", suspect_retry_s);
+            if (call.may_have_run)
+                co_await refuse(call, 502, "suspect_part");
+            else
+                co_await refuse(call, 503, "suspect_part", suspect_retry_s);
             co_return send_permission::refused;
         }
         co_await ctx.evidence_changed.wait(hold_until);
@@ -168,11 +176,9 @@
         co_return;
     auto& ctx = call.ctx;
     const auto lost_at = std::chrono::steady_clock::now();
-    const auto probe = co_await endpoints::http_connection::open(
+    const bool ended = co_await endpoints::http_connection::is_refused(
         at.address, lost_at + probe_timeout);
-    const bool unreachable =
-        std::chrono::steady_clock::now() >= lost_at + probe_timeout;
-    if (probe || unreachable)
+    if (!ended)
         co_return;
     call.lost_in_crash = true;
     const auto before = ctx.evidence.revision();
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -107,6 +107,8 @@
                 takeover_.close();
             });
         withdraw_when_refused();
+        if (withdrawn_)
+            co_return make_withdrawn();
         if (connection_)
         {
             watch_first_event();
@@ -115,6 +117,10 @@
         auto connection = co_await connect(call_, to_, call_.deadline);
         if (!connection)
             co_return handle_failure(connection.error());
+        if (withdrawn_)
+            co_return make_withdrawn();
+        if (call_.out.caller_gone())
+            co_return make_caller_gone();
         connection_.emplace(std::move(*connection));
         co_return co_await exchange();
     }
@@ -125,17 +131,30 @@
     {
         if (!call_.request.prompt || state_.begun)
             return;
-        verdict_changes_ = call_.ctx.evidence_changed.subscribe(
-            [this]
-            {
-                if (call_.ctx.evidence.judge(*call_.request.prompt,
-                        std::chrono::steady_clock::now()) !=
-                    dispatch::prompt_verdict::refused)
-                    return;
-                withdrawn_ = true;
-                close_connection();
-                takeover_.close();
-            });
+        const auto withdraw_if_refused = [this]
+        {
+            if (call_.ctx.evidence.judge(
+                    *call_.request.prompt, std::chrono::steady_clock::now()) !=
+                dispatch::prompt_verdict::refused)
+                return;
+            withdrawn_ = true;
+            close_connection();
+            takeover_.close();
+        };
+        verdict_changes_ =
+            call_.ctx.evidence_changed.subscribe(withdraw_if_refused);
+        // The verdict may have changed while an engine was chosen.
+        withdraw_if_refused();
+    }
+
+    // Ends an attempt that was withdrawn before the request was sent, or that
+    // continues the answer of another one.
+    relay_end make_withdrawn()
+    {
+        relay_end end;
+        end.outcome =
+            connection_ ? relay_outcome::broken : relay_outcome::not_connected;
+        return end;
     }
 
     // Whether the endpoint broke the connection before the first event.
--- a/src/gateway/stream_takeover.cpp
+++ b/src/gateway/stream_takeover.cpp
@@ -157,7 +157,9 @@
     std::optional<dispatch::endpoint_choice> choose(time_point now)
     {
         // A request that may crash engines waits at one engine only.
-        if (call_.suspect)
+        if (!state_.begun && call_.request.prompt &&
+            call_.ctx.evidence.judge(*call_.request.prompt, now) !=
+                dispatch::prompt_verdict::unsuspected)
             return std::nullopt;
         auto to = choose_next(call_, state_, {current_}, now);
         // The connection alone may have gone silent.
