--- a/src/gateway/forwarder_test.cpp
+++ b/src/gateway/forwarder_test.cpp
@@ -710,13 +710,14 @@
         {
             for (const auto* path : {"/once/x", "/safe/x"})
             {
+                const auto shown = std::string(path).append(extra);
                 fixture tested({{extra + ok_answer, then::keep_open}},
                     {{ok_answer, then::keep_open}});
                 tested.run(path);
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(
-                    path + extra, 200, tested.out.whole->status);
+                    shown, 200, tested.out.whole->status);
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(
-                    path + extra, std::size_t(1), tested.arrivals());
+                    shown, std::size_t(1), tested.arrivals());
             }
             for (const auto* path : {"/stream-once/x", "/stream/x"})
             {
@@ -725,8 +726,8 @@
                         then::keep_open}},
                     {});
                 tested.run(path);
-                CPPUNIT_ASSERT_EQUAL_MESSAGE(
-                    path + extra, event(1), tested.out.stream);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(std::string(path).append(extra),
+                    event(1), tested.out.stream);
                 CPPUNIT_ASSERT_EQUAL(std::size_t(1), tested.arrivals());
             }
         }
--- a/src/gateway/prompt_guard.cpp
+++ b/src/gateway/prompt_guard.cpp
@@ -37,6 +37,7 @@
 std::vector<std::string> to_text(const std::vector<std::uint64_t>& parts)
 {
     std::vector<std::string> out;
+    out.reserve(parts.size());
     for (const auto part : parts)
         out.push_back(fmt::format("{:x}", part));
     return out;
