--- a/src/gateway/forwarder_test.cpp
+++ b/src/gateway/forwarder_test.cpp
@@ -705,8 +705,10 @@
         const std::string misdirected =
             "HTTP/1.1 421 No\r\nX-Request-Id: r0\r\nContent-Length: "
             "2\r\n\r\n{}";
-        for (const auto& extra : {earlier, without_id, misdirected,
-                 earlier + earlier, earlier + without_id + misdirected})
+        const auto twice = earlier + earlier;
+        const auto all = earlier + without_id + misdirected;
+        const auto stream = stream_head + chunk(event(1)) + stream_end;
+        for (const auto& extra : {earlier, without_id, misdirected, twice, all})
         {
             for (const auto* path : {"/once/x", "/safe/x"})
             {
@@ -721,10 +723,7 @@
             }
             for (const auto* path : {"/stream-once/x", "/stream/x"})
             {
-                fixture tested(
-                    {{extra + stream_head + chunk(event(1)) + stream_end,
-                        then::keep_open}},
-                    {});
+                fixture tested({{extra + stream, then::keep_open}}, {});
                 tested.run(path);
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(std::string(path).append(extra),
                     event(1), tested.out.stream);
