Log the progress of requests that a stop leaves unanswered

Cause: request_unanswered named the id alone, so it could not tell whether a request that the end of a planned stop cut was waiting in the gateway or had been sent, whether it may be repeated, and whether its answer had begun.

Change: the line of such a request has its route, repeatable, sends, may_have_run, endpoint, answer_begun and elapsed_ms. The gateway keeps a list of its running calls instead of their ids. No logic is changed.

--- a/src/gateway/answer_sink.hpp
+++ b/src/gateway/answer_sink.hpp
@@ -38,6 +38,8 @@
         std::string events) = 0;
     virtual boost::asio::awaitable<result<void>> end_stream() = 0;
 
+    /// Whether a byte of the answer may have been sent.
+    virtual bool answer_begun() const = 0;
     /// Whether the caller has closed its connection.
     virtual bool caller_gone() const = 0;
     /// Sets the handler that is called once when the caller closes its
--- a/src/gateway/application.ipp
+++ b/src/gateway/application.ipp
@@ -9,6 +9,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "gateway/call.hpp"
 #include "gateway/caller_connection.hpp"
 
 namespace tarragonquay::gateway
@@ -445,8 +446,9 @@
     const bool late = std::chrono::steady_clock::now() >= ctx_.stop_deadline;
     if (ctx_.running_requests == 0 || late)
     {
-        for (const auto& each : ctx_.unanswered_requests)
-            log_unanswered(ctx_, each, "stopping");
+        for (const auto* each : ctx_.running_calls)
+            log_unanswered(
+                ctx_, each->request.id, "stopping", progress_fields(*each));
         peers_.stop();
         io_.stop();
         return;
--- a/src/gateway/call.hpp
+++ b/src/gateway/call.hpp
@@ -96,7 +96,11 @@
           out(sink),
           answer_bytes(context.collected_answer_bytes)
     {
+        ctx.running_calls.insert(this);
     }
+    ~call() { ctx.running_calls.erase(this); }
+    call(const call&) = delete;
+    call& operator=(const call&) = delete;
 };
 
 /// Logs a refusal and answers the caller with `status`. `retry_after_s` is the
@@ -110,6 +114,8 @@
 
 /// The inputs of the decision about a request, for the log.
 nlohmann::ordered_json decision_inputs(const call& call);
+/// The progress of a request that ends without an answer, for the log.
+nlohmann::ordered_json progress_fields(const call& call);
 
 /// Whether the route permits to send the request to one more endpoint. The
 /// number of attempts limits the number of different endpoints.
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -4,7 +4,6 @@
 #include <chrono>
 #include <exception>
 #include <memory>
-#include <set>
 #include <string>
 #include <utility>
 
@@ -66,23 +65,6 @@
     context& ctx_;
 };
 
-/// Lists a request that was read whole until it ends.
-class unanswered_entry
-{
-public:
-    unanswered_entry(context& ctx, const std::string& id)
-        : ctx_(ctx), position_(ctx.unanswered_requests.insert(id))
-    {
-    }
-    ~unanswered_entry() { ctx_.unanswered_requests.erase(position_); }
-    unanswered_entry(const unanswered_entry&) = delete;
-    unanswered_entry& operator=(const unanswered_entry&) = delete;
-
-private:
-    context& ctx_;
-    std::multiset<std::string>::iterator position_;
-};
-
 class connection : public answer_sink
 {
 public:
@@ -183,6 +165,7 @@
         co_return written;
     }
 
+    bool answer_begun() const override { return answer_begun_; }
     bool caller_gone() const override { return caller_gone_; }
 
     void on_caller_gone(std::function<void()> handler) override
@@ -331,7 +314,6 @@
         }
         watch_for_close();
         const auto id = request->id;
-        const unanswered_entry entry(ctx_, id);
         std::string exception;
         try
         {
@@ -478,11 +460,13 @@
 
 } // namespace
 
-void log_unanswered(
-    context& ctx, const std::string& request_id, const std::string& reason)
+void log_unanswered(context& ctx, const std::string& request_id,
+    const std::string& reason, const nlohmann::ordered_json& details)
 {
-    ctx.log.warning(
-        "request_unanswered", {{"request_id", request_id}, {"reason", reason}});
+    nlohmann::ordered_json fields = {
+        {"request_id", request_id}, {"reason", reason}};
+    fields.update(details);
+    ctx.log.warning("request_unanswered", std::move(fields));
     ctx.metrics.add(
         "tq_gateway_unanswered_requests_total", {{"reason", reason}});
 }
--- a/src/gateway/context.hpp
+++ b/src/gateway/context.hpp
@@ -30,6 +30,8 @@
 namespace tarragonquay::gateway
 {
 
+struct call;
+
 /// Shared state of a gateway process. Everything runs on the single thread of
 /// one io_context, so no member needs a lock.
 struct context
@@ -86,8 +88,8 @@
     /// waits for the requests.
     std::int64_t running_requests = 0;
     std::int64_t caller_connections = 0;
-    /// Ids of the requests that were read whole and are not finished.
-    std::multiset<std::string> unanswered_requests;
+    /// Requests that were read whole and are not finished.
+    std::set<const call*> running_calls;
     /// Bytes of endpoints' answers that are collected in memory.
     std::size_t collected_answer_bytes = 0;
 
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -164,6 +164,19 @@
     return out;
 }
 
+nlohmann::ordered_json progress_fields(const call& call)
+{
+    const auto now = std::chrono::steady_clock::now();
+    return {{"route", call.route ? call.route->name : ""},
+        {"repeatable",
+            call.route != nullptr &&
+                call.route->repeat != routes::repeat_rule::at_most_once},
+        {"sends", call.sends}, {"may_have_run", call.charged_sends > 0},
+        {"endpoint", call.endpoint.str()},
+        {"answer_begun", call.out.answer_begun()},
+        {"elapsed_ms", std::lround(ms_between(call.request.arrived_at, now))}};
+}
+
 asio::awaitable<void> refuse(
     call& call, int status, std::string reason, double retry_after_s)
 {
--- a/src/gateway/forwarder_fixture_test.hpp
+++ b/src/gateway/forwarder_fixture_test.hpp
@@ -88,6 +88,7 @@
         ended = true;
         co_return result<void>();
     }
+    bool answer_begun() const override { return whole || status != 0; }
     bool caller_gone() const override { return gone; }
     void on_caller_gone(std::function<void()> handler) override
     {
