Answer every request before the exit at the end of a planned stop

What callers saw: at the end of a planned stop, requests that still ran were cut without an answer: waiting ones, plain calls, streams before their first event and begun streams alike.

Cause: for three tenths of the stop time a gateway took new requests without regard to how long they last, and at the end it stopped its event loop and wrote nothing to anyone.

Change: the pool measures how long streams last for each output token, and how long plain requests last, and estimates from the mean and the deviation a time that few exceed. While the process stops, a request whose answer is not expected to end in time is refused at once; one that waits for a model is refused when that is the case. At 0.84 of the stop time the requests that still run are interrupted: 503 when no endpoint has or may have run it, 502 when one may have, and begun streams end without their last chunk. The exit still comes at seven eighths. An interruption is neither a failure of the endpoint nor evidence of a crash.

--- a/src/dispatch/endpoint_pool.cpp
+++ b/src/dispatch/endpoint_pool.cpp
@@ -255,18 +255,41 @@
 }
 
 void endpoint_pool::note_stream_end(const in_flight_request& sent,
-    const service_id& service, const model_id& model, time_point now)
+    const service_id& service, const model_id& model,
+    std::int64_t output_tokens, time_point now)
 {
     if (!sent.answered_at)
         return;
     const std::chrono::duration<double, std::milli> taken =
         now - *sent.answered_at;
-    auto& measured = speeds_[{service, model}].stream_ms;
+    auto& speed = speeds_[{service, model}];
+    speed.streams.observe(output_tokens, now - *sent.answered_at);
+    auto& measured = speed.stream_ms;
     measured = measured == 0 ? taken.count()
                              : measured + newest_stream_weight *
                                               (taken.count() - measured);
 }
 
+void endpoint_pool::note_plain_end(
+    const in_flight_request& sent, const service_id& service, time_point now)
+{
+    plain_times_[service].observe(1, now - sent.sent_at);
+}
+
+std::optional<duration> endpoint_pool::stream_time(const service_id& service,
+    const model_id& model, std::int64_t output_tokens) const
+{
+    return speed(service, model).streams.upper_estimate(output_tokens);
+}
+
+std::optional<duration> endpoint_pool::plain_time(
+    const service_id& service) const
+{
+    const auto found = plain_times_.find(service);
+    return found == plain_times_.end() ? std::nullopt
+                                       : found->second.upper_estimate(1);
+}
+
 void endpoint_pool::mark_full(const endpoint_id& id, time_point now)
 {
     if (const auto found = records_.find(id); found != records_.end())
--- a/src/dispatch/endpoint_pool.hpp
+++ b/src/dispatch/endpoint_pool.hpp
@@ -17,6 +17,7 @@
 #include "dispatch/prefill_rate.hpp"
 #include "dispatch/prompt.hpp"
 #include "dispatch/prompt_cache_view.hpp"
+#include "dispatch/run_time.hpp"
 #include "endpoints/directory_entry.hpp"
 
 namespace tarragonquay::dispatch
@@ -153,9 +154,20 @@
     /// Records that the endpoint has read the prompt.
     void note_first_event(in_flight_request& sent, const service_id& service,
         const model_id& model, time_point now);
-    /// Records that the whole stream was sent.
+    /// Records that the whole stream was sent. `output_tokens` is the largest
+    /// number of tokens that it may have; 0 when it continued another one.
     void note_stream_end(const in_flight_request& sent,
-        const service_id& service, const model_id& model, time_point now);
+        const service_id& service, const model_id& model,
+        std::int64_t output_tokens, time_point now);
+    /// Records that a plain request was answered.
+    void note_plain_end(const in_flight_request& sent,
+        const service_id& service, time_point now);
+    /// A time that few streams of this size exceed, from the first event to the
+    /// end; none without a measurement.
+    std::optional<duration> stream_time(const service_id& service,
+        const model_id& model, std::int64_t output_tokens) const;
+    /// A time that few plain requests exceed; none without a measurement.
+    std::optional<duration> plain_time(const service_id& service) const;
     void finish(in_flight_request& sent);
     /// Records that the endpoint rejected a request because it is full. It gets
     /// no requests for a short time, as long as others can be used.
@@ -229,6 +241,8 @@
         /// Moving average of the time from the first event of a stream to its
         /// end; 0 when unknown.
         double stream_ms = 0;
+        /// Time from the first event to the end, by output tokens.
+        run_time streams;
     };
 
     model_speed speed(const service_id& service, const model_id& model) const;
@@ -238,6 +252,7 @@
     /// Erased processes that were leaving, oldest first.
     std::deque<endpoint_process> departed_;
     std::map<std::pair<service_id, model_id>, model_speed> speeds_;
+    std::map<service_id, run_time> plain_times_;
 };
 
 } // namespace tarragonquay::dispatch
--- a/src/dispatch/endpoint_pool_test.cpp
+++ b/src/dispatch/endpoint_pool_test.cpp
@@ -116,7 +116,8 @@
             pool.note_first_event(
                 in_flight.back(), engines, model_id("m"), now_);
         }
-        pool.note_stream_end(in_flight[0], engines, model_id("m"), now_ + 2s);
+        pool.note_stream_end(
+            in_flight[0], engines, model_id("m"), 100, now_ + 2s);
         const auto other = choose(pool, request);
         CPPUNIT_ASSERT(other.id != home.id);
         const auto again =
--- a/src/gateway/application.hpp
+++ b/src/gateway/application.hpp
@@ -68,6 +68,7 @@
     void begin_stop();
     void refuse_new_requests();
     void check_stop_complete();
+    void interrupt_requests();
     void wait_for_stop_complete();
     text_answer answer_readiness(const std::string& target);
     text_answer answer_entries(const std::string& target);
--- a/src/gateway/application.ipp
+++ b/src/gateway/application.ipp
@@ -34,6 +34,9 @@
 /// Fraction of the stop time during which new requests are still served. Later
 /// ones would not finish in time.
 inline constexpr double serving_fraction = 0.3;
+/// Fraction of the stop time after which the requests that still run are
+/// interrupted, to let their callers receive a refusal before the exit.
+inline constexpr double running_fraction = 0.84;
 /// Fraction of the stop time that is reserved for the exit of the process. On a
 /// machine that is five times slower, 400 ms of 8 s were not enough.
 inline constexpr double exit_fraction = 0.125;
@@ -416,6 +419,8 @@
     const milliseconds stop_time(ctx_.settings.bounds.stop_ms);
     ctx_.stop_deadline = now + std::chrono::duration_cast<milliseconds>(
                                    stop_time * (1 - exit_fraction));
+    ctx_.interrupts_at = now + std::chrono::duration_cast<milliseconds>(
+                                   stop_time * running_fraction);
     ctx_.log.info(
         "process_stopping", {{"running", ctx_.running_requests},
                                 {"connections", ctx_.caller_connections}});
@@ -443,7 +448,10 @@
 template <remote_store::store_codec Codec>
 void application<Codec>::check_stop_complete()
 {
-    const bool late = std::chrono::steady_clock::now() >= ctx_.stop_deadline;
+    const auto now = std::chrono::steady_clock::now();
+    if (now >= ctx_.interrupts_at && !ctx_.interrupted)
+        interrupt_requests();
+    const bool late = now >= ctx_.stop_deadline;
     if (ctx_.running_requests == 0 || late)
     {
         for (const auto* each : ctx_.running_calls)
@@ -456,6 +464,14 @@
     wait_for_stop_complete();
 }
 
+template <remote_store::store_codec Codec>
+void application<Codec>::interrupt_requests()
+{
+    ctx_.log.info(
+        "requests_interrupted", {{"running", ctx_.running_calls.size()}});
+    ctx_.interrupt_requests();
+}
+
 template <remote_store::store_codec Codec>
 void application<Codec>::wait_for_stop_complete()
 {
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -331,6 +331,7 @@
         if (!answer_complete_ && !caller_gone_)
             log_unanswered(ctx_, id,
                 !exception.empty() ? "exception"
+                : ctx_.interrupted ? "stopping"
                 : stream_open_     ? "stream_cut"
                                    : "no_answer");
         // Close without the last chunk, so that the caller does not take an
--- a/src/gateway/context.hpp
+++ b/src/gateway/context.hpp
@@ -46,7 +46,8 @@
           pool(settings.availability_zone),
           roster(std::move(self)),
           residency_changed(io_context),
-          evidence_changed(io_context)
+          evidence_changed(io_context),
+          interruption(io_context)
     {
     }
 
@@ -118,6 +119,20 @@
         if (send_evidence)
             send_evidence();
     }
+    /// When a stop interrupts the requests that still run: their callers get a
+    /// refusal, and streams that have begun are cut.
+    time_point interrupts_at = time_point::max();
+    bool interrupted = false;
+    /// Signalled when `interrupted` is set.
+    change_signal interruption;
+    /// Interrupts the running requests.
+    void interrupt_requests()
+    {
+        interrupted = true;
+        interruption.raise();
+        residency_changed.raise();
+        evidence_changed.raise();
+    }
     /// Earliest time of the next log line on a malformed pause.
     time_point next_pause_warning{};
     std::mt19937_64 random{std::random_device{}()};
--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -5,6 +5,7 @@
 #include "gateway/call.hpp"
 #include "gateway/endpoint_signals.hpp"
 #include "gateway/forwarder.hpp"
+#include "gateway/stop_limit.hpp"
 #include "gateway/ticket_guard.hpp"
 
 namespace tarragonquay::gateway
@@ -44,15 +45,16 @@
                       : attempt_outcome::unknown;
     if (call.out.caller_gone())
         end.outcome = attempt_outcome::caller_gone;
-    else
+    else if (!call.ctx.interrupted)
         call.ctx.pool.record_failure(to.id, std::chrono::steady_clock::now());
     log_attempt(call, to.id, end.outcome, cause.message(), call.sends);
     return end;
 }
 
 asio::awaitable<attempt_end> send_and_receive(call& call,
-    const dispatch::endpoint_choice& to, endpoints::http_connection& connection,
-    time_point deadline)
+    const dispatch::endpoint_choice& to,
+    const dispatch::in_flight_request& sent,
+    endpoints::http_connection& connection, time_point deadline)
 {
     ++call.sends;
     charge_send(call);
@@ -76,7 +78,11 @@
     end.outcome = kind;
     if (kind == attempt_outcome::answered)
     {
-        call.ctx.pool.record_answer(to.id, head->status < first_server_error);
+        const bool success = head->status < first_server_error;
+        call.ctx.pool.record_answer(to.id, success);
+        if (success)
+            call.ctx.pool.note_plain_end(
+                sent, call.service->id, std::chrono::steady_clock::now());
         end.answer =
             make_caller_answer(call, std::move(*head), std::move(*body));
         co_return end;
@@ -101,7 +107,8 @@
     if (!connection)
         co_return handle_failure(call, to, connection.error());
     // The endpoint may have announced that it leaves meanwhile.
-    if (!call.ctx.pool.accepts_requests(
+    if (call.ctx.interrupted ||
+        !call.ctx.pool.accepts_requests(
             {to.id, to.started_unix_ms}, std::chrono::steady_clock::now()))
     {
         attempt_end withdrawn;
@@ -109,7 +116,10 @@
         co_return withdrawn;
     }
     call.out.on_caller_gone([&] { connection->close(); });
-    auto end = co_await send_and_receive(call, to, *connection, deadline);
+    const auto interruption =
+        call.ctx.interruption.subscribe([&] { connection->close(); });
+    auto end = co_await send_and_receive(
+        call, to, ticket.ticket(), *connection, deadline);
     call.out.on_caller_gone(nullptr);
     co_return end;
 }
@@ -152,8 +162,11 @@
         co_await call.out.respond(std::move(*last));
         co_return;
     }
-    const bool late = std::chrono::steady_clock::now() >= call.deadline;
-    if (call.may_have_run)
+    const auto now = std::chrono::steady_clock::now();
+    const bool late = now >= call.deadline;
+    if (now >= latest_answer_begin(call))
+        co_await refuse_at_stop(call);
+    else if (call.may_have_run)
         co_await refuse(
             call, late ? 504 : 502, late ? "timeout" : "unanswered");
     else if (const auto paused = seconds_until_return(call))
@@ -167,8 +180,9 @@
 asio::awaitable<void> run_plain_call(call& call)
 {
     std::optional<whole_answer> last;
-    while (
-        std::chrono::steady_clock::now() < call.deadline && take_attempt(call))
+    while (std::chrono::steady_clock::now() <
+               std::min(call.deadline, latest_answer_begin(call)) &&
+           take_attempt(call))
     {
         const auto to = call.ctx.pool.choose_plain(
             call.service->id, call.tried, std::chrono::steady_clock::now());
--- a/src/gateway/prompt_guard.cpp
+++ b/src/gateway/prompt_guard.cpp
@@ -143,7 +143,7 @@
                 std::make_unique<suspect_flight>(ctx, std::move(parts));
             co_return send_permission::granted;
         }
-        if (now >= hold_until || call.out.caller_gone())
+        if (now >= hold_until || call.out.caller_gone() || ctx.interrupted)
         {
             ctx.log.info("prompt_held",
                 {{"request_id", call.request.id}, {"parts", to_text(parts)}});
--- a/src/gateway/stream_call.cpp
+++ b/src/gateway/stream_call.cpp
@@ -6,6 +6,7 @@
 #include "gateway/call.hpp"
 #include "gateway/forwarder.hpp"
 #include "gateway/prompt_guard.hpp"
+#include "gateway/stop_limit.hpp"
 #include "gateway/stream_relay.hpp"
 
 namespace tarragonquay::gateway
@@ -53,7 +54,8 @@
         const auto now = std::chrono::steady_clock::now();
         auto chosen = choose_next(call, state, {}, now);
         if (chosen || chosen.error().code() != error_code::model_not_ready ||
-            now >= give_up_at || call.out.caller_gone())
+            now >= std::min(give_up_at, latest_answer_begin(call)) ||
+            call.out.caller_gone() || ctx.interrupted)
             co_return chosen;
         if (!prompt.adapter.empty())
             ctx.request_adapter(call.service->id, prompt.model, prompt.adapter);
@@ -94,7 +96,7 @@
     {
         // The connection is closed without the last chunk, so that the caller
         // does not take the partial stream for a complete one.
-        call.reason = "stream_broken";
+        call.reason = call.ctx.interrupted ? "stopping" : "stream_broken";
         co_return;
     }
     if (last)
@@ -103,6 +105,11 @@
         co_await call.out.respond(std::move(*last));
         co_return;
     }
+    if (std::chrono::steady_clock::now() >= latest_answer_begin(call))
+    {
+        co_await refuse_at_stop(call);
+        co_return;
+    }
     if (call.may_have_run)
     {
         const bool late = std::chrono::steady_clock::now() >= call.deadline;
@@ -125,10 +132,16 @@
 }
 
 // Whether the chosen endpoint is expected to send its first event before the
-// caller stops waiting. Refuses the request if not.
+// caller stops waiting, and the last one before a stop interrupts it. Refuses
+// the request if not.
 asio::awaitable<bool> check_in_time(call& call,
     const dispatch::endpoint_choice& choice, const stream_state& state)
 {
+    if (!state.begun && choice.expected_at > latest_answer_begin(call))
+    {
+        co_await refuse_at_stop(call);
+        co_return false;
+    }
     const auto limit = first_event_deadline(call);
     if (state.begun || call.sends > 0 || choice.expected_at < limit)
         co_return true;
@@ -148,7 +161,7 @@
     std::optional<whole_answer> last;
     error cause(error_code::deadline_exceeded, "the deadline has passed");
     while (std::chrono::steady_clock::now() < call.deadline &&
-           may_send(call, state))
+           !call.ctx.interrupted && may_send(call, state))
     {
         const auto permission = state.begun ? send_permission::granted
                                             : co_await permit_prompt(call);
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -107,8 +107,9 @@
                 close_connection();
                 takeover_.close();
             });
+        end_when_interrupted();
         withdraw_when_refused();
-        if (withdrawn_)
+        if (withdrawn_ || call_.ctx.interrupted)
             co_return make_withdrawn();
         if (connection_)
         {
@@ -119,7 +120,7 @@
         if (!connection)
             co_return handle_failure(connection.error());
         // The endpoint may have announced that it leaves meanwhile.
-        if (withdrawn_ ||
+        if (withdrawn_ || call_.ctx.interrupted ||
             !call_.ctx.pool.accepts_requests({to_.id, to_.started_unix_ms},
                 std::chrono::steady_clock::now()))
             co_return make_withdrawn();
@@ -129,6 +130,16 @@
         co_return co_await exchange();
     }
 
+    void end_when_interrupted()
+    {
+        interruption_ = call_.ctx.interruption.subscribe(
+            [this]
+            {
+                close_connection();
+                takeover_.close();
+            });
+    }
+
     // Takes the request, which waits for its first event, back when it turns
     // out to hold a part that crashes engines.
     void withdraw_when_refused()
@@ -164,7 +175,7 @@
     // Whether the endpoint broke the connection before the first event.
     bool is_lost(const error& cause) const
     {
-        return !state_.begun && !withdrawn_ &&
+        return !state_.begun && !withdrawn_ && !call_.ctx.interrupted &&
                (cause.code() == error_code::connection_broken ||
                    cause.code() == error_code::incomplete_answer);
     }
@@ -214,7 +225,7 @@
             end.lost = {to_, ticket_->ticket().started_unix_ms};
         if (call_.out.caller_gone())
             end.outcome = relay_outcome::caller_gone;
-        else if (!withdrawn_)
+        else if (!withdrawn_ && !call_.ctx.interrupted)
             call_.ctx.pool.record_failure(
                 to_.id, std::chrono::steady_clock::now());
         log_attempt(call_, to_.id,
@@ -317,6 +328,7 @@
     {
         call_.out.on_caller_gone(nullptr);
         verdict_changes_ = {};
+        interruption_ = {};
         takeover_.close();
     }
 
@@ -373,7 +385,9 @@
         call_.ctx.pool.record_answer(to_.id, true);
         if (call_.request.prompt)
             call_.ctx.pool.note_stream_end(ticket_->ticket(), call_.service->id,
-                call_.request.prompt->model, std::chrono::steady_clock::now());
+                call_.request.prompt->model,
+                continued_ ? 0 : call_.request.prompt->output_tokens,
+                std::chrono::steady_clock::now());
         if (!state_.begun)
         {
             const auto begun = co_await call_.out.begin_stream(head);
@@ -455,8 +469,11 @@
     /// Number of the send.
     int send_ = 0;
     time_point silent_since_ = std::chrono::steady_clock::now();
+    /// Whether the endpoint sends only the rest of a stream.
+    const bool continued_ = state_.last_event.has_value();
     /// Whether the request was taken back because its prompt is refused.
     bool withdrawn_ = false;
+    change_signal::subscription interruption_;
     change_signal::subscription verdict_changes_;
     stream_takeover takeover_;
 };
--- a/standins/http_platform.cpp
+++ b/standins/http_platform.cpp
@@ -271,6 +271,7 @@
         cut_streams_ = change.value("cut_streams", 0);
         lose_answers_ = change.value("lose_answers", 0);
         begin_ms_ = change.value("begin_ms", 0.0);
+        answer_ms_ = change.value("answer_ms", 0.0);
         event_ms_ = change.value("event_ms", usual_event_ms);
         crash_part_ = change.value("crash_part", std::string());
         crash_down_ms_ = change.value("crash_down_ms", usual_down_ms);
@@ -371,7 +372,11 @@
             peer.abort();
         }
         else if (model.empty())
+        {
+            if (answer_ms_ > 0)
+                co_await sleep_ms(answer_ms_);
             co_await peer.answer(own_answer(request));
+        }
         else
             co_await stream(request, peer);
     }
@@ -440,6 +445,8 @@
     int lose_answers_ = 0;
     /// Time from the arrival of a completion to the head of its answer.
     double begin_ms_ = 0;
+    /// Time from the arrival of a plain request to its answer.
+    double answer_ms_ = 0;
     double event_ms_ = usual_event_ms;
     /// Id of the part that crashes the engine; empty for none.
     std::string crash_part_;
