Do not send a stream for a caller that no longer waits

What callers saw: requests at other endpoints failed more often than they had to, since a sound endpoint was passed over.

Cause: after the limit of the first event the loop of a stream that had not begun went on to the next endpoint, with a deadline that had already passed. The send failed at once; it took a repeat from the service's budget and counted as a failure of the endpoint. Nothing of the request arrived at the endpoint.

Change: the loop ends at the limit that applies to the next send.

Measured: a_stream_whose_caller_has_left_is_not_sent_again failed before (the endpoint had one failure) and passes now.

--- a/src/gateway/forwarder_stream_test.cpp
+++ b/src/gateway/forwarder_stream_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(a_late_first_event_is_delivered_after_a_rejection_elsewhere);
     CPPUNIT_TEST(an_invalid_event_loses_none_of_the_events_before_it);
     CPPUNIT_TEST(a_stream_with_a_too_large_event_is_not_sent_again);
+    CPPUNIT_TEST(a_stream_whose_caller_has_left_is_not_sent_again);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -314,6 +315,23 @@
         CPPUNIT_ASSERT(!tested.out.ended);
         CPPUNIT_ASSERT(!tested.out.whole || tested.out.whole->status != 503);
     }
+
+    // Guards against a send for a caller that no longer waits, which counted as
+    // a failure of a sound endpoint. Without an event, callers of this route
+    // leave after 2 s.
+    void a_stream_whose_caller_has_left_is_not_sent_again()
+    {
+        fixture tested({{"", then::silent}}, {{stream_head + chunk(event(1))}});
+        tested.ctx.pool.erase(endpoint_id("e1"));
+        // Later than the last search for another endpoint within 2 s.
+        asio::steady_timer arrival(tested.io, 1'950ms);
+        arrival.async_wait(
+            [&](const boost::system::error_code&) { tested.add_endpoint(1); });
+        tested.run_long("/stream/x");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), tested.arrivals());
+        CPPUNIT_ASSERT_EQUAL(502, tested.out.whole->status);
+        CPPUNIT_ASSERT(!tested.suspended_by_one_more_failure("e1"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(forwarder_stream_test);
--- a/src/gateway/stream_call.cpp
+++ b/src/gateway/stream_call.cpp
@@ -160,7 +160,8 @@
     bool demand_counted = false;
     std::optional<whole_answer> last;
     error cause(error_code::deadline_exceeded, "the deadline has passed");
-    while (std::chrono::steady_clock::now() < call.deadline &&
+    while (std::chrono::steady_clock::now() <
+               next_endpoint_deadline(call, state) &&
            !call.ctx.interrupted && may_send(call, state))
     {
         const auto permission = state.begun ? send_permission::granted
