Keep a slow plain request until another endpoint can take it

What callers saw: a repeatable plain request to a slow endpoint was refused with 502, although the endpoint would have answered within the deadline.

Cause: after the switch delay the connection was closed before it was known whether another endpoint could be asked. Without another one, or with the budget of repeats used up, no way to an answer was left.

Change: from the switch delay on, the gateway checks ten times a second whether another endpoint can be chosen and a repeat is left, and closes the connection only then.

Measured: three cases of forwarder_test failed before, with 502 instead of 200, and pass now; all 137 cases of the gateway pass.

--- a/src/dispatch/repeat_budget.hpp
+++ b/src/dispatch/repeat_budget.hpp
@@ -38,8 +38,8 @@
         ++requests_[current_];
     }
 
-    /// Takes one repeat from the budget; returns false when it is used up.
-    bool take(
+    /// Whether the budget has a repeat left.
+    bool has_repeat(
         const repeat_limits& limits, std::int64_t instances, time_point now)
     {
         advance(now, limits.window_ms);
@@ -48,7 +48,14 @@
             (limits.ratio * static_cast<double>(sum(requests_)) +
                 limits.slack /
                     static_cast<double>(std::max<std::int64_t>(1, instances)));
-        if (static_cast<double>(sum(repeats_)) + 1 > allowed)
+        return static_cast<double>(sum(repeats_)) + 1 <= allowed;
+    }
+
+    /// Takes one repeat from the budget; returns false when it is used up.
+    bool take(
+        const repeat_limits& limits, std::int64_t instances, time_point now)
+    {
+        if (!has_repeat(limits, instances, now))
             return false;
         ++repeats_[current_];
         return true;
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -84,16 +84,30 @@
     return attempts_left(call) && take_repeat(call);
 }
 
+namespace
+{
+
+dispatch::repeat_limits repeat_limits_of(const context& ctx)
+{
+    const auto& bounds = ctx.settings.bounds;
+    return {bounds.repeat_ratio, bounds.repeat_window_ms, bounds.repeat_slack};
+}
+
+} // namespace
+
+bool has_repeat(call& call, time_point now)
+{
+    return call.ctx.repeats[call.service->id].has_repeat(
+        repeat_limits_of(call.ctx), call.ctx.roster.size(), now);
+}
+
 bool take_repeat(call& call)
 {
     if (call.sends == 0)
         return true;
     const auto now = std::chrono::steady_clock::now();
-    const auto& bounds = call.ctx.settings.bounds;
-    const dispatch::repeat_limits limits{
-        bounds.repeat_ratio, bounds.repeat_window_ms, bounds.repeat_slack};
     const bool taken = call.ctx.repeats[call.service->id].take(
-        limits, call.ctx.roster.size(), now);
+        repeat_limits_of(call.ctx), call.ctx.roster.size(), now);
     if (!taken)
         call.ctx.log.info(
             "repeat_not_allowed", {{"request_id", call.request.id},
--- a/src/gateway/call.hpp
+++ b/src/gateway/call.hpp
@@ -120,6 +120,8 @@
 /// Whether the route permits to send the request to one more endpoint. The
 /// number of attempts limits the number of different endpoints.
 bool attempts_left(const call& call);
+/// Whether the service's budget has a repeat left.
+bool has_repeat(call& call, time_point now);
 /// Takes one repeat from the service's budget, unless this is the first send.
 /// Returns false when the budget is used up.
 bool take_repeat(call& call);
--- a/src/gateway/forwarder_test.cpp
+++ b/src/gateway/forwarder_test.cpp
@@ -25,6 +25,10 @@
     CPPUNIT_TEST(a_report_is_not_read_from_a_kept_connection);
     CPPUNIT_TEST(the_limit_of_collected_answers_is_shared);
     CPPUNIT_TEST(endless_answers_end_within_bounds);
+    CPPUNIT_TEST(a_slow_answer_is_awaited_while_no_other_endpoint_is_known);
+    CPPUNIT_TEST(
+        a_slow_answer_is_awaited_when_the_budget_of_repeats_is_used_up);
+    CPPUNIT_TEST(a_slow_request_goes_to_an_endpoint_that_becomes_known);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -291,6 +295,41 @@
                     server.endless_bytes < (40U << 20U));
             }
     }
+
+    // Guards against closing the only connection that can still bring an
+    // answer.
+    void a_slow_answer_is_awaited_while_no_other_endpoint_is_known()
+    {
+        fixture tested({{"", then::keep_open, {{500ms, ok_answer}}}}, {});
+        tested.ctx.pool.erase(endpoint_id("e1"));
+        tested.run("/safe/x");
+        CPPUNIT_ASSERT_EQUAL(200, tested.out.whole->status);
+    }
+
+    // The same when the other endpoint must not be asked.
+    void a_slow_answer_is_awaited_when_the_budget_of_repeats_is_used_up()
+    {
+        fixture tested({{"", then::keep_open, {{500ms, ok_answer}}}},
+            {{ok_answer, then::keep_open}});
+        tested.ctx.settings.bounds.repeat_ratio = 0;
+        tested.ctx.settings.bounds.repeat_slack = 0;
+        tested.run("/safe/x");
+        CPPUNIT_ASSERT_EQUAL(200, tested.out.whole->status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), tested.arrivals());
+    }
+
+    // Guards against waiting for a slow endpoint beside one that could answer.
+    void a_slow_request_goes_to_an_endpoint_that_becomes_known()
+    {
+        fixture tested({{"", then::silent}}, {{ok_answer, then::keep_open}});
+        tested.ctx.pool.erase(endpoint_id("e1"));
+        asio::steady_timer arrival(tested.io, 400ms);
+        arrival.async_wait(
+            [&](const boost::system::error_code&) { tested.add_endpoint(1); });
+        tested.run("/safe/x");
+        CPPUNIT_ASSERT_EQUAL(200, tested.out.whole->status);
+        CPPUNIT_ASSERT_EQUAL(1, tested.servers[0].closed_by_client);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(forwarder_test);
--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -1,6 +1,10 @@
 #include <algorithm>
 #include <chrono>
+#include <memory>
 #include <optional>
+#include <set>
+
+#include <boost/asio/steady_timer.hpp>
 
 #include "gateway/call.hpp"
 #include "gateway/endpoint_signals.hpp"
@@ -22,6 +26,8 @@
 constexpr int switch_delay_in_targets = 2;
 /// With a shorter delay, usual variations of latency would cause a switch.
 constexpr milliseconds min_switch_delay{200};
+/// Interval of the checks whether another endpoint can be used.
+constexpr milliseconds switch_check_interval{100};
 /// Retry-After when all endpoints are full, in seconds.
 constexpr double full_retry_s = 0.2;
 
@@ -54,16 +60,17 @@
 asio::awaitable<attempt_end> send_and_receive(call& call,
     const dispatch::endpoint_choice& to,
     const dispatch::in_flight_request& sent,
-    endpoints::http_connection& connection, time_point deadline)
+    endpoints::http_connection& connection)
 {
     ++call.sends;
     charge_send(call);
-    auto head = co_await connection.send(make_exchange(call, to, deadline));
+    auto head =
+        co_await connection.send(make_exchange(call, to, call.deadline));
     if (!head)
         co_return handle_failure(call, to, head.error());
     note_answer_head(call.ctx, {to.id, to.started_unix_ms}, *head);
     const auto kind = classify_head(call, *head);
-    auto body = co_await collect_body(call, connection, deadline);
+    auto body = co_await collect_body(call, connection, call.deadline);
     if (!body)
         co_return handle_failure(call, to, body.error());
     if (kind == attempt_outcome::unknown)
@@ -97,13 +104,68 @@
     co_return end;
 }
 
+// Closes the connection of a repeatable request without an answer when another
+// endpoint can be used. Until then it stays open, since its endpoint may still
+// answer.
+class endpoint_switch
+{
+public:
+    endpoint_switch(call& call, const dispatch::endpoint_choice& current,
+        endpoints::http_connection& connection)
+        : call_(call),
+          others_than_(call.tried),
+          connection_(connection),
+          timer_(call.ctx.io)
+    {
+        others_than_.insert(current.id);
+        if (call.route->repeat == routes::repeat_rule::at_most_once ||
+            call.sends + 1 >= call.route->max_attempts)
+            return;
+        check_at(std::chrono::steady_clock::now() +
+                 std::max(min_switch_delay,
+                     milliseconds(switch_delay_in_targets *
+                                  call.route->target_latency_ms)));
+    }
+    ~endpoint_switch() { *alive_ = false; }
+    endpoint_switch(const endpoint_switch&) = delete;
+    endpoint_switch& operator=(const endpoint_switch&) = delete;
+
+private:
+    void check_at(time_point at)
+    {
+        timer_.expires_at(at);
+        timer_.async_wait(
+            [this, alive = alive_](const boost::system::error_code& failed)
+            {
+                if (!failed && *alive)
+                    check(std::chrono::steady_clock::now());
+            });
+    }
+
+    void check(time_point now)
+    {
+        if (call_.ctx.pool.choose_plain(call_.service->id, others_than_, now) &&
+            has_repeat(call_, now))
+            connection_.close();
+        else
+            check_at(now + switch_check_interval);
+    }
+
+    call& call_;
+    std::set<endpoint_id> others_than_;
+    endpoints::http_connection& connection_;
+    asio::steady_timer timer_;
+    // Shared with the handler, which can run after the switch is destroyed.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
 asio::awaitable<attempt_end> attempt(
-    call& call, const dispatch::endpoint_choice& to, time_point deadline)
+    call& call, const dispatch::endpoint_choice& to)
 {
     ticket_guard ticket(call.ctx.pool,
         call.ctx.pool.begin(to, nullptr, 0, std::chrono::steady_clock::now()));
     call.endpoint = to.id;
-    auto connection = co_await connect(call, to, deadline);
+    auto connection = co_await connect(call, to, call.deadline);
     if (!connection)
         co_return handle_failure(call, to, connection.error());
     // The endpoint may have announced that it leaves meanwhile.
@@ -118,24 +180,13 @@
     call.out.on_caller_gone([&] { connection->close(); });
     const auto interruption =
         call.ctx.interruption.subscribe([&] { connection->close(); });
-    auto end = co_await send_and_receive(
-        call, to, ticket.ticket(), *connection, deadline);
+    const endpoint_switch switching(call, to, *connection);
+    auto end =
+        co_await send_and_receive(call, to, ticket.ticket(), *connection);
     call.out.on_caller_gone(nullptr);
     co_return end;
 }
 
-time_point attempt_deadline(const call& call)
-{
-    const bool may_switch =
-        call.route->repeat != routes::repeat_rule::at_most_once &&
-        call.sends + 1 < call.route->max_attempts;
-    if (!may_switch)
-        return call.deadline;
-    const auto wait = std::max(min_switch_delay,
-        milliseconds(switch_delay_in_targets * call.route->target_latency_ms));
-    return std::min(call.deadline, std::chrono::steady_clock::now() + wait);
-}
-
 bool may_try_another(const call& call, attempt_outcome outcome)
 {
     switch (outcome)
@@ -188,7 +239,7 @@
             call.service->id, call.tried, std::chrono::steady_clock::now());
         if (!to)
             break;
-        auto end = co_await attempt(call, *to, attempt_deadline(call));
+        auto end = co_await attempt(call, *to);
         call.tried.insert(to->id);
         if (end.outcome == attempt_outcome::caller_gone)
         {
