--- a/src/gateway/stream_call.cpp
+++ b/src/gateway/stream_call.cpp
@@ -96,7 +96,10 @@
     {
         // The connection is closed without the last chunk, so that the caller
         // does not take the partial stream for a complete one.
-        call.reason = call.ctx.interrupted ? "stopping" : "stream_broken";
+        const bool late = std::chrono::steady_clock::now() >= call.deadline;
+        call.reason = call.ctx.interrupted ? "stopping"
+                      : late               ? "timeout"
+                                           : "stream_broken";
         co_return;
     }
     if (last)
