Mend what the review of the stop found

When the event loop was late, the interruption and the exit came in the same check, so nothing was answered. A connect or a probe in progress outlasted the time for refusals. Late in a stop, the switch of a plain request closed a connection for a send that was then refused; two requests could give up their endpoints for the same repeat, or for a suspended endpoint, and a silent endpoint counted as sound until the deadline. A begun stream that waited for its model was given up too early. A resumable stream could be called not run while a takeover's send was open. A plain request was sent although its caller had left during the connect.

Change: the exit waits for one check after the interruption; connects and probes end at it; the switch takes its repeat at once, for an endpoint that is not suspended, and records the slowness of the endpoint; refusals look at the sends that are open. Tests wait for the state that they need instead of for a time.

The new cases were not run on the old code.

--- a/src/dispatch/endpoint_pool.cpp
+++ b/src/dispatch/endpoint_pool.cpp
@@ -264,6 +264,7 @@
         now - *sent.answered_at;
     auto& speed = speeds_[{service, model}];
     speed.streams.observe(output_tokens, now - *sent.answered_at);
+    stream_times_[service].observe(output_tokens, now - *sent.answered_at);
     auto& measured = speed.stream_ms;
     measured = measured == 0 ? taken.count()
                              : measured + newest_stream_weight *
@@ -279,7 +280,13 @@
 std::optional<duration> endpoint_pool::stream_time(const service_id& service,
     const model_id& model, std::int64_t output_tokens) const
 {
-    return speed(service, model).streams.upper_estimate(output_tokens);
+    if (const auto own =
+            speed(service, model).streams.upper_estimate(output_tokens))
+        return own;
+    const auto found = stream_times_.find(service);
+    return found == stream_times_.end()
+               ? std::nullopt
+               : found->second.upper_estimate(output_tokens);
 }
 
 std::optional<duration> endpoint_pool::plain_time(
--- a/src/dispatch/endpoint_pool.hpp
+++ b/src/dispatch/endpoint_pool.hpp
@@ -163,7 +163,7 @@
     void note_plain_end(const in_flight_request& sent,
         const service_id& service, time_point now);
     /// A time that few streams of this size exceed, from the first event to the
-    /// end; none without a measurement.
+    /// end: of this model, or of the service while the model has no measurement.
     std::optional<duration> stream_time(const service_id& service,
         const model_id& model, std::int64_t output_tokens) const;
     /// A time that few plain requests exceed; none without a measurement.
@@ -253,6 +253,7 @@
     std::deque<endpoint_process> departed_;
     std::map<std::pair<service_id, model_id>, model_speed> speeds_;
     std::map<service_id, run_time> plain_times_;
+    std::map<service_id, run_time> stream_times_;
 };
 
 } // namespace tarragonquay::dispatch
--- a/src/dispatch/run_time_test.cpp
+++ b/src/dispatch/run_time_test.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(estimate_approaches_the_mean_of_equal_runs);
     CPPUNIT_TEST(estimate_covers_runs_that_vary);
     CPPUNIT_TEST(estimate_follows_slower_runs);
+    CPPUNIT_TEST(a_slow_small_run_does_not_outweigh_large_ones);
+    CPPUNIT_TEST(huge_sizes_are_bounded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -74,6 +76,29 @@
             tested.observe(10, 400ms);
         CPPUNIT_ASSERT(*tested.upper_estimate(10) > 400ms);
     }
+
+    // Guards against one pause in a short run that refuses all long ones.
+    void a_slow_small_run_does_not_outweigh_large_ones()
+    {
+        run_time tested;
+        for (int i = 0; i < 30; ++i)
+            tested.observe(500, 500ms);
+        tested.observe(1, 2s);
+        CPPUNIT_ASSERT(*tested.upper_estimate(500) < 5s);
+    }
+
+    // Guards against an overflow of the estimate, and against a stated size
+    // that makes all runs look short.
+    void huge_sizes_are_bounded()
+    {
+        constexpr std::int64_t huge = std::int64_t(1) << 62;
+        run_time tested;
+        tested.observe(1, 1'000h);
+        CPPUNIT_ASSERT(*tested.upper_estimate(huge) == run_time::max_estimate);
+        run_time short_run;
+        short_run.observe(huge, 65'536ms);
+        CPPUNIT_ASSERT(*short_run.upper_estimate(1) >= 1ms);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(run_time_test);
--- a/src/gateway/application.ipp
+++ b/src/gateway/application.ipp
@@ -31,11 +31,12 @@
 inline constexpr milliseconds startup_duration{5'000};
 /// Interval of the control loops.
 inline constexpr milliseconds tick_interval = peer_link::heartbeat_interval;
-/// Fraction of the stop time during which new requests are still served. Later
-/// ones would not finish in time.
+/// Fraction of the stop time during which new requests are still served, if
+/// they are expected to end in time.
 inline constexpr double serving_fraction = 0.3;
 /// Fraction of the stop time after which the requests that still run are
-/// interrupted, to let their callers receive a refusal before the exit.
+/// interrupted. It leaves time to write refusals before the exit. The platform
+/// expects endpoints that still work to be waited for until five sixths.
 inline constexpr double running_fraction = 0.84;
 /// Fraction of the stop time that is reserved for the exit of the process. On a
 /// machine that is five times slower, 400 ms of 8 s were not enough.
@@ -450,7 +451,13 @@
 {
     const auto now = std::chrono::steady_clock::now();
     if (now >= ctx_.interrupts_at && !ctx_.interrupted)
+    {
+        // Their refusals are written before the next check, also when this one
+        // comes late.
         interrupt_requests();
+        wait_for_stop_complete();
+        return;
+    }
     const bool late = now >= ctx_.stop_deadline;
     if (ctx_.running_requests == 0 || late)
     {
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -103,7 +103,7 @@
 
 bool take_repeat(call& call)
 {
-    if (call.sends == 0)
+    if (call.sends == 0 || std::exchange(call.repeat_taken, false))
         return true;
     const auto now = std::chrono::steady_clock::now();
     const bool taken = call.ctx.repeats[call.service->id].take(
@@ -191,8 +191,10 @@
     const auto now = std::chrono::steady_clock::now();
     if (auto pooled = call.ctx.connections.take(to.address, now))
         co_return std::move(*pooled);
-    co_return co_await endpoints::http_connection::open(
-        to.address, std::min(deadline, now + connect_timeout));
+    // A stop interrupts no connect.
+    const auto limit = std::min(
+        std::min(deadline, now + connect_timeout), call.ctx.interrupts_at);
+    co_return co_await endpoints::http_connection::open(to.address, limit);
 }
 
 attempt_outcome classify_head(
--- a/src/gateway/call.hpp
+++ b/src/gateway/call.hpp
@@ -76,6 +76,8 @@
     int charged_sends = 0;
     /// Whether an endpoint may have run the request.
     bool may_have_run = false;
+    /// Whether the repeat for the next send has been taken from the budget.
+    bool repeat_taken = false;
     std::set<endpoint_id> tried;
     /// Set while the request is sent although one of its parts is suspect.
     std::unique_ptr<suspect_flight> suspect;
@@ -112,6 +114,10 @@
 /// value unless all of them have asked for a pause.
 std::optional<double> seconds_until_return(const call& call);
 
+/// Whether an endpoint runs the request, has run it or may have run it. A send
+/// counts until the endpoint has rejected it.
+bool runs_or_may_have_run(const call& call);
+
 /// The inputs of the decision about a request, for the log.
 nlohmann::ordered_json decision_inputs(const call& call);
 /// The progress of a request that ends without an answer, for the log.
--- a/src/gateway/context.hpp
+++ b/src/gateway/context.hpp
@@ -120,7 +120,8 @@
             send_evidence();
     }
     /// When a stop interrupts the requests that still run: their callers get a
-    /// refusal, and streams that have begun are cut.
+    /// refusal, and streams that have begun are cut. `time_point::max()` while
+    /// the process is not stopping.
     time_point interrupts_at = time_point::max();
     bool interrupted = false;
     /// Signalled when `interrupted` is set.
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -164,6 +164,11 @@
     return out;
 }
 
+bool runs_or_may_have_run(const call& call)
+{
+    return call.may_have_run || call.charged_sends > 0;
+}
+
 nlohmann::ordered_json progress_fields(const call& call)
 {
     const auto now = std::chrono::steady_clock::now();
@@ -171,7 +176,7 @@
         {"repeatable",
             call.route != nullptr &&
                 call.route->repeat != routes::repeat_rule::at_most_once},
-        {"sends", call.sends}, {"may_have_run", call.charged_sends > 0},
+        {"sends", call.sends}, {"may_have_run", runs_or_may_have_run(call)},
         {"endpoint", call.endpoint.str()},
         {"answer_begun", call.out.answer_begun()},
         {"elapsed_ms", std::lround(ms_between(call.request.arrived_at, now))}};
@@ -184,7 +189,7 @@
     call.ctx.log.info("request_refused",
         {{"request_id", call.request.id}, {"status", status},
             {"reason", call.reason}, {"retry_after_s", retry_after_s},
-            {"may_have_run", call.may_have_run},
+            {"may_have_run", runs_or_may_have_run(call)},
             {"inputs", decision_inputs(call)}});
     co_await call.out.respond(refusal_answer(status, retry_after_s));
 }
--- a/src/gateway/forwarder_test.cpp
+++ b/src/gateway/forwarder_test.cpp
@@ -29,6 +29,10 @@
     CPPUNIT_TEST(
         a_slow_answer_is_awaited_when_the_budget_of_repeats_is_used_up);
     CPPUNIT_TEST(a_slow_request_goes_to_an_endpoint_that_becomes_known);
+    CPPUNIT_TEST(a_slow_answer_is_awaited_beside_a_suspended_endpoint);
+    CPPUNIT_TEST(a_slow_endpoint_is_avoided_while_its_answer_is_awaited);
+    CPPUNIT_TEST(slow_requests_do_not_share_a_repeat);
+    CPPUNIT_TEST(a_plain_request_whose_caller_has_left_is_not_sent);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -330,6 +334,67 @@
         CPPUNIT_ASSERT_EQUAL(200, tested.out.whole->status);
         CPPUNIT_ASSERT_EQUAL(1, tested.servers[0].closed_by_client);
     }
+
+    // Guards against giving up a slow endpoint for one that does not work.
+    void a_slow_answer_is_awaited_beside_a_suspended_endpoint()
+    {
+        fixture tested({{"", then::keep_open, {{500ms, ok_answer}}}}, {});
+        const auto now = std::chrono::steady_clock::now();
+        // Suspends it for longer than the answer takes.
+        for (int i = 0; i < 6; ++i)
+            tested.ctx.pool.record_failure(endpoint_id("e1"), now);
+        tested.run("/safe/x");
+        CPPUNIT_ASSERT_EQUAL(200, tested.out.whole->status);
+    }
+
+    // Guards against new requests for a silent endpoint until the deadline of
+    // the first one.
+    void a_slow_endpoint_is_avoided_while_its_answer_is_awaited()
+    {
+        fixture tested({{"", then::silent}}, {});
+        tested.ctx.pool.erase(endpoint_id("e1"));
+        bool suspended = false;
+        asio::steady_timer later(tested.io, 500ms);
+        later.async_wait([&](const boost::system::error_code&)
+            { suspended = tested.suspended_by_one_more_failure("e0"); });
+        tested.run("/safe/x", "k", "1000");
+        CPPUNIT_ASSERT(suspended);
+    }
+
+    // Guards against two requests that both give up their endpoints for the
+    // last repeat of the budget.
+    void slow_requests_do_not_share_a_repeat()
+    {
+        const scripted_answer slow{"", then::keep_open, {{500ms, ok_answer}}};
+        fixture tested({slow, slow}, {{ok_answer, then::keep_open}});
+        // The usable part of the budget is one repeat.
+        tested.ctx.settings.bounds.repeat_ratio = 0;
+        tested.ctx.settings.bounds.repeat_slack = 1.5;
+        // Known when both requests have been sent to the first endpoint.
+        tested.ctx.pool.erase(endpoint_id("e1"));
+        asio::steady_timer arrival(tested.io, 100ms);
+        arrival.async_wait(
+            [&](const boost::system::error_code&) { tested.add_endpoint(1); });
+        recording_sink other;
+        bool done = false;
+        asio::co_spawn(tested.io,
+            forward(
+                tested.ctx, tested.make_request("/safe/x", "k", "1500"), other),
+            [&](std::exception_ptr) { done = true; });
+        tested.run("/safe/x");
+        CPPUNIT_ASSERT(tested.poll_until([&] { return done; }));
+        CPPUNIT_ASSERT_EQUAL(200, tested.out.whole->status);
+        CPPUNIT_ASSERT_EQUAL(200, other.whole->status);
+    }
+
+    // Guards against work for a caller that left while the gateway connected.
+    void a_plain_request_whose_caller_has_left_is_not_sent()
+    {
+        fixture tested({{ok_answer}}, {});
+        tested.out.gone = true;
+        tested.run("/safe/x");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), tested.arrivals());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(forwarder_test);
--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -2,7 +2,7 @@
 #include <chrono>
 #include <memory>
 #include <optional>
-#include <set>
+#include <utility>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -41,8 +41,82 @@
     error_code cause = error_code::internal;
 };
 
-attempt_end handle_failure(
-    call& call, const dispatch::endpoint_choice& to, const error& cause)
+// Closes the connection of a repeatable request without a complete answer when
+// it can be sent to another endpoint. Until then it stays open, since its
+// endpoint may still answer.
+class endpoint_switch
+{
+public:
+    endpoint_switch(call& call, const dispatch::endpoint_choice& current,
+        endpoints::http_connection& connection)
+        : call_(call),
+          current_(current.id),
+          connection_(connection),
+          timer_(call.ctx.io)
+    {
+        if (call.route->repeat == routes::repeat_rule::at_most_once ||
+            call.sends + 1 >= call.route->max_attempts)
+            return;
+        check_at(std::chrono::steady_clock::now() +
+                 std::max(min_switch_delay,
+                     milliseconds(switch_delay_in_targets *
+                                  call.route->target_latency_ms)));
+    }
+    ~endpoint_switch() { *alive_ = false; }
+    endpoint_switch(const endpoint_switch&) = delete;
+    endpoint_switch& operator=(const endpoint_switch&) = delete;
+
+    /// Whether the endpoint's slowness was recorded as a failure.
+    bool failure_recorded() const { return failure_recorded_; }
+
+private:
+    void check_at(time_point at)
+    {
+        timer_.expires_at(at);
+        timer_.async_wait(
+            [this, alive = alive_](const boost::system::error_code& failed)
+            {
+                if (!failed && *alive)
+                    check(std::chrono::steady_clock::now());
+            });
+    }
+
+    void check(time_point now)
+    {
+        // Also without another endpoint: new requests must avoid this one.
+        if (!std::exchange(failure_recorded_, true))
+            call_.ctx.pool.record_failure(current_, now);
+        if (now >= latest_answer_begin(call_))
+            return;
+        if (has_other_endpoint(now) && has_repeat(call_, now))
+        {
+            call_.repeat_taken = take_repeat(call_);
+            connection_.close();
+        }
+        else
+            check_at(now + switch_check_interval);
+    }
+
+    bool has_other_endpoint(time_point now) const
+    {
+        auto used = call_.tried;
+        used.insert(current_);
+        const auto other =
+            call_.ctx.pool.choose_plain(call_.service->id, used, now);
+        return other && !call_.ctx.pool.suspended(other->id, now);
+    }
+
+    call& call_;
+    const endpoint_id current_;
+    endpoints::http_connection& connection_;
+    asio::steady_timer timer_;
+    bool failure_recorded_ = false;
+    // Shared with the handler, which can run after the switch is destroyed.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+attempt_end handle_failure(call& call, const dispatch::endpoint_choice& to,
+    const error& cause, bool recorded = false)
 {
     attempt_end end;
     end.cause = cause.code();
@@ -51,7 +125,7 @@
                       : attempt_outcome::unknown;
     if (call.out.caller_gone())
         end.outcome = attempt_outcome::caller_gone;
-    else if (!call.ctx.interrupted)
+    else if (!recorded && !call.ctx.interrupted)
         call.ctx.pool.record_failure(to.id, std::chrono::steady_clock::now());
     log_attempt(call, to.id, end.outcome, cause.message(), call.sends);
     return end;
@@ -60,19 +134,21 @@
 asio::awaitable<attempt_end> send_and_receive(call& call,
     const dispatch::endpoint_choice& to,
     const dispatch::in_flight_request& sent,
-    endpoints::http_connection& connection)
+    endpoints::http_connection& connection, const endpoint_switch& switching)
 {
     ++call.sends;
     charge_send(call);
     auto head =
         co_await connection.send(make_exchange(call, to, call.deadline));
     if (!head)
-        co_return handle_failure(call, to, head.error());
+        co_return handle_failure(
+            call, to, head.error(), switching.failure_recorded());
     note_answer_head(call.ctx, {to.id, to.started_unix_ms}, *head);
     const auto kind = classify_head(call, *head);
     auto body = co_await collect_body(call, connection, call.deadline);
     if (!body)
-        co_return handle_failure(call, to, body.error());
+        co_return handle_failure(
+            call, to, body.error(), switching.failure_recorded());
     if (kind == attempt_outcome::unknown)
         co_return handle_failure(call, to,
             error(error_code::wrong_answer,
@@ -104,61 +180,6 @@
     co_return end;
 }
 
-// Closes the connection of a repeatable request without an answer when another
-// endpoint can be used. Until then it stays open, since its endpoint may still
-// answer.
-class endpoint_switch
-{
-public:
-    endpoint_switch(call& call, const dispatch::endpoint_choice& current,
-        endpoints::http_connection& connection)
-        : call_(call),
-          others_than_(call.tried),
-          connection_(connection),
-          timer_(call.ctx.io)
-    {
-        others_than_.insert(current.id);
-        if (call.route->repeat == routes::repeat_rule::at_most_once ||
-            call.sends + 1 >= call.route->max_attempts)
-            return;
-        check_at(std::chrono::steady_clock::now() +
-                 std::max(min_switch_delay,
-                     milliseconds(switch_delay_in_targets *
-                                  call.route->target_latency_ms)));
-    }
-    ~endpoint_switch() { *alive_ = false; }
-    endpoint_switch(const endpoint_switch&) = delete;
-    endpoint_switch& operator=(const endpoint_switch&) = delete;
-
-private:
-    void check_at(time_point at)
-    {
-        timer_.expires_at(at);
-        timer_.async_wait(
-            [this, alive = alive_](const boost::system::error_code& failed)
-            {
-                if (!failed && *alive)
-                    check(std::chrono::steady_clock::now());
-            });
-    }
-
-    void check(time_point now)
-    {
-        if (call_.ctx.pool.choose_plain(call_.service->id, others_than_, now) &&
-            has_repeat(call_, now))
-            connection_.close();
-        else
-            check_at(now + switch_check_interval);
-    }
-
-    call& call_;
-    std::set<endpoint_id> others_than_;
-    endpoints::http_connection& connection_;
-    asio::steady_timer timer_;
-    // Shared with the handler, which can run after the switch is destroyed.
-    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-};
-
 asio::awaitable<attempt_end> attempt(
     call& call, const dispatch::endpoint_choice& to)
 {
@@ -177,12 +198,18 @@
         withdrawn.outcome = attempt_outcome::not_connected;
         co_return withdrawn;
     }
+    if (call.out.caller_gone())
+    {
+        attempt_end left;
+        left.outcome = attempt_outcome::caller_gone;
+        co_return left;
+    }
     call.out.on_caller_gone([&] { connection->close(); });
     const auto interruption =
         call.ctx.interruption.subscribe([&] { connection->close(); });
     const endpoint_switch switching(call, to, *connection);
-    auto end =
-        co_await send_and_receive(call, to, ticket.ticket(), *connection);
+    auto end = co_await send_and_receive(
+        call, to, ticket.ticket(), *connection, switching);
     call.out.on_caller_gone(nullptr);
     co_return end;
 }
@@ -217,7 +244,7 @@
     const bool late = now >= call.deadline;
     if (now >= latest_answer_begin(call))
         co_await refuse_at_stop(call);
-    else if (call.may_have_run)
+    else if (runs_or_may_have_run(call))
         co_await refuse(
             call, late ? 504 : 502, late ? "timeout" : "unanswered");
     else if (const auto paused = seconds_until_return(call))
--- a/src/gateway/prompt_guard.cpp
+++ b/src/gateway/prompt_guard.cpp
@@ -88,7 +88,7 @@
             {"crashes",
                 call.ctx.evidence.crashes_under(*call.request.prompt)}});
     call.ctx.metrics.add("tq_gateway_refused_prompts_total", {});
-    if (call.may_have_run)
+    if (runs_or_may_have_run(call))
         co_await refuse(call, 502, "crashing_part");
     else
         co_await refuse(call, 503, "crashing_part",
@@ -147,7 +147,7 @@
         {
             ctx.log.info("prompt_held",
                 {{"request_id", call.request.id}, {"parts", to_text(parts)}});
-            if (call.may_have_run)
+            if (runs_or_may_have_run(call))
                 co_await refuse(call, 502, "suspect_part");
             else
                 co_await refuse(call, 503, "suspect_part", suspect_retry_s);
@@ -173,12 +173,13 @@
 asio::awaitable<void> note_prompt_lost(call& call,
     const dispatch::endpoint_choice& at, std::int64_t started_unix_ms)
 {
-    if (!call.request.prompt || call.request.prompt->parts.size() < 2)
+    if (!call.request.prompt || call.request.prompt->parts.size() < 2 ||
+        call.ctx.interrupted)
         co_return;
     auto& ctx = call.ctx;
     const auto lost_at = std::chrono::steady_clock::now();
     const bool ended = co_await endpoints::http_connection::is_refused(
-        at.address, lost_at + probe_timeout);
+        at.address, std::min(lost_at + probe_timeout, call.ctx.interrupts_at));
     if (!ended)
         co_return;
     call.lost_in_crash = true;
--- a/src/gateway/stop_limit.cpp
+++ b/src/gateway/stop_limit.cpp
@@ -8,13 +8,15 @@
 namespace
 {
 
-// The expected time from the begin of the answer to its end.
+// The expected time from the first event of a stream, or from the send of a
+// plain request, to the end of the answer. Zero when it is not known; how much
+// of a resumed stream is left is not.
 duration answer_time(const call& call)
 {
     const auto& pool = call.ctx.pool;
     if (!call.route->streamed)
         return pool.plain_time(call.service->id).value_or(duration::zero());
-    if (!call.request.prompt)
+    if (!call.request.prompt || call.request.last_event)
         return duration::zero();
     const auto& prompt = *call.request.prompt;
     return pool
@@ -34,7 +36,7 @@
 
 boost::asio::awaitable<void> refuse_at_stop(call& call)
 {
-    return refuse(call, call.charged_sends > 0 ? 502 : 503, "stopping");
+    return refuse(call, runs_or_may_have_run(call) ? 502 : 503, "stopping");
 }
 
 } // namespace tarragonquay::gateway
--- a/src/gateway/stop_limit.hpp
+++ b/src/gateway/stop_limit.hpp
@@ -9,9 +9,9 @@
 namespace tarragonquay::gateway
 {
 
-/// Latest time at which an endpoint may begin to answer the request, so that
-/// the answer is expected to end before a planned stop interrupts it.
-/// `time_point::max()` while the process is not stopping and for a request
+/// Latest time at which a stream may get its first event, or a plain request be
+/// sent, so that the answer is expected to end before a planned stop interrupts
+/// it. `time_point::max()` while the process is not stopping and for a request
 /// whose deadline comes before the interruption.
 time_point latest_answer_begin(const call& call);
 
--- a/src/gateway/stream_call.cpp
+++ b/src/gateway/stream_call.cpp
@@ -54,7 +54,8 @@
         const auto now = std::chrono::steady_clock::now();
         auto chosen = choose_next(call, state, {}, now);
         if (chosen || chosen.error().code() != error_code::model_not_ready ||
-            now >= std::min(give_up_at, latest_answer_begin(call)) ||
+            now >= give_up_at ||
+            (!state.begun && now >= latest_answer_begin(call)) ||
             call.out.caller_gone() || ctx.interrupted)
             co_return chosen;
         if (!prompt.adapter.empty())
@@ -113,7 +114,7 @@
         co_await refuse_at_stop(call);
         co_return;
     }
-    if (call.may_have_run)
+    if (runs_or_may_have_run(call))
     {
         const bool late = std::chrono::steady_clock::now() >= call.deadline;
         co_await refuse(
