Close idle connections of the product daemon unread

Callers saw a whole request that got neither an answer nor a reset: after a planned stop had ended an idle wait, the connection shut its sending side down and read and discarded what arrived for up to 1 s.

The idle wait now waits for readability without reading, and the socket is closed unread, so that a request that crosses the close is reset and may be sent again. Input is read and discarded only after an answer that said 'Connection: close', which includes the refusal of a connection above the limit.

Before the change, a_request_after_the_idle_close_of_a_stop_is_reset_unread failed ('read; answer: ' with no text). The same case at the idle limit and a_request_that_arrived_at_the_idle_limit_is_answered passed before as well: Beast closes the socket on a timeout, so nothing was read there; they guard the new wait. unit.ingress passes after it (38 cases).

--- a/src/ingress/connection.cpp
+++ b/src/ingress/connection.cpp
@@ -1,6 +1,9 @@
 #include "ingress/connection.hpp"
 
+#include <memory>
+
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
@@ -76,14 +79,23 @@
 {
 public:
     connection(std::shared_ptr<worker> io_worker, asio::ip::tcp::socket socket)
-        : worker_(std::move(io_worker)), stream_(std::move(socket))
+        : worker_(std::move(io_worker)),
+          stream_(std::move(socket)),
+          idle_timer_(worker_->executor)
     {
     }
 
+    ~connection() override { *alive_ = false; }
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
+
     asio::awaitable<void> run()
     {
         co_await serve_requests();
-        co_await linger();
+        // Without an answer that announced the close, the caller's next request
+        // may arrive, which must not be read and discarded.
+        if (close_announced_)
+            co_await linger();
     }
 
     asio::awaitable<void> run_refusal()
@@ -176,6 +188,7 @@
         // HTTP/1.0.
         message.set(
             http::field::connection, keep_alive_ ? "keep-alive" : "close");
+        close_announced_ = !keep_alive_;
     }
 
     template <typename Body>
@@ -225,9 +238,10 @@
         }
     }
 
-    // Reads and discards input for a while before the socket is closed.
-    // Closing it with unread input resets the connection, which can discard
-    // the last answer before the caller has read it.
+    // Reads and discards input for a while before the socket is closed, after
+    // an answer that announced the close. Closing it with unread input resets
+    // the connection, which can discard the last answer before the caller has
+    // read it.
     asio::awaitable<void> linger()
     {
         constexpr std::chrono::seconds limit{1};
@@ -243,30 +257,50 @@
         }
     }
 
-    // Waits for the first byte of a request; returns false when the connection
-    // is to be closed.
+    // Waits until the first byte of a request has arrived, without reading it;
+    // returns false when the connection is to be closed. A socket that is
+    // closed unread resets the connection, which tells the caller that its
+    // request may be sent again.
     asio::awaitable<bool> wait_for_request()
     {
         if (buffer_.size() != 0)
             co_return true;
-        constexpr std::size_t read_size = 4096;
-        auto& socket = stream_.socket();
-        boost::system::error_code ec;
-        do
+        const auto idle_until = std::chrono::steady_clock::now() +
+                                worker_->shared->settings.idle_limit;
+        while (true)
         {
             // A shutdown closes idle connections, but a request that has
             // already arrived is served.
-            if (worker_->closing_idle && socket.available(ec) == 0)
-                co_return false;
-            stream_.expires_after(worker_->shared->settings.idle_limit);
-            worker_->idle.insert(&socket);
-            const auto count =
-                co_await stream_.async_read_some(buffer_.prepare(read_size),
-                    asio::redirect_error(asio::use_awaitable, ec));
-            worker_->idle.erase(&socket);
-            buffer_.commit(count);
-        } while (ec == asio::error::operation_aborted && worker_->closing_idle);
-        co_return !ec;
+            const bool last = worker_->closing_idle ||
+                              std::chrono::steady_clock::now() >= idle_until;
+            const auto state = peek_socket(stream_.socket().native_handle());
+            if (state != socket_state::idle || last)
+                co_return state == socket_state::has_input;
+            co_await wait_for_input(idle_until);
+        }
+    }
+
+    // Returns when the socket is readable, at the deadline, or when idle
+    // connections are to be closed.
+    asio::awaitable<void> wait_for_input(time_point deadline)
+    {
+        auto& socket = stream_.socket();
+        boost::system::error_code ignored;
+        idle_timer_.expires_at(deadline);
+        idle_timer_.async_wait(
+            [this, alive = alive_](const boost::system::error_code& failed)
+            {
+                boost::system::error_code none;
+                if (!failed && *alive && idle_)
+                    stream_.socket().cancel(none);
+            });
+        idle_ = true;
+        worker_->idle.insert(&socket);
+        co_await socket.async_wait(asio::ip::tcp::socket::wait_read,
+            asio::redirect_error(asio::use_awaitable, ignored));
+        worker_->idle.erase(&socket);
+        idle_ = false;
+        idle_timer_.cancel();
     }
 
     asio::awaitable<void> serve_next()
@@ -380,6 +414,12 @@
     bool stream_started_ = false;
     bool stream_ended_ = false;
     bool write_failed_ = false;
+    bool close_announced_ = false;
+    asio::steady_timer idle_timer_;
+    bool idle_ = false;
+    // Shared with the timer's handler, which can run after the connection is
+    // destroyed.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 } // namespace
--- a/src/ingress/server_test.cpp
+++ b/src/ingress/server_test.cpp
@@ -1,6 +1,7 @@
 #include "ingress/server_test_support.hpp"
 
 #include <sstream>
+#include <thread>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -66,6 +67,9 @@
     CPPUNIT_TEST(stop_waits_for_running_requests);
     CPPUNIT_TEST(stop_closes_idle_connections);
     CPPUNIT_TEST(stop_serves_a_request_that_is_being_sent);
+    CPPUNIT_TEST(a_request_after_the_idle_limit_is_reset_unread);
+    CPPUNIT_TEST(a_request_after_the_idle_close_of_a_stop_is_reset_unread);
+    CPPUNIT_TEST(a_request_that_arrived_at_the_idle_limit_is_answered);
     CPPUNIT_TEST(connection_above_the_limit_gets_503);
     CPPUNIT_TEST(malformed_requests_are_answered);
     CPPUNIT_TEST_SUITE_END();
@@ -401,6 +405,48 @@
         }
     }
 
+    // Guards against a request that crosses the close of an idle connection
+    // and is read and discarded: the caller got neither an answer nor a reset.
+    void a_request_after_the_idle_limit_is_reset_unread()
+    {
+        server_fixture fixture(
+            {}, {.idle_limit = std::chrono::milliseconds(50)});
+        const auto answer =
+            fixture.call_after_idle("GET /healthz HTTP/1.1\r\n\r\n",
+                std::chrono::milliseconds(200), false);
+        CPPUNIT_ASSERT_MESSAGE("read; answer: " + answer.value_or(""), !answer);
+    }
+
+    // The same for connections that a planned stop closes.
+    void a_request_after_the_idle_close_of_a_stop_is_reset_unread()
+    {
+        server_fixture fixture({});
+        const auto answer =
+            fixture.call_after_idle("GET /healthz HTTP/1.1\r\n\r\n",
+                std::chrono::milliseconds(1'200), true);
+        CPPUNIT_ASSERT_MESSAGE("read; answer: " + answer.value_or(""), !answer);
+    }
+
+    // Guards against closing a connection whose next request has arrived while
+    // the process had no processor time.
+    void a_request_that_arrived_at_the_idle_limit_is_answered()
+    {
+        server_fixture fixture(
+            {}, {.idle_limit = std::chrono::milliseconds(50)});
+        asio::ip::tcp::socket socket(fixture.endpoint.context);
+        socket.connect({asio::ip::address_v4::loopback(),
+            fixture.server_under_test->port()});
+        fixture.endpoint.context.run_for(std::chrono::milliseconds(20));
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        asio::write(socket,
+            asio::buffer(server_fixture::request_text("GET /healthz", "")));
+        fixture.endpoint.context.run_for(std::chrono::milliseconds(50));
+        std::string answer;
+        boost::system::error_code ec;
+        asio::read(socket, asio::dynamic_buffer(answer), ec);
+        assert_contains("HTTP/1.1 200", answer);
+    }
+
     // Guards against closing a connection without an answer, which leaves the
     // caller unable to tell a full instance from a dead one.
     void connection_above_the_limit_gets_503()
--- a/src/ingress/server_test_support.hpp
+++ b/src/ingress/server_test_support.hpp
@@ -4,6 +4,7 @@
 
 #include <limits>
 #include <memory>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -132,6 +133,37 @@
         co_return answer;
     }
 
+    asio::awaitable<std::optional<std::string>> exchange_after_idle(
+        std::string text, duration idle, bool stopped)
+    {
+        constexpr std::chrono::milliseconds delivery{50};
+        asio::ip::tcp::socket socket(endpoint.context);
+        co_await socket.async_connect(
+            {asio::ip::address_v4::loopback(), server_under_test->port()},
+            asio::use_awaitable);
+        asio::steady_timer pause(endpoint.context);
+        pause.expires_after(delivery);
+        co_await pause.async_wait(asio::use_awaitable);
+        if (stopped)
+            server_under_test->stop_accepting();
+        pause.expires_after(idle);
+        co_await pause.async_wait(asio::use_awaitable);
+        boost::system::error_code ec;
+        co_await asio::async_write(socket, asio::buffer(text),
+            asio::redirect_error(asio::use_awaitable, ec));
+        pause.expires_after(delivery);
+        co_await pause.async_wait(asio::use_awaitable);
+        // Fails after a reset, but not when the request was read.
+        co_await asio::async_write(socket, asio::buffer(text),
+            asio::redirect_error(asio::use_awaitable, ec));
+        if (ec)
+            co_return std::nullopt;
+        std::string answer;
+        co_await asio::async_read(socket, asio::dynamic_buffer(answer),
+            asio::redirect_error(asio::use_awaitable, ec));
+        co_return answer;
+    }
+
     asio::awaitable<std::string> exchange_across_stop(
         std::string before, std::string after, bool& idle)
     {
@@ -159,6 +191,16 @@
         co_return answer;
     }
 
+    /// Sends a request on a connection that has been idle for a while, with
+    /// the server stopped at the start of the wait if `stopped`. Returns what
+    /// was received, or nothing when the request was reset unread.
+    std::optional<std::string> call_after_idle(
+        std::string text, duration idle, bool stopped)
+    {
+        return endpoint.run(
+            exchange_after_idle(std::move(text), idle, stopped));
+    }
+
     /// Whether as many reservations and assignments were ended as were begun.
     bool all_released_once() const
     {
