Answer a request of the product daemon whose handling throws with 500

Callers saw a connection that ended without an answer: an exception left the coroutine of the connection, and the log named neither the request nor the reason.

It is now caught beside the request, logged with the id and the reason, counted in tq_request_exceptions_total, and answered with 500 and the typed error internal (execution unknown), unless an answer has begun. Then the connection closes without the last chunk.

No real input is known that throws. An exception that a function of control_port throws while it is called, inside the start of await_callback, is not covered.

--- a/src/ingress/connection.cpp
+++ b/src/ingress/connection.cpp
@@ -1,6 +1,8 @@
 #include "ingress/connection.hpp"
 
+#include <exception>
 #include <memory>
+#include <string>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -123,12 +125,14 @@
             message.content_length(answer.body.size());
         if (!bodiless && !head_only_)
             message.body() = std::move(answer.body);
+        answer_begun_ = true;
         co_return co_await write(message);
     }
 
     asio::awaitable<result<void>> begin_stream() override
     {
         stream_started_ = true;
+        answer_begun_ = true;
         http::response<http::empty_body> message;
         set_common_fields(message);
         message.set(http::field::content_type, "text/event-stream");
@@ -308,6 +312,7 @@
         request_id_ = unique_id();
         stream_started_ = false;
         stream_ended_ = false;
+        answer_begun_ = false;
         head_only_ = false;
         http::request_parser<http::string_body> parser;
         parser.header_limit(header_limit_bytes);
@@ -322,6 +327,26 @@
             co_return;
         }
         auto message = parser.release();
+        std::string exception;
+        try
+        {
+            co_await handle_request(std::move(message));
+        }
+        catch (const std::exception& failure)
+        {
+            exception = failure.what();
+            if (exception.empty())
+                exception = "unknown";
+        }
+        if (!exception.empty())
+            co_await handle_exception(exception);
+        if (stream_started_ && !stream_ended_)
+            keep_alive_ = false;
+    }
+
+    asio::awaitable<void> handle_request(
+        http::request<http::string_body> message)
+    {
         keep_alive_ = message.keep_alive();
         head_only_ = message.method() == http::verb::head;
         raw_request raw;
@@ -334,14 +359,28 @@
         auto request = parse_request(std::move(raw), request_id_,
             std::chrono::steady_clock::now(),
             worker_->shared->settings.default_deadline);
-        if (!request)
-        {
+        if (request)
+            co_await serve(*worker_, std::move(*request), *this);
+        else
             co_await refuse(request.error());
+    }
+
+    // Answers with 500, unless an answer has been sent or begun. A part of an
+    // answer may have been written, so the connection is not used again.
+    asio::awaitable<void> handle_exception(const std::string& reason)
+    {
+        TQ_LOG(worker_->shared->logger, error)
+            << "The request " << request_id_
+            << " ended with an exception: " << reason
+            << (answer_begun_ ? " (its answer had begun)" : "");
+        worker_->services().metrics->add("tq_request_exceptions_total", {});
+        keep_alive_ = false;
+        if (answer_begun_ || write_failed_)
             co_return;
-        }
-        co_await serve(*worker_, std::move(*request), *this);
-        if (stream_started_ && !stream_ended_)
-            keep_alive_ = false;
+        error cause(error_code::internal,
+            "an unexpected failure ended the request",
+            execution_state::unknown);
+        co_await refuse(std::move(cause));
     }
 
     asio::awaitable<result<void>> read_request(
@@ -413,6 +452,7 @@
     bool head_only_ = false;
     bool stream_started_ = false;
     bool stream_ended_ = false;
+    bool answer_begun_ = false;
     bool write_failed_ = false;
     bool close_announced_ = false;
     asio::steady_timer idle_timer_;
--- a/src/ingress/server_test.cpp
+++ b/src/ingress/server_test.cpp
@@ -1,6 +1,7 @@
 #include "ingress/server_test_support.hpp"
 
 #include <sstream>
+#include <stdexcept>
 #include <thread>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -70,6 +71,7 @@
     CPPUNIT_TEST(a_request_after_the_idle_limit_is_reset_unread);
     CPPUNIT_TEST(a_request_after_the_idle_close_of_a_stop_is_reset_unread);
     CPPUNIT_TEST(a_request_that_arrived_at_the_idle_limit_is_answered);
+    CPPUNIT_TEST(an_exception_is_answered_with_500);
     CPPUNIT_TEST(connection_above_the_limit_gets_503);
     CPPUNIT_TEST(malformed_requests_are_answered);
     CPPUNIT_TEST_SUITE_END();
@@ -447,6 +449,23 @@
         assert_contains("HTTP/1.1 200", answer);
     }
 
+    // Guards against an exception that ends the connection without an answer.
+    void an_exception_is_answered_with_500()
+    {
+        server_fixture fixture({});
+        fixture.waiting_for = []() -> std::string
+        { throw std::runtime_error("injected"); };
+        const auto answer = fixture.call("GET /healthz HTTP/1.1\r\n\r\n");
+        assert_contains("HTTP/1.1 500", answer);
+        assert_contains("\"code\":\"internal\"", answer);
+        assert_contains("\"execution\":\"unknown\"", answer);
+        assert_contains("Connection: close", answer);
+        CPPUNIT_ASSERT_MESSAGE(
+            "reveals the reason", answer.find("injected") == std::string::npos);
+        assert_contains(
+            "tq_request_exceptions_total 1", fixture.metrics.prometheus_text());
+    }
+
     // Guards against closing a connection without an answer, which leaves the
     // caller unable to tell a full instance from a dead one.
     void connection_above_the_limit_gets_503()
--- a/src/ingress/server_test_support.hpp
+++ b/src/ingress/server_test_support.hpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include <functional>
 #include <limits>
 #include <memory>
 #include <optional>
@@ -71,6 +72,7 @@
         services.orders = make_orders();
         services.events = &events;
         services.metrics = &metrics;
+        services.waiting_for = [this] { return waiting_for(); };
         settings.listen_address = "127.0.0.1:0";
         settings.availability_zone = "a";
         auto created = server::create(
@@ -231,6 +233,9 @@
     /// Called before each assignment of an endpoint.
     std::function<void()> on_acquire = [] {};
 
+    /// Called for each GET /healthz.
+    std::function<std::string()> waiting_for = [] { return std::string(); };
+
     /// Membership revision that the order book sees; empty when unknown.
     std::optional<std::int64_t> membership = 1;
 
