Answer every request of the product daemon at the end of a planned stop

When stop_ms was over, callers of a service whose answer was still outstanding, of orders among them, and of completions that waited for an engine got nothing: only a completion that an engine worked on ended with the error stopping. The others were cut when the process ended 1 s later.

server::end_requests(), called when the time is over, ends the waits for tokens and for an endpoint with stopping, not run, and ends a reservation or an assignment that arrives later. 400 ms afterwards it answers each request that has no answer yet with 503 stopping, execution unknown; a later answer of its handling is dropped. A request that is read whole only after that is refused as not run. Streams that have begun and completions at an engine end as before.

A request that lacks tokens is refused with 429 by the limiter within the time of a stop, so the wait for tokens is covered by the unit test only, and calls of a service without an instance are refused at once.

--- a/src/daemon/application.cpp
+++ b/src/daemon/application.cpp
@@ -250,6 +250,7 @@
             TQ_LOG(logger_, warning)
                 << "Requests are still running at the stop deadline.";
             published_.publish_stop_deadline_passed();
+            server_->end_requests();
             post_after(last_events_timeout, [this] { leave_membership(); });
         });
 }
--- a/src/ingress/connection.cpp
+++ b/src/ingress/connection.cpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -83,7 +84,8 @@
     connection(std::shared_ptr<worker> io_worker, asio::ip::tcp::socket socket)
         : worker_(std::move(io_worker)),
           stream_(std::move(socket)),
-          idle_timer_(worker_->executor)
+          idle_timer_(worker_->executor),
+          stop_answer_written_(worker_->executor)
     {
     }
 
@@ -112,25 +114,15 @@
 
     asio::awaitable<result<void>> respond(caller_answer answer) override
     {
-        http::response<http::string_body> message;
-        message.result(static_cast<unsigned>(answer.status));
-        set_common_fields(message);
-        if (!answer.content_type.empty())
-            message.set(http::field::content_type, answer.content_type);
-        for (const auto& [name, value] : answer.headers)
-            message.insert(name, value);
-        // Answers with status 204 or 304 have no body and no Content-Length.
-        const bool bodiless = answer.status == 204 || answer.status == 304;
-        if (!bodiless)
-            message.content_length(answer.body.size());
-        if (!bodiless && !head_only_)
-            message.body() = std::move(answer.body);
-        answer_begun_ = true;
-        co_return co_await write(message);
+        if (ended_by_stop_)
+            co_return answered_already();
+        co_return co_await write_answer(std::move(answer));
     }
 
     asio::awaitable<result<void>> begin_stream() override
     {
+        if (ended_by_stop_)
+            co_return answered_already();
         stream_started_ = true;
         answer_begun_ = true;
         http::response<http::empty_body> message;
@@ -166,7 +158,7 @@
 
     bool caller_gone() override
     {
-        if (write_failed_)
+        if (write_failed_ || ended_by_stop_)
             return true;
         return peek_socket(stream_.socket().native_handle()) ==
                socket_state::closed;
@@ -195,6 +187,25 @@
         close_announced_ = !keep_alive_;
     }
 
+    asio::awaitable<result<void>> write_answer(caller_answer answer)
+    {
+        http::response<http::string_body> message;
+        message.result(static_cast<unsigned>(answer.status));
+        set_common_fields(message);
+        if (!answer.content_type.empty())
+            message.set(http::field::content_type, answer.content_type);
+        for (const auto& [name, value] : answer.headers)
+            message.insert(name, value);
+        // Answers with status 204 or 304 have no body and no Content-Length.
+        const bool bodiless = answer.status == 204 || answer.status == 304;
+        if (!bodiless)
+            message.content_length(answer.body.size());
+        if (!bodiless && !head_only_)
+            message.body() = std::move(answer.body);
+        answer_begun_ = true;
+        co_return co_await write(message);
+    }
+
     template <typename Body>
     asio::awaitable<result<void>> write(http::response<Body>& message)
     {
@@ -338,6 +349,7 @@
             if (exception.empty())
                 exception = "unknown";
         }
+        co_await wait_for_stop_answer();
         if (!exception.empty())
             co_await handle_exception(exception);
         if (stream_started_ && !stream_ended_)
@@ -359,10 +371,65 @@
         auto request = parse_request(std::move(raw), request_id_,
             std::chrono::steady_clock::now(),
             worker_->shared->settings.default_deadline);
-        if (request)
-            co_await serve(*worker_, std::move(*request), *this);
-        else
+        if (!request)
+        {
             co_await refuse(request.error());
+            co_return;
+        }
+        if (worker_->serving.notified())
+        {
+            error cause(error_code::stopping, "the instance has stopped");
+            co_await refuse(std::move(cause));
+            co_return;
+        }
+        const stop_listeners::subscription subscribed(
+            worker_->serving, [this] { end_by_stop(); });
+        co_await serve(*worker_, std::move(*request), *this);
+    }
+
+    // Answers a request that still runs when the time of a stop is over, while
+    // its handling goes on.
+    void end_by_stop()
+    {
+        if (answer_begun_ || write_failed_)
+            return;
+        const error cause(error_code::stopping,
+            "the instance stops before the request can complete",
+            execution_state::unknown);
+        TQ_LOG(worker_->shared->logger, warning)
+            << "The request " << request_id_
+            << " was answered at the end of the stop.";
+        ended_by_stop_ = true;
+        keep_alive_ = false;
+        writes_stop_answer_ = true;
+        asio::co_spawn(worker_->executor, write_answer(make_refusal(cause)),
+            [this](const std::exception_ptr&, const result<void>&)
+            {
+                writes_stop_answer_ = false;
+                // The handling may go on for long.
+                boost::system::error_code ignored;
+                stream_.socket().shutdown(
+                    asio::socket_base::shutdown_send, ignored);
+                stop_answer_written_.cancel();
+            });
+    }
+
+    // The connection must not end while the stop writes its answer.
+    asio::awaitable<void> wait_for_stop_answer()
+    {
+        boost::system::error_code cancelled;
+        while (writes_stop_answer_)
+        {
+            stop_answer_written_.expires_at(time_point::max());
+            co_await stop_answer_written_.async_wait(
+                asio::redirect_error(asio::use_awaitable, cancelled));
+        }
+    }
+
+    static tl::unexpected<error> answered_already()
+    {
+        return fail(error_code::cancelled, "the stop has ended the request",
+            execution_state::unknown);
     }
 
     // Answers with 500, unless an answer has been sent or begun. A part of an
@@ -435,13 +502,19 @@
     }
 
     asio::awaitable<void> refuse(error cause)
+    {
+        auto answer = make_refusal(cause);
+        co_await respond(std::move(answer));
+    }
+
+    caller_answer make_refusal(const error& cause) const
     {
         caller_answer answer;
         answer.status = http_status(cause.code());
         answer.body = error_body(cause, request_id_);
         worker_->services().metrics->add("tq_request_errors_total",
             {{"code", std::string(to_string(cause.code()))}});
-        co_await respond(std::move(answer));
+        return answer;
     }
 
     std::shared_ptr<worker> worker_;
@@ -455,7 +528,12 @@
     bool answer_begun_ = false;
     bool write_failed_ = false;
     bool close_announced_ = false;
+    // The stop has answered the request, or is doing so.
+    bool ended_by_stop_ = false;
+    bool writes_stop_answer_ = false;
     asio::steady_timer idle_timer_;
+    // Cancelled when the answer of the stop has been written.
+    asio::steady_timer stop_answer_written_;
     bool idle_ = false;
     // Shared with the timer's handler, which can run after the connection is
     // destroyed.
--- a/src/ingress/routes.cpp
+++ b/src/ingress/routes.cpp
@@ -1,6 +1,10 @@
 #include "ingress/routes.hpp"
 
 #include <algorithm>
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <optional>
 
 #include <nlohmann/json.hpp>
 
@@ -98,6 +102,58 @@
     co_await out.respond(std::move(answer));
 }
 
+/// A wait for a result that ends early when the time of a stop is over. The
+/// result and the end come from different threads.
+template <class T>
+class stoppable_wait
+{
+public:
+    using handler = std::function<void(result<T>)>;
+
+    explicit stoppable_wait(handler on_done) : on_done_(std::move(on_done)) {}
+
+    /// Returns false when the wait has already ended.
+    bool end(result<T> outcome)
+    {
+        if (ended_.exchange(true))
+            return false;
+        on_done_(std::move(outcome));
+        return true;
+    }
+
+private:
+    const handler on_done_;
+    std::atomic<bool> ended_{false};
+};
+
+// Waits for the result of `start`, or for the end of a stop's time. `discard`
+// receives a value that arrives later; it may be called on any thread.
+template <class T, class Start, class Discard>
+asio::awaitable<result<T>> await_before_stop(
+    worker& io_worker, Start start, Discard discard)
+{
+    const error stopped(error_code::stopping,
+        "the instance stops before the request can begin");
+    if (io_worker.waiting.notified())
+        co_return tl::unexpected<error>(stopped);
+    std::optional<stop_listeners::subscription> subscribed;
+    auto outcome = co_await await_callback<result<T>>(
+        [&](auto handler)
+        {
+            auto wait = std::make_shared<stoppable_wait<T>>(std::move(handler));
+            subscribed.emplace(io_worker.waiting,
+                [wait, stopped] { wait->end(tl::unexpected<error>(stopped)); });
+            start(
+                [wait, discard](result<T> value)
+                {
+                    // Copied, because end() takes its argument in any case.
+                    if (!wait->end(value) && value)
+                        discard(std::move(*value));
+                });
+        });
+    co_return outcome;
+}
+
 } // namespace
 
 void order_entries(std::vector<entry_address>& entries,
@@ -138,17 +194,23 @@
     workspace_id workspace, std::int64_t tokens, time_point deadline)
 {
     const auto& control = io_worker.services().control;
-    co_return co_await await_callback<result<limits::reservation>>(
+    co_return co_await await_before_stop<limits::reservation>(
+        io_worker,
         [&](auto handler)
-        { control.admit(workspace, tokens, deadline, std::move(handler)); });
+        { control.admit(workspace, tokens, deadline, std::move(handler)); },
+        [&control](limits::reservation unused)
+        { control.settle(std::move(unused), 0); });
 }
 
 asio::awaitable<result<routing::assignment>> acquire(
     worker& io_worker, routing::request_spec spec)
 {
     const auto& control = io_worker.services().control;
-    co_return co_await await_callback<result<routing::assignment>>(
-        [&](auto handler) { control.acquire(spec, std::move(handler)); });
+    co_return co_await await_before_stop<routing::assignment>(
+        io_worker,
+        [&](auto handler) { control.acquire(spec, std::move(handler)); },
+        [&control](const routing::assignment& unused)
+        { control.release(unused.id, routing::outcome::cancelled, 0); });
 }
 
 routing::outcome assignment_outcome(const error& cause)
--- a/src/ingress/server.cpp
+++ b/src/ingress/server.cpp
@@ -30,6 +30,9 @@
 // Time between the start of a shutdown and the closing of idle connections, so
 // that requests already sent can arrive.
 constexpr std::chrono::seconds idle_close_delay{1};
+// Time that requests have to end by themselves when the time of a stop is over.
+// Completions notice it within stream_watch::interval.
+constexpr std::chrono::milliseconds own_end_time{400};
 
 } // namespace
 
@@ -195,6 +198,24 @@
             });
 }
 
+void server::end_requests()
+{
+    for (const auto& each : implementation_->workers)
+        asio::post(each->executor,
+            [each]
+            {
+                each->waiting.notify();
+                auto timer = std::make_shared<asio::steady_timer>(
+                    each->executor, own_end_time);
+                timer->async_wait(
+                    [each, timer](const boost::system::error_code& failed)
+                    {
+                        if (!failed)
+                            each->serving.notify();
+                    });
+            });
+}
+
 void server::wait_until_idle(std::function<void()> handler)
 {
     implementation_->shared->activities.when_idle(std::move(handler));
--- a/src/ingress/server.hpp
+++ b/src/ingress/server.hpp
@@ -97,6 +97,10 @@
     /// answered with `Connection: close`; connections that stay idle are closed
     /// after a short delay.
     void stop_accepting();
+    /// Refuses waiting requests with `stopping`, and shortly afterwards answers
+    /// those that have no answer yet with that error. To be called when the
+    /// time of a stop is over, after published_state has said so.
+    void end_requests();
     /// Calls the handler once no request is running and none can arrive. To be
     /// called after stop_accepting().
     void wait_until_idle(std::function<void()> handler);
--- a/src/ingress/server_test.cpp
+++ b/src/ingress/server_test.cpp
@@ -71,6 +71,10 @@
     CPPUNIT_TEST(a_request_after_the_idle_limit_is_reset_unread);
     CPPUNIT_TEST(a_request_after_the_idle_close_of_a_stop_is_reset_unread);
     CPPUNIT_TEST(a_request_that_arrived_at_the_idle_limit_is_answered);
+    CPPUNIT_TEST(a_request_that_waits_is_refused_at_the_end_of_a_stop);
+    CPPUNIT_TEST(a_call_that_runs_is_answered_at_the_end_of_a_stop);
+    CPPUNIT_TEST(a_stream_without_an_event_is_answered_at_the_end_of_a_stop);
+    CPPUNIT_TEST(a_request_read_after_the_end_of_a_stop_is_refused);
     CPPUNIT_TEST(an_exception_is_answered_with_500);
     CPPUNIT_TEST(connection_above_the_limit_gets_503);
     CPPUNIT_TEST(malformed_requests_are_answered);
@@ -449,6 +453,82 @@
         assert_contains("HTTP/1.1 200", answer);
     }
 
+    // Guards against a request that waits for tokens or an endpoint until the
+    // process is gone, and against a reservation or an assignment that arrives
+    // after the refusal and is never ended.
+    void a_request_that_waits_is_refused_at_the_end_of_a_stop()
+    {
+        for (const bool admission : {true, false})
+            for (const auto& text : {server_fixture::completion_text(true),
+                     server_fixture::order_text()})
+            {
+                server_fixture fixture({{complete_response}});
+                fixture.hold_admissions = admission;
+                fixture.hold_endpoints = !admission;
+                const auto answer = fixture.call_at_stop_end(text);
+                assert_contains("HTTP/1.1 503", answer);
+                assert_contains("\"stopping\"", answer);
+                assert_contains("\"execution\":\"not_run\"", answer);
+                assert_contains("Connection: close", answer);
+                CPPUNIT_ASSERT_EQUAL(
+                    std::size_t(1), fixture.held_answers.size());
+                fixture.held_answers.front()();
+                CPPUNIT_ASSERT(fixture.all_released_once());
+                CPPUNIT_ASSERT(fixture.endpoint.requests.empty());
+            }
+    }
+
+    // Guards against a call that gets nothing because its endpoint answers
+    // after the end of a stop, and against a second answer to it.
+    void a_call_that_runs_is_answered_at_the_end_of_a_stop()
+    {
+        for (const std::string key : {"", "Idempotency-Key: o1\r\n"})
+        {
+            server_fixture fixture({{"", then::silent}});
+            const auto answer = fixture.call_at_stop_end(
+                server_fixture::request_text("POST /services/florist/send",
+                    "X-Api-Key: s3cret\r\nX-Deadline-Ms: 1000\r\n" + key, "x"));
+            assert_contains("HTTP/1.1 503", answer);
+            assert_contains("\"stopping\"", answer);
+            assert_contains("\"execution\":\"unknown\"", answer);
+            assert_contains("Connection: close", answer);
+            CPPUNIT_ASSERT_EQUAL(
+                answer.find("HTTP/1.1"), answer.rfind("HTTP/1.1"));
+            // The call goes on until its deadline.
+            fixture.endpoint.context.run_for(std::chrono::seconds(1));
+            CPPUNIT_ASSERT(fixture.all_released_once());
+            CPPUNIT_ASSERT_EQUAL(
+                std::size_t(1), fixture.endpoint.requests.size());
+        }
+    }
+
+    // Guards against a stream that gets nothing because it has not begun.
+    void a_stream_without_an_event_is_answered_at_the_end_of_a_stop()
+    {
+        for (const auto& begun : {std::string(), stream_head})
+        {
+            server_fixture fixture(
+                {{begun, then::silent}, {head + "Content-Length: 0\r\n\r\n"}});
+            const auto answer =
+                fixture.call_at_stop_end(server_fixture::completion_text(true));
+            assert_contains("HTTP/1.1 503", answer);
+            assert_contains("\"stopping\"", answer);
+            assert_contains("\"execution\":\"unknown\"", answer);
+        }
+    }
+
+    // Guards against a request that is begun when no time is left to answer it.
+    void a_request_read_after_the_end_of_a_stop_is_refused()
+    {
+        server_fixture fixture({{complete_response}});
+        fixture.end_stop();
+        fixture.endpoint.context.run_for(std::chrono::milliseconds(600));
+        const auto answer = fixture.call(fixture.order_text());
+        assert_contains("\"stopping\"", answer);
+        assert_contains("\"execution\":\"not_run\"", answer);
+        CPPUNIT_ASSERT_EQUAL(0, fixture.endpoint.connections);
+    }
+
     // Guards against an exception that ends the connection without an answer.
     void an_exception_is_answered_with_500()
     {
--- a/src/ingress/server_test_support.hpp
+++ b/src/ingress/server_test_support.hpp
@@ -203,6 +203,22 @@
             exchange_after_idle(std::move(text), idle, stopped));
     }
 
+    /// Like call(); the time of a stop is over shortly after the request.
+    std::string call_at_stop_end(std::string text)
+    {
+        constexpr std::chrono::milliseconds delivery{100};
+        asio::steady_timer timer(endpoint.context, delivery);
+        timer.async_wait(
+            [this](const boost::system::error_code&) { end_stop(); });
+        return call(std::move(text));
+    }
+
+    void end_stop()
+    {
+        state.publish_stop_deadline_passed();
+        server_under_test->end_requests();
+    }
+
     /// Whether as many reservations and assignments were ended as were begun.
     bool all_released_once() const
     {
@@ -233,6 +249,11 @@
     /// Called before each assignment of an endpoint.
     std::function<void()> on_acquire = [] {};
 
+    /// Keeps the answers of control_port::admit or acquire in held_answers.
+    bool hold_admissions = false;
+    bool hold_endpoints = false;
+    std::vector<std::function<void()>> held_answers;
+
     /// Called for each GET /healthz.
     std::function<std::string()> waiting_for = [] { return std::string(); };
 
@@ -265,14 +286,22 @@
         return out;
     }
 
+    void answer_or_hold(std::function<void()> answer, bool hold)
+    {
+        if (hold)
+            held_answers.push_back(std::move(answer));
+        else
+            answer();
+    }
+
     control_port make_control()
     {
         control_port out;
         out.admit = [this](workspace_id workspace, std::int64_t tokens,
                         time_point, auto handler)
         {
-            ++admitted;
-            handler(limits::reservation{admitted, workspace, tokens, 1});
+            const limits::reservation made{++admitted, workspace, tokens, 1};
+            answer_or_hold([handler, made] { handler(made); }, hold_admissions);
         };
         out.settle = [this](limits::reservation, std::int64_t used)
         { settled.push_back(used); };
@@ -284,7 +313,7 @@
             held.id = ++assigned;
             held.endpoint = endpoint_id("e" + std::to_string(held.id));
             held.address = address;
-            handler(held);
+            answer_or_hold([handler, held] { handler(held); }, hold_endpoints);
         };
         out.release = [this](std::uint64_t, routing::outcome outcome,
                           std::int64_t) { released.push_back(outcome); };
--- a/src/ingress/worker.hpp
+++ b/src/ingress/worker.hpp
@@ -51,6 +51,38 @@
     log::logger logger = log::make_logger("ingress");
 };
 
+/// Requests of one thread that end when the time of a stop is over. Used on
+/// that thread only.
+class stop_listeners
+{
+public:
+    using handler = std::function<void()>;
+
+    /// Calls the handler, at most once, on the thread of the listeners. Must
+    /// not be made after the notification.
+    class subscription
+    {
+    public:
+        subscription(stop_listeners& all, handler on_stop);
+        ~subscription();
+        subscription(const subscription&) = delete;
+        subscription& operator=(const subscription&) = delete;
+
+    private:
+        friend class stop_listeners;
+        stop_listeners& all_;
+        handler on_stop_;
+    };
+
+    /// Calls all handlers.
+    void notify();
+    bool notified() const { return notified_; }
+
+private:
+    std::set<subscription*> listeners_;
+    bool notified_ = false;
+};
+
 /// State of one thread that serves connections.
 struct worker
 {
@@ -61,6 +93,12 @@
     std::set<boost::asio::ip::tcp::socket*> idle;
     /// Set by close_idle(): connections no longer wait for further requests.
     bool closing_idle = false;
+    /// Requests that wait inside the daemon. They are refused when the time of
+    /// a stop is over.
+    stop_listeners waiting;
+    /// Requests that are being served. Those without an answer get one shortly
+    /// after `waiting` was notified, which leaves time for a more precise one.
+    stop_listeners serving;
 
     /// Makes idle connections stop waiting and close; a connection on which a
     /// request has arrived serves it first. Must run on the worker's thread.
