--- a/src/ingress/connection.cpp
+++ b/src/ingress/connection.cpp
@@ -1,6 +1,12 @@
 #include "ingress/connection.hpp"
 
+#include <exception>
+#include <memory>
+#include <string>
+
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
@@ -76,14 +82,24 @@
 {
 public:
     connection(std::shared_ptr<worker> io_worker, asio::ip::tcp::socket socket)
-        : worker_(std::move(io_worker)), stream_(std::move(socket))
+        : worker_(std::move(io_worker)),
+          stream_(std::move(socket)),
+          idle_timer_(worker_->executor),
+          stop_answer_written_(worker_->executor)
     {
     }
 
+    ~connection() override { *alive_ = false; }
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
+
     asio::awaitable<void> run()
     {
         co_await serve_requests();
-        co_await linger();
+        // Without an answer that announced the close, the caller's next request
+        // may arrive, which must not be read and discarded.
+        if (close_announced_)
+            co_await linger();
     }
 
     asio::awaitable<void> run_refusal()
@@ -98,25 +114,17 @@
 
     asio::awaitable<result<void>> respond(caller_answer answer) override
     {
-        http::response<http::string_body> message;
-        message.result(static_cast<unsigned>(answer.status));
-        set_common_fields(message);
-        if (!answer.content_type.empty())
-            message.set(http::field::content_type, answer.content_type);
-        for (const auto& [name, value] : answer.headers)
-            message.insert(name, value);
-        // Answers with status 204 or 304 have no body and no Content-Length.
-        const bool bodiless = answer.status == 204 || answer.status == 304;
-        if (!bodiless)
-            message.content_length(answer.body.size());
-        if (!bodiless && !head_only_)
-            message.body() = std::move(answer.body);
-        co_return co_await write(message);
+        if (ended_by_stop_)
+            co_return answered_already();
+        co_return co_await write_answer(std::move(answer));
     }
 
     asio::awaitable<result<void>> begin_stream() override
     {
+        if (ended_by_stop_)
+            co_return answered_already();
         stream_started_ = true;
+        answer_begun_ = true;
         http::response<http::empty_body> message;
         set_common_fields(message);
         message.set(http::field::content_type, "text/event-stream");
@@ -150,7 +158,7 @@
 
     bool caller_gone() override
     {
-        if (write_failed_)
+        if (write_failed_ || ended_by_stop_)
             return true;
         return peek_socket(stream_.socket().native_handle()) ==
                socket_state::closed;
@@ -176,6 +184,26 @@
         // HTTP/1.0.
         message.set(
             http::field::connection, keep_alive_ ? "keep-alive" : "close");
+        close_announced_ = !keep_alive_;
+    }
+
+    asio::awaitable<result<void>> write_answer(caller_answer answer)
+    {
+        http::response<http::string_body> message;
+        message.result(static_cast<unsigned>(answer.status));
+        set_common_fields(message);
+        if (!answer.content_type.empty())
+            message.set(http::field::content_type, answer.content_type);
+        for (const auto& [name, value] : answer.headers)
+            message.insert(name, value);
+        // Answers with status 204 or 304 have no body and no Content-Length.
+        const bool bodiless = answer.status == 204 || answer.status == 304;
+        if (!bodiless)
+            message.content_length(answer.body.size());
+        if (!bodiless && !head_only_)
+            message.body() = std::move(answer.body);
+        answer_begun_ = true;
+        co_return co_await write(message);
     }
 
     template <typename Body>
@@ -225,9 +253,10 @@
         }
     }
 
-    // Reads and discards input for a while before the socket is closed.
-    // Closing it with unread input resets the connection, which can discard
-    // the last answer before the caller has read it.
+    // Reads and discards input for a while before the socket is closed, after
+    // an answer that announced the close. Closing it with unread input resets
+    // the connection, which can discard the last answer before the caller has
+    // read it.
     asio::awaitable<void> linger()
     {
         constexpr std::chrono::seconds limit{1};
@@ -243,30 +272,50 @@
         }
     }
 
-    // Waits for the first byte of a request; returns false when the connection
-    // is to be closed.
+    // Waits until the first byte of a request has arrived, without reading it;
+    // returns false when the connection is to be closed. A socket that is
+    // closed unread resets the connection, which tells the caller that its
+    // request may be sent again.
     asio::awaitable<bool> wait_for_request()
     {
         if (buffer_.size() != 0)
             co_return true;
-        constexpr std::size_t read_size = 4096;
-        auto& socket = stream_.socket();
-        boost::system::error_code ec;
-        do
+        const auto idle_until = std::chrono::steady_clock::now() +
+                                worker_->shared->settings.idle_limit;
+        while (true)
         {
             // A shutdown closes idle connections, but a request that has
             // already arrived is served.
-            if (worker_->closing_idle && socket.available(ec) == 0)
-                co_return false;
-            stream_.expires_after(worker_->shared->settings.idle_limit);
-            worker_->idle.insert(&socket);
-            const auto count =
-                co_await stream_.async_read_some(buffer_.prepare(read_size),
-                    asio::redirect_error(asio::use_awaitable, ec));
-            worker_->idle.erase(&socket);
-            buffer_.commit(count);
-        } while (ec == asio::error::operation_aborted && worker_->closing_idle);
-        co_return !ec;
+            const bool last = worker_->closing_idle ||
+                              std::chrono::steady_clock::now() >= idle_until;
+            const auto state = peek_socket(stream_.socket().native_handle());
+            if (state != socket_state::idle || last)
+                co_return state == socket_state::has_input;
+            co_await wait_for_input(idle_until);
+        }
+    }
+
+    // Returns when the socket is readable, at the deadline, or when idle
+    // connections are to be closed.
+    asio::awaitable<void> wait_for_input(time_point deadline)
+    {
+        auto& socket = stream_.socket();
+        boost::system::error_code ignored;
+        idle_timer_.expires_at(deadline);
+        idle_timer_.async_wait(
+            [this, alive = alive_](const boost::system::error_code& failed)
+            {
+                boost::system::error_code none;
+                if (!failed && *alive && idle_)
+                    stream_.socket().cancel(none);
+            });
+        idle_ = true;
+        worker_->idle.insert(&socket);
+        co_await socket.async_wait(asio::ip::tcp::socket::wait_read,
+            asio::redirect_error(asio::use_awaitable, ignored));
+        worker_->idle.erase(&socket);
+        idle_ = false;
+        idle_timer_.cancel();
     }
 
     asio::awaitable<void> serve_next()
@@ -274,6 +323,7 @@
         request_id_ = unique_id();
         stream_started_ = false;
         stream_ended_ = false;
+        answer_begun_ = false;
         head_only_ = false;
         http::request_parser<http::string_body> parser;
         parser.header_limit(header_limit_bytes);
@@ -288,6 +338,27 @@
             co_return;
         }
         auto message = parser.release();
+        std::string exception;
+        try
+        {
+            co_await handle_request(std::move(message));
+        }
+        catch (const std::exception& failure)
+        {
+            exception = failure.what();
+            if (exception.empty())
+                exception = "unknown";
+        }
+        co_await wait_for_stop_answer();
+        if (!exception.empty())
+            co_await handle_exception(exception);
+        if (stream_started_ && !stream_ended_)
+            keep_alive_ = false;
+    }
+
+    asio::awaitable<void> handle_request(
+        http::request<http::string_body> message)
+    {
         keep_alive_ = message.keep_alive();
         head_only_ = message.method() == http::verb::head;
         raw_request raw;
@@ -305,9 +376,78 @@
             co_await refuse(request.error());
             co_return;
         }
+        if (worker_->serving.notified())
+        {
+            error cause(error_code::stopping, "the instance has stopped");
+            co_await refuse(std::move(cause));
+            co_return;
+        }
+        const stop_listeners::subscription subscribed(
+            worker_->serving, [this] { end_by_stop(); });
         co_await serve(*worker_, std::move(*request), *this);
-        if (stream_started_ && !stream_ended_)
-            keep_alive_ = false;
+    }
+
+    // Answers a request that still runs when the time of a stop is over, while
+    // its handling goes on.
+    void end_by_stop()
+    {
+        if (answer_begun_ || write_failed_)
+            return;
+        const error cause(error_code::stopping,
+            "the instance stops before the request can complete",
+            execution_state::unknown);
+        TQ_LOG(worker_->shared->logger, warning)
+            << "The request " << request_id_
+            << " was answered at the end of the stop.";
+        ended_by_stop_ = true;
+        keep_alive_ = false;
+        writes_stop_answer_ = true;
+        asio::co_spawn(worker_->executor, write_answer(make_refusal(cause)),
+            [this](const std::exception_ptr&, const result<void>&)
+            {
+                writes_stop_answer_ = false;
+                // The handling may go on for long.
+                boost::system::error_code ignored;
+                stream_.socket().shutdown(
+                    asio::socket_base::shutdown_send, ignored);
+                stop_answer_written_.cancel();
+            });
+    }
+
+    // The connection must not end while the stop writes its answer.
+    asio::awaitable<void> wait_for_stop_answer()
+    {
+        boost::system::error_code cancelled;
+        while (writes_stop_answer_)
+        {
+            stop_answer_written_.expires_at(time_point::max());
+            co_await stop_answer_written_.async_wait(
+                asio::redirect_error(asio::use_awaitable, cancelled));
+        }
+    }
+
+    static tl::unexpected<error> answered_already()
+    {
+        return fail(error_code::cancelled, "the stop has ended the request",
+            execution_state::unknown);
+    }
+
+    // Answers with 500, unless an answer has been sent or begun. A part of an
+    // answer may have been written, so the connection is not used again.
+    asio::awaitable<void> handle_exception(const std::string& reason)
+    {
+        TQ_LOG(worker_->shared->logger, error)
+            << "The request " << request_id_
+            << " ended with an exception: " << reason
+            << (answer_begun_ ? " (its answer had begun)" : "");
+        worker_->services().metrics->add("tq_request_exceptions_total", {});
+        keep_alive_ = false;
+        if (answer_begun_ || write_failed_)
+            co_return;
+        error cause(error_code::internal,
+            "an unexpected failure ended the request",
+            execution_state::unknown);
+        co_await refuse(std::move(cause));
     }
 
     asio::awaitable<result<void>> read_request(
@@ -362,13 +502,19 @@
     }
 
     asio::awaitable<void> refuse(error cause)
+    {
+        auto answer = make_refusal(cause);
+        co_await respond(std::move(answer));
+    }
+
+    caller_answer make_refusal(const error& cause) const
     {
         caller_answer answer;
         answer.status = http_status(cause.code());
         answer.body = error_body(cause, request_id_);
         worker_->services().metrics->add("tq_request_errors_total",
             {{"code", std::string(to_string(cause.code()))}});
-        co_await respond(std::move(answer));
+        return answer;
     }
 
     std::shared_ptr<worker> worker_;
@@ -379,7 +525,19 @@
     bool head_only_ = false;
     bool stream_started_ = false;
     bool stream_ended_ = false;
+    bool answer_begun_ = false;
     bool write_failed_ = false;
+    bool close_announced_ = false;
+    // The stop has answered the request, or is doing so.
+    bool ended_by_stop_ = false;
+    bool writes_stop_answer_ = false;
+    asio::steady_timer idle_timer_;
+    // Cancelled when the answer of the stop has been written.
+    asio::steady_timer stop_answer_written_;
+    bool idle_ = false;
+    // Shared with the timer's handler, which can run after the connection is
+    // destroyed.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 } // namespace
--- a/src/ingress/server_test_support.hpp
+++ b/src/ingress/server_test_support.hpp
@@ -2,8 +2,10 @@
 
 #include <utility>
 
+#include <functional>
 #include <limits>
 #include <memory>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -70,6 +72,7 @@
         services.orders = make_orders();
         services.events = &events;
         services.metrics = &metrics;
+        services.waiting_for = [this] { return waiting_for(); };
         settings.listen_address = "127.0.0.1:0";
         settings.availability_zone = "a";
         auto created = server::create(
@@ -132,6 +135,37 @@
         co_return answer;
     }
 
+    asio::awaitable<std::optional<std::string>> exchange_after_idle(
+        std::string text, duration idle, bool stopped)
+    {
+        constexpr std::chrono::milliseconds delivery{50};
+        asio::ip::tcp::socket socket(endpoint.context);
+        co_await socket.async_connect(
+            {asio::ip::address_v4::loopback(), server_under_test->port()},
+            asio::use_awaitable);
+        asio::steady_timer pause(endpoint.context);
+        pause.expires_after(delivery);
+        co_await pause.async_wait(asio::use_awaitable);
+        if (stopped)
+            server_under_test->stop_accepting();
+        pause.expires_after(idle);
+        co_await pause.async_wait(asio::use_awaitable);
+        boost::system::error_code ec;
+        co_await asio::async_write(socket, asio::buffer(text),
+            asio::redirect_error(asio::use_awaitable, ec));
+        pause.expires_after(delivery);
+        co_await pause.async_wait(asio::use_awaitable);
+        // Fails after a reset, but not when the request was read.
+        co_await asio::async_write(socket, asio::buffer(text),
+            asio::redirect_error(asio::use_awaitable, ec));
+        if (ec)
+            co_return std::nullopt;
+        std::string answer;
+        co_await asio::async_read(socket, asio::dynamic_buffer(answer),
+            asio::redirect_error(asio::use_awaitable, ec));
+        co_return answer;
+    }
+
     asio::awaitable<std::string> exchange_across_stop(
         std::string before, std::string after, bool& idle)
     {
@@ -159,6 +193,32 @@
         co_return answer;
     }
 
+    /// Sends a request on a connection that has been idle for a while, with
+    /// the server stopped at the start of the wait if `stopped`. Returns what
+    /// was received, or nothing when the request was reset unread.
+    std::optional<std::string> call_after_idle(
+        std::string text, duration idle, bool stopped)
+    {
+        return endpoint.run(
+            exchange_after_idle(std::move(text), idle, stopped));
+    }
+
+    /// Like call(); the time of a stop is over shortly after the request.
+    std::string call_at_stop_end(std::string text)
+    {
+        constexpr std::chrono::milliseconds delivery{100};
+        asio::steady_timer timer(endpoint.context, delivery);
+        timer.async_wait(
+            [this](const boost::system::error_code&) { end_stop(); });
+        return call(std::move(text));
+    }
+
+    void end_stop()
+    {
+        state.publish_stop_deadline_passed();
+        server_under_test->end_requests();
+    }
+
     /// Whether as many reservations and assignments were ended as were begun.
     bool all_released_once() const
     {
@@ -189,6 +249,14 @@
     /// Called before each assignment of an endpoint.
     std::function<void()> on_acquire = [] {};
 
+    /// Keeps the answers of control_port::admit or acquire in held_answers.
+    bool hold_admissions = false;
+    bool hold_endpoints = false;
+    std::vector<std::function<void()>> held_answers;
+
+    /// Called for each GET /healthz.
+    std::function<std::string()> waiting_for = [] { return std::string(); };
+
     /// Membership revision that the order book sees; empty when unknown.
     std::optional<std::int64_t> membership = 1;
 
@@ -218,14 +286,22 @@
         return out;
     }
 
+    void answer_or_hold(std::function<void()> answer, bool hold)
+    {
+        if (hold)
+            held_answers.push_back(std::move(answer));
+        else
+            answer();
+    }
+
     control_port make_control()
     {
         control_port out;
         out.admit = [this](workspace_id workspace, std::int64_t tokens,
                         time_point, auto handler)
         {
-            ++admitted;
-            handler(limits::reservation{admitted, workspace, tokens, 1});
+            const limits::reservation made{++admitted, workspace, tokens, 1};
+            answer_or_hold([handler, made] { handler(made); }, hold_admissions);
         };
         out.settle = [this](limits::reservation, std::int64_t used)
         { settled.push_back(used); };
@@ -237,7 +313,7 @@
             held.id = ++assigned;
             held.endpoint = endpoint_id("e" + std::to_string(held.id));
             held.address = address;
-            handler(held);
+            answer_or_hold([handler, held] { handler(held); }, hold_endpoints);
         };
         out.release = [this](std::uint64_t, routing::outcome outcome,
                           std::int64_t) { released.push_back(outcome); };
