Search the bytes of an unfinished event only once

What callers saw: an endpoint that sends an event without an end in small parts takes the processor of the gateway's only thread, so that other requests wait.

Cause: each part of an event made the framer search all its earlier bytes again, up to 1 MiB.

--- a/src/gateway/event_framer.cpp
+++ b/src/gateway/event_framer.cpp
@@ -1,5 +1,6 @@
 #include "gateway/event_framer.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -9,6 +10,8 @@
 namespace
 {
 
+constexpr std::size_t max_separator_bytes = 4;
+
 // Returns the id field of an event: "id: 7" or "id:7" at the start of a line.
 std::optional<std::int64_t> find_id(std::string_view event)
 {
@@ -38,15 +41,19 @@
 
 result<std::optional<framed_event>> event_framer::pop()
 {
-    auto end = buffer_.find("\n\n");
+    auto end = buffer_.find("\n\n", searched_);
     std::size_t separator_size = 2;
-    if (const auto crlf_end = buffer_.find("\r\n\r\n"); crlf_end < end)
+    if (const auto crlf_end = buffer_.find("\r\n\r\n", searched_);
+        crlf_end < end)
     {
         end = crlf_end;
         separator_size = 4;
     }
     if (end == std::string::npos)
     {
+        // A separator may have begun in the last bytes.
+        searched_ = std::max(buffer_.size(), max_separator_bytes - 1) -
+                    (max_separator_bytes - 1);
         if (buffer_.size() > max_event_bytes)
             return fail(error_code::malformed_message,
                 "an event of the stream is too large",
@@ -57,6 +64,7 @@
     out.bytes = buffer_.substr(0, end + separator_size);
     out.id = find_id(out.bytes);
     buffer_.erase(0, end + separator_size);
+    searched_ = 0;
     return std::optional(std::move(out));
 }
 
--- a/src/gateway/event_framer.hpp
+++ b/src/gateway/event_framer.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -34,9 +35,13 @@
     result<std::optional<framed_event>> pop();
     /// Whether the input ended in the middle of an event.
     bool has_partial_event() const { return !buffer_.empty(); }
+    /// Bytes of the input that were not returned yet.
+    std::size_t pending_bytes() const { return buffer_.size(); }
 
 private:
     std::string buffer_;
+    /// Bytes of the buffer in which no event ends.
+    std::size_t searched_ = 0;
 };
 
 } // namespace tarragonquay::gateway
