Count the partial events of streams in the limit of collected answers

What callers saw: none was reported; many streams with events that do not end could take 1 MiB each, 3,000 MiB at the largest number of callers' connections, and the gateway may use 160 MB.

Cause: only the bytes of answers that are not streams were counted.

Change: the events that a relay has received and not yet delivered, complete or partial, count too. A stream that finds no room is cut, or answered with 502 when it has not begun, and counts as a failure of its endpoint. Small events find room beside large ones, as small answers do.

Measured: partial_events_of_many_streams_are_limited_together failed before: 64 of 64 streams held an event of almost 1 MiB, 32 of them fit into the limit. It passes now, and a stream of small events at another endpoint is complete meanwhile.

--- a/src/gateway/forwarder_stream_test.cpp
+++ b/src/gateway/forwarder_stream_test.cpp
@@ -1,5 +1,7 @@
 #include "gateway/forwarder_fixture_test.hpp"
 
+#include <algorithm>
+
 #include "gateway/collected_bytes.hpp"
 #include "gateway/event_framer.hpp"
 
@@ -31,6 +33,7 @@
     CPPUNIT_TEST(a_late_first_event_is_delivered_after_a_rejection_elsewhere);
     CPPUNIT_TEST(an_invalid_event_loses_none_of_the_events_before_it);
     CPPUNIT_TEST(a_stream_with_a_too_large_event_is_not_sent_again);
+    CPPUNIT_TEST(partial_events_of_many_streams_are_limited_together);
     CPPUNIT_TEST(a_stream_whose_caller_has_left_is_not_sent_again);
     CPPUNIT_TEST_SUITE_END();
 
@@ -316,6 +319,68 @@
         CPPUNIT_ASSERT(!tested.out.whole || tested.out.whole->status != 503);
     }
 
+    // Guards against many streams that each collect an event without end: the
+    // memory of all of them was not limited.
+    void partial_events_of_many_streams_are_limited_together()
+    {
+        constexpr std::size_t callers = 64;
+        const scripted_answer partial{
+            stream_head +
+                chunk(event(1) +
+                      std::string(event_framer::max_event_bytes - 100, 'x')),
+            then::silent};
+        const auto large_event =
+            "data: " + std::string(event_framer::max_event_bytes / 2, 'y') +
+            "\n\n";
+        fixture tested(std::vector<scripted_answer>(callers, partial),
+            {{stream_head + chunk(event(1)) + chunk(event(2)) + stream_end,
+                 then::keep_open},
+                {stream_head + chunk(large_event) + chunk(large_event) +
+                        stream_end,
+                    then::keep_open}});
+        tested.ctx.pool.erase(endpoint_id("e1"));
+        std::vector<recording_sink> sinks(callers);
+        const auto ended = std::make_unique<bool[]>(callers);
+        for (std::size_t i = 0; i < callers; ++i)
+            tested.start("/stream-once/x", sinks[i], ended[i], "k", "8000");
+        const auto running = [&]
+        { return std::count(ended.get(), ended.get() + callers, false); };
+        constexpr auto most =
+            collected_bytes::max_total / event_framer::max_event_bytes;
+        // The deadline is 8 s away.
+        const auto until = std::chrono::steady_clock::now() + 6s;
+        tested.poll_until(
+            [&]
+            {
+                return std::chrono::steady_clock::now() >= until ||
+                       running() <= static_cast<std::ptrdiff_t>(most);
+            });
+        const auto left = running();
+        tested.ctx.pool.erase(endpoint_id("e0"));
+        tested.add_endpoint(1);
+        tested.run("/stream-once/x");
+        const auto small = std::exchange(tested.out.stream, {});
+        const bool complete = std::exchange(tested.out.ended, false);
+        // The calls must end before the fixture does.
+        for (auto& each : sinks)
+            each.close_connection();
+        CPPUNIT_ASSERT(tested.poll_until(
+            [&] { return tested.ctx.running_calls.empty(); }));
+        CPPUNIT_ASSERT_EQUAL(callers, tested.servers[0].requests.size());
+        CPPUNIT_ASSERT(left > 0);
+        CPPUNIT_ASSERT_LESSEQUAL(most, static_cast<std::size_t>(left));
+        CPPUNIT_ASSERT(complete);
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2), small);
+        for (const auto& each : sinks)
+            CPPUNIT_ASSERT(!each.ended && !each.whole);
+        // Nothing of the events stays counted when they have been delivered.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), tested.ctx.collected_answer_bytes);
+        tested.run("/stream-once/x");
+        CPPUNIT_ASSERT_EQUAL(large_event + large_event, tested.out.stream);
+        CPPUNIT_ASSERT(tested.out.ended);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), tested.ctx.collected_answer_bytes);
+    }
+
     // Guards against a send for a caller that no longer waits, which counted as
     // a failure of a sound endpoint. Without an event, callers of this route
     // leave after 2 s.
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -345,6 +345,7 @@
     asio::awaitable<relay_end> relay_events(endpoints::answer_head head)
     {
         event_framer framer;
+        collected_bytes event_bytes(call_.ctx.collected_answer_bytes);
         bool first = true;
         while (true)
         {
@@ -359,6 +360,9 @@
             if (part->empty())
                 break;
             framer.feed(*part);
+            // Includes the events that are about to be delivered.
+            if (auto held = event_bytes.resize(framer.pending_bytes()); !held)
+                co_return handle_failure(held.error());
             auto events = take_events(framer);
             if (!events)
                 co_return handle_failure(events.error());
@@ -374,6 +378,7 @@
             const bool written = co_await deliver(head, std::move(*events));
             if (!written)
                 co_return make_caller_gone();
+            event_bytes.resize(framer.pending_bytes());
             watch_silence(std::chrono::steady_clock::now());
         }
         if (framer.has_partial_event())
