Send requests again to an engine that failed many times in a row

What callers saw: after some fifty failures in a row at all engines with a model, every stream for it was refused with 503 overloaded, for ever, although the engines had recovered.

Cause: the cost of failures, 2 s at an engine where every request failed, was a part of the expected wait. A request whose first event is expected after its caller has left, 2 s on routes with a latency target up to 500 ms, is refused before it is sent. Without a send no answer could improve the expectation.

Change: failures rank an engine behind others, as before, and are no part of the expected wait.

Measured: an_engine_that_recovers_from_many_failures_is_asked_again failed before and passes now, with the other 66 cases of the dispatch.

--- a/src/dispatch/endpoint_choice.cpp
+++ b/src/dispatch/endpoint_choice.cpp
@@ -21,7 +21,10 @@
 constexpr double zone_cost_ms = 3.0;
 /// Delay that each running request adds to an engine's steps.
 constexpr double running_cost_ms = 0.5;
-/// Additional wait assumed for an endpoint at which every request fails.
+/// Additional wait by which an endpoint at which every request fails is ranked.
+/// It is no part of the expected wait: requests that do not expect an answer in
+/// time are not sent, so that the endpoint could never show that it has
+/// recovered.
 constexpr double failure_cost_ms = 2'000.0;
 /// Load of a plain endpoint, in requests per slot, that counts as much as being
 /// in another availability zone.
@@ -118,7 +121,6 @@
         static_cast<double>(excess) * measured.stream_ms /
             static_cast<double>(slots) +
         running_cost_ms * static_cast<double>(load.requests) +
-        failure_cost_ms * endpoint.health.error_share() +
         (endpoint.entry.availability_zone == zone_ ? 0.0 : zone_cost_ms);
     return {endpoint.entry.id, endpoint.entry.started_unix_ms,
         endpoint.entry.address, after_ms(now, wait), uncached,
@@ -159,8 +161,9 @@
     for (const auto* each : holders)
     {
         auto option = estimate(*each, service, request, each == home, now);
-        const auto option_rank =
-            std::pair(requests_at_risk(*each), option.expected_at);
+        const auto option_rank = std::pair(requests_at_risk(*each),
+            after_ms(option.expected_at,
+                failure_cost_ms * each->health.error_share()));
         if (best && option_rank >= best_rank)
             continue;
         best = std::move(option);
--- a/src/dispatch/endpoint_pool_test.cpp
+++ b/src/dispatch/endpoint_pool_test.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST(an_older_residency_does_not_replace_a_newer_one);
     CPPUNIT_TEST(a_lost_request_is_distinguished_from_a_long_queue);
     CPPUNIT_TEST(plain_endpoints_share_the_load);
+    CPPUNIT_TEST(an_engine_that_recovers_from_many_failures_is_asked_again);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -255,6 +256,29 @@
         CPPUNIT_ASSERT(last.has_value());
     }
 
+    // Guards against refusing all requests for ever because the only engine is
+    // expected to answer too late: callers wait 2 s at least, and without a
+    // request no answer can improve the expectation.
+    void an_engine_that_recovers_from_many_failures_is_asked_again()
+    {
+        auto pool = make_pool(2);
+        for (int i = 0; i < 100; ++i)
+            pool.record_failure(endpoint_id("e0"), now_);
+        const auto later = now_ + 1min;
+        CPPUNIT_ASSERT(!pool.suspended(endpoint_id("e0"), later));
+        const auto last = pool.choose_engine(
+            engines, make_prompt(500), {endpoint_id("e1")}, later);
+        CPPUNIT_ASSERT(last.has_value());
+        CPPUNIT_ASSERT(last->expected_at < later + 1s);
+        // The failures still make it the last choice.
+        for (int i = 0; i < 20; ++i)
+        {
+            const auto request = make_prompt(500 + i);
+            const auto chosen = pool.choose_engine(engines, request, {}, later);
+            CPPUNIT_ASSERT(chosen->id == endpoint_id("e1"));
+        }
+    }
+
     // Guards against keeping loads and failures after a restart under the same
     // id.
     void a_restart_resets_loads_and_health()
