--- a/standins/http.cpp
+++ b/standins/http.cpp
@@ -149,6 +149,12 @@
             abort();
     }
 
+    asio::awaitable<bool> send_bytes(std::string text) override
+    {
+        co_await write(std::move(text));
+        co_return open_;
+    }
+
     void abort() override
     {
         error_code ignored;
--- a/standins/http.hpp
+++ b/standins/http.hpp
@@ -73,6 +73,8 @@
     /// Sends one chunk; false when the connection is broken.
     virtual asio::awaitable<bool> send_chunk(std::string text) = 0;
     virtual asio::awaitable<void> finish_stream() = 0;
+    /// Sends bytes as they are; false when the connection is broken.
+    virtual asio::awaitable<bool> send_bytes(std::string text) = 0;
     /// Closes the connection without an answer.
     virtual void abort() = 0;
     /// Leaves the connection open and never answers.
--- a/standins/http_platform.cpp
+++ b/standins/http_platform.cpp
@@ -26,6 +26,53 @@
 /// Time between two looks for changes while a feed waits.
 constexpr double feed_poll_ms = 10;
 
+/// Sends bytes without end, in this part of an answer: "head", "heads" (one
+/// interim answer after another), "body" (without a length), "length" (with a
+/// length), "chunks", "extension" (of a chunk) or "trailer"; or, for "stalled",
+/// a part of a body and then nothing. `headers` belong to a sound answer.
+asio::awaitable<void> send_endless(
+    std::string kind, const header_list& headers, http_connection& peer)
+{
+    constexpr std::size_t part_bytes = 64UL << 10U;
+    // 64 such answers fill the 32 MiB that all answers of a gateway share.
+    constexpr std::size_t stalled_bytes = 512UL << 10U;
+    std::string start = "HTTP/1.1 200 OK\r\n";
+    for (const auto& [name, value] : headers)
+        start += fmt::format("{}: {}\r\n", name, value);
+    std::string part(part_bytes, 'x');
+    if (kind == "heads")
+    {
+        start.clear();
+        part.clear();
+        while (part.size() < part_bytes)
+            part += "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    else if (kind == "head")
+        start += "Filler: ";
+    else if (kind == "body")
+        start += "\r\n";
+    else if (kind == "length" || kind == "stalled")
+        start += "Content-Length: 1000000000000000\r\n\r\n";
+    else
+    {
+        start += "Transfer-Encoding: chunked\r\n\r\n";
+        if (kind == "chunks")
+            part = fmt::format("{:x}\r\n{}\r\n", part.size(), part);
+        else
+            start += kind == "extension" ? "2;" : "2\r\nok\r\n0\r\nFiller: ";
+    }
+    bool open = co_await peer.send_bytes(std::move(start));
+    for (std::size_t sent = 0; open; sent += part_bytes)
+    {
+        if (kind == "stalled" && sent >= stalled_bytes)
+        {
+            co_await peer.stay_silent();
+            co_return;
+        }
+        open = co_await peer.send_bytes(part);
+    }
+}
+
 /// One clock for all endpoints of the process.
 std::int64_t monotonic_ms()
 {
@@ -48,9 +95,16 @@
             down_ = request.body_json().value("down", false);
             co_await peer.answer(json_answer(json::object()));
         }
+        else if (request.path == "/admin/endless")
+        {
+            endless_ = request.body_json().value("endless", std::string());
+            co_await peer.answer(json_answer(json::object()));
+        }
         else if (down_)
             co_await peer.answer(
                 error_answer(503, "down", "the store is down"));
+        else if (!endless_.empty())
+            co_await send_endless(endless_, {}, peer);
         else if (request.path == "/-/rows-tx")
             co_await peer.answer(transact(request.body_json()));
         else if (request.path == "/-/rows-get")
@@ -179,6 +233,8 @@
     std::map<row_key, row> rows_;
     std::int64_t version_ = 0;
     bool down_ = false;
+    /// Part of the answers that has no end, see send_endless(); empty for none.
+    std::string endless_;
 };
 
 /// A model engine and a plain service at once; counts what it ran.
@@ -214,7 +270,9 @@
     asio::awaitable<void> handle(
         const http_request& request, http_connection& peer)
     {
-        if (request.path == "/-/report")
+        if (request.path == "/-/report" && !endless_report_.empty())
+            co_await send_endless(endless_report_, {}, peer);
+        else if (request.path == "/-/report")
             co_await peer.answer(report());
         else if (expects_another(request))
             co_await peer.answer(misdirected());
@@ -270,6 +328,8 @@
     {
         cut_streams_ = change.value("cut_streams", 0);
         lose_answers_ = change.value("lose_answers", 0);
+        endless_ = change.value("endless", std::string());
+        endless_report_ = change.value("endless_report", std::string());
         begin_ms_ = change.value("begin_ms", 0.0);
         answer_ms_ = change.value("answer_ms", 0.0);
         event_ms_ = change.value("event_ms", usual_event_ms);
@@ -366,7 +426,9 @@
         for (const auto& [name, value] : request.headers)
             seen[name] = value;
         seen_.push_back(seen);
-        if (lose_answers_ > 0)
+        if (!endless_.empty())
+            co_await send_endless(endless_, headers_of(request), peer);
+        else if (lose_answers_ > 0)
         {
             --lose_answers_;
             peer.abort();
@@ -443,6 +505,10 @@
     json crash_part_arrivals_ = json::array();
     int cut_streams_ = 0;
     int lose_answers_ = 0;
+    /// Part of the answers, or of the reports, that has no end, see
+    /// send_endless(); empty for none.
+    std::string endless_;
+    std::string endless_report_;
     /// Time from the arrival of a completion to the head of its answer.
     double begin_ms_ = 0;
     /// Time from the arrival of a plain request to its answer.
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -257,12 +257,22 @@
 }
 
 std::int64_t process::resident_bytes() const
+{
+    return status_bytes("VmRSS:");
+}
+
+std::int64_t process::peak_resident_bytes() const
+{
+    return status_bytes("VmHWM:");
+}
+
+std::int64_t process::status_bytes(const std::string& field) const
 {
     std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
     for (std::string word; status >> word;)
     {
         std::int64_t kibibytes = 0;
-        if (word == "VmRSS:" && status >> kibibytes)
+        if (word == field && status >> kibibytes)
             return kibibytes * 1024;
     }
     return 0;
--- a/tests/support/process.hpp
+++ b/tests/support/process.hpp
@@ -72,6 +72,8 @@
     bool running();
     /// VmRSS of the process; 0 when it has ended.
     std::int64_t resident_bytes() const;
+    /// VmHWM of the process, its largest VmRSS so far; 0 when it has ended.
+    std::int64_t peak_resident_bytes() const;
     /// Open file descriptors of the process; 0 when it has ended.
     std::size_t open_descriptors() const;
     /// Exit code after the end, or 128 + signal.
@@ -87,6 +89,7 @@
 
 private:
     process(std::string label, std::string folder);
+    std::int64_t status_bytes(const std::string& field) const;
     void spawn(const std::string& program, std::vector<std::string> arguments);
 
     std::string label_;
