--- a/src/gateway/forwarder_fixture_test.hpp
+++ b/src/gateway/forwarder_fixture_test.hpp
@@ -238,14 +238,22 @@
         const std::string& wait_ms = "1500")
     {
         bool done = false;
-        asio::co_spawn(io, forward(ctx, make_request(path, key, wait_ms), out),
-            [&](std::exception_ptr failure)
+        start(path, out, done, key, wait_ms);
+        CPPUNIT_ASSERT(poll_until([&] { return done; }));
+    }
+
+    // Starts a request, which sets `done` at its end. Sink and flag must
+    // outlive it.
+    void start(const std::string& path, recording_sink& sink, bool& done,
+        const std::string& key = "k", const std::string& wait_ms = "1500")
+    {
+        asio::co_spawn(io, forward(ctx, make_request(path, key, wait_ms), sink),
+            [&done](std::exception_ptr failure)
             {
                 done = true;
                 if (failure)
                     std::rethrow_exception(failure);
             });
-        CPPUNIT_ASSERT(poll_until([&] { return done; }));
     }
 
     void run_long(const std::string& path) { run(path, "k", "6000"); }
