Let endpoints of the http-platform stand-in leave and pause

Cause: the stand-in could not play the two signals of endpoints that gateways handle, the leaving header and Retry-After, so no process test covered them.

Change: the admin interface takes "leaving" (all answers say so; the directory row follows after a given time, the process ends after another one, and a new process comes back at the same address) and "pause_s" (503 with Not-Executed and Retry-After until the pause ends). /admin/signals lists the arrivals of requests, the answers with signals and what the endpoint broke off. Events name their request in the data, so that an event of another stream can be told.

--- a/standins/http_platform.cpp
+++ b/standins/http_platform.cpp
@@ -1,12 +1,16 @@
 #include <utility>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <cstdlib>
 #include <map>
 #include <set>
+#include <string>
 
 #include <CLI/CLI.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 
 #include "common/base64.hpp"
@@ -23,6 +27,7 @@
 constexpr int events_of_a_stream = 5;
 /// Time from a crash of an engine until it listens again.
 constexpr double usual_down_ms = 1'500;
+constexpr double ms_per_s = 1'000;
 /// Time between two looks for changes while a feed waits.
 constexpr double feed_poll_ms = 10;
 
@@ -69,6 +74,11 @@
         rows_[{table, key}] = {encode_base64(text), ++version_, false};
     }
 
+    void erase(const std::string& table, const std::string& key)
+    {
+        rows_[{table, key}] = {"", ++version_, true};
+    }
+
 private:
     struct row
     {
@@ -195,19 +205,23 @@
 
     /// Listens, and writes the row of the directory. The admin interface has an
     /// address of its own, "<id>-admin", that outlives crashes.
-    void start(asio::io_context& io)
+    /// It is written again after each interval, unless that is 0.
+    void start(asio::io_context& io, double heartbeat_ms)
     {
         auto server = http_server::open(io, "127.0.0.1:0",
             [this](const http_request& request, http_connection& peer)
             { return handle(request, peer); });
         if (!server)
             throw std::runtime_error(server.error().message());
+        io_ = &io;
         server_ = std::move(*server);
         publish();
         print_listening(id_, server_->address());
         listen_or_throw(io, id_ + "-admin", "127.0.0.1:0",
             [this](const http_request& request, http_connection& peer)
             { return peer.answer(admin(request)); });
+        if (heartbeat_ms > 0)
+            asio::co_spawn(io, send_heartbeats(heartbeat_ms), asio::detached);
     }
 
 private:
@@ -215,13 +229,18 @@
         const http_request& request, http_connection& peer)
     {
         if (request.path == "/-/report")
-            co_await peer.answer(report());
+            co_await send(request, peer, report());
         else if (expects_another(request))
-            co_await peer.answer(misdirected());
+        {
+            note_arrival(request, true);
+            co_await send(request, peer, misdirected());
+        }
         else if (request.path == "/-/order")
-            co_await peer.answer(order(request.body_json()));
+            co_await send(request, peer, order(request.body_json()));
+        else if (paused())
+            co_await refuse_paused(request, peer);
         else
-            co_await serve(request, peer);
+            co_await serve_and_note(request, peer);
     }
 
     // Whether the prompt contains the part that crashes engines.
@@ -250,8 +269,8 @@
     {
         const json entry = {{"service", service_},
             {"address", server_->address()}, {"zone", "z1"}, {"version", "v1"},
-            {"slots", 4}, {"state", "ready"}, {"born", born_},
-            {"sequence", sequence_}, {"models", models()}};
+            {"slots", 4}, {"state", draining_ ? "draining" : "ready"},
+            {"born", born_}, {"sequence", sequence_}, {"models", models()}};
         store_->put("servers", id_, entry.dump());
     }
 
@@ -259,6 +278,8 @@
     {
         if (request.path == "/admin/runs")
             return what_ran();
+        if (request.path == "/admin/signals")
+            return signals();
         if (request.path != "/admin/faults")
             return error_answer(404, "not_found", "no such admin path");
         set_faults(request.body_json());
@@ -275,6 +296,7 @@
         event_ms_ = change.value("event_ms", usual_event_ms);
         crash_part_ = change.value("crash_part", std::string());
         crash_down_ms_ = change.value("crash_down_ms", usual_down_ms);
+        announce(change);
     }
 
     // Times are those of the monotonic clock.
@@ -358,9 +380,11 @@
             crash_part_arrivals_.push_back(monotonic_ms());
         if (!model.empty() && !holds(model))
         {
-            co_await peer.answer(json_answer(json::object(), 421));
+            note_arrival(request, true);
+            co_await send(request, peer, json_answer(json::object(), 421));
             co_return;
         }
+        note_arrival(request);
         ++runs_[request.header("Request-Id")];
         json seen = json::object();
         for (const auto& [name, value] : request.headers)
@@ -369,13 +393,14 @@
         if (lose_answers_ > 0)
         {
             --lose_answers_;
+            note_cut(request);
             peer.abort();
         }
         else if (model.empty())
         {
             if (answer_ms_ > 0)
                 co_await sleep_ms(answer_ms_);
-            co_await peer.answer(own_answer(request));
+            co_await send(request, peer, own_answer(request));
         }
         else
             co_await stream(request, peer);
@@ -390,9 +415,10 @@
                    found->second.count(model.substr(slash + 1)) != 0);
     }
 
-    static std::string event_text(int id)
+    // The data name the request, so that an event of another stream shows.
+    static std::string event_text(int id, const std::string& request_id)
     {
-        return fmt::format("id: {0}\ndata: {0}\n\n", id);
+        return fmt::format("id: {0}\ndata: {0} {1}\n\n", id, request_id);
     }
 
     asio::awaitable<void> stream(
@@ -402,9 +428,12 @@
         const int first = last.empty() ? 1 : std::atoi(last.c_str()) + 1;
         if (begin_ms_ > 0)
             co_await sleep_ms(begin_ms_);
-        const bool begun = co_await peer.begin_stream(headers_of(request));
+        auto headers = headers_of(request);
+        const auto announced = add_signals(request, headers);
+        const bool begun = co_await peer.begin_stream(headers);
         if (!begun)
             co_return;
+        note_delivered(announced);
         if (crashes(request))
         {
             co_await crash();
@@ -415,10 +444,12 @@
             if (cut_streams_ > 0 && id == 3)
             {
                 --cut_streams_;
+                note_cut(request);
                 peer.abort();
                 co_return;
             }
-            const bool sent = co_await peer.send_chunk(event_text(id));
+            const bool sent = co_await peer.send_chunk(
+                event_text(id, request.header("Request-Id")));
             if (!sent)
                 co_return;
             co_await sleep_ms(event_ms_);
@@ -426,6 +457,151 @@
         co_await peer.finish_stream();
     }
 
+    // Starts what the change announces. Unlike other faults, a later change
+    // does not take these back: what was announced holds.
+    void announce(const json& change)
+    {
+        if (const auto pause_s = change.value("pause_s", 0.0); pause_s > 0)
+            paused_until_ms_ = std::max(paused_until_ms_,
+                monotonic_ms() + std::int64_t(pause_s * ms_per_s));
+        if (!change.contains("leaving") || leaving())
+            return;
+        leaving_process_ = born_;
+        asio::co_spawn(*io_, leave(change["leaving"]), asio::detached);
+    }
+
+    bool leaving() const { return leaving_process_ == born_; }
+    bool paused() const { return monotonic_ms() < paused_until_ms_; }
+
+    // The end of a process whose answers already say that it is leaving: the
+    // directory tells so after "row_lag_ms", the process ends "stays_ms" later,
+    // and another one listens after "down_ms".
+    asio::awaitable<void> leave(json times)
+    {
+        const auto process = born_;
+        co_await sleep_ms(times.at("row_lag_ms").get<double>());
+        if (process != born_)
+            co_return;
+        draining_ = true;
+        publish();
+        co_await sleep_ms(times.at("stays_ms").get<double>());
+        if (process != born_)
+            co_return;
+        end_process();
+        co_await sleep_ms(times.at("down_ms").get<double>());
+        server_->reopen();
+        up_ = true;
+        publish();
+    }
+
+    void end_process()
+    {
+        for (const auto& each : running_)
+            cuts_.push_back(each);
+        held_.clear();
+        sequence_ = 0;
+        ++born_;
+        draining_ = false;
+        paused_until_ms_ = 0;
+        store_->erase("servers", id_);
+        server_->close();
+        up_ = false;
+    }
+
+    asio::awaitable<void> send_heartbeats(double interval_ms)
+    {
+        for (;;)
+        {
+            co_await sleep_ms(interval_ms);
+            if (up_)
+                publish();
+        }
+    }
+
+    /// An answer that carries a signal, as tests judge it.
+    struct announcement
+    {
+        std::string request_id;
+        std::int64_t process = 0;
+        bool leaving = false;
+        /// 0 for an answer that asks for no pause.
+        std::int64_t paused_until_ms = 0;
+    };
+
+    announcement add_signals(
+        const http_request& request, header_list& headers) const
+    {
+        announcement out{request.header("Request-Id"), born_, leaving(), 0};
+        if (out.leaving)
+            headers.emplace_back("Server-Leaving", "1");
+        return out;
+    }
+
+    // Must be called after the head was written.
+    void note_delivered(const announcement& sent)
+    {
+        if (sent.leaving || sent.paused_until_ms != 0)
+            announcements_.push_back(
+                {{"id", sent.request_id}, {"process", sent.process},
+                    {"at_ms", monotonic_ms()}, {"leaving", sent.leaving},
+                    {"paused_until_ms", sent.paused_until_ms}});
+    }
+
+    asio::awaitable<void> send(
+        const http_request& request, http_connection& peer, http_answer answer)
+    {
+        const auto announced = add_signals(request, answer.headers);
+        co_await peer.answer(std::move(answer));
+        note_delivered(announced);
+    }
+
+    asio::awaitable<void> refuse_paused(
+        const http_request& request, http_connection& peer)
+    {
+        note_arrival(request);
+        const auto until_ms = paused_until_ms_;
+        auto refusal = json_answer(json::object(), 503);
+        refusal.headers = headers_of(request);
+        refusal.headers.emplace_back("Not-Executed", "1");
+        refusal.headers.emplace_back(
+            "Retry-After", fmt::format("{:.3f}",
+                               double(until_ms - monotonic_ms()) / ms_per_s));
+        auto announced = add_signals(request, refusal.headers);
+        announced.paused_until_ms = until_ms;
+        co_await peer.answer(std::move(refusal));
+        note_delivered(announced);
+    }
+
+    asio::awaitable<void> serve_and_note(
+        const http_request& request, http_connection& peer)
+    {
+        const auto running = running_.insert(request.header("Request-Id"));
+        co_await serve(request, peer);
+        running_.erase(running);
+    }
+
+    // Misdirected requests, which get 421, do not count as sent to the
+    // endpoint.
+    void note_arrival(const http_request& request, bool misdirected = false)
+    {
+        arrivals_.push_back(
+            {{"id", request.header("Request-Id")}, {"process", born_},
+                {"at_ms", monotonic_ms()}, {"misdirected", misdirected}});
+    }
+
+    void note_cut(const http_request& request)
+    {
+        cuts_.push_back(request.header("Request-Id"));
+    }
+
+    // Times are those of the monotonic clock. "cuts" are requests that the
+    // endpoint broke off.
+    http_answer signals() const
+    {
+        return json_answer({{"arrivals", arrivals_},
+            {"announcements", announcements_}, {"cuts", cuts_}});
+    }
+
     const std::string id_;
     const std::string service_;
     const std::shared_ptr<row_store> store_;
@@ -451,10 +627,23 @@
     /// Id of the part that crashes the engine; empty for none.
     std::string crash_part_;
     double crash_down_ms_ = usual_down_ms;
+    asio::io_context* io_ = nullptr;
+    /// The process, by its start time, that is leaving; 0 for none.
+    std::int64_t leaving_process_ = 0;
+    /// Whether the directory tells that the process is leaving.
+    bool draining_ = false;
+    /// Whether a process listens; not kept up to date by crashes.
+    bool up_ = true;
+    std::int64_t paused_until_ms_ = 0;
+    std::multiset<std::string> running_;
+    json arrivals_ = json::array();
+    json announcements_ = json::array();
+    json cuts_ = json::array();
 };
 
 // The rest of a configuration comes from the tests.
-void run_http_platform(const std::string& listen, int engines)
+void run_http_platform(
+    const std::string& listen, int engines, double heartbeat_ms)
 {
     asio::io_context io;
     auto store = std::make_shared<row_store>();
@@ -468,7 +657,7 @@
     for (const auto* id : {"s1", "s2"})
         replicas.push_back(std::make_unique<replica>(id, "orders", store));
     for (const auto& each : replicas)
-        each->start(io);
+        each->start(io, heartbeat_ms);
     run_until_signal(io);
 }
 
@@ -480,10 +669,14 @@
         "A table service over HTTP with engines and two plain endpoints");
     auto listen = std::make_shared<std::string>("127.0.0.1:0");
     auto engines = std::make_shared<int>(2);
+    auto heartbeat_ms = std::make_shared<double>(0);
     command->add_option("--listen", *listen, "Address of the store");
     command->add_option("--engines", *engines, "Number of engines");
-    command->callback(
-        [listen, engines] { run_http_platform(*listen, *engines); });
+    command->add_option("--heartbeat-ms", *heartbeat_ms,
+        "Interval at which endpoints write their rows; 0 for only at the "
+        "start");
+    command->callback([listen, engines, heartbeat_ms]
+        { run_http_platform(*listen, *engines, *heartbeat_ms); });
 }
 
 } // namespace tarragonquay::standins
--- a/tests/support/gateway_system.hpp
+++ b/tests/support/gateway_system.hpp
@@ -53,9 +53,12 @@
 class gateway_system
 {
 public:
-    explicit gateway_system(int count = 2, int engine_count = 2)
-        : platform(process::start_standin(
-              "http-platform", {"--engines", std::to_string(engine_count)})),
+    /// Endpoints write their rows once when `heartbeat_ms` is 0.
+    explicit gateway_system(
+        int count = 2, int engine_count = 2, int heartbeat_ms = 0)
+        : platform(process::start_standin("http-platform",
+              {"--engines", std::to_string(engine_count), "--heartbeat-ms",
+                  std::to_string(heartbeat_ms)})),
           store_proxy(process::start_standin(
               "proxy", {"--listen", "127.0.0.1:0", "--target",
                            platform->address("store")})),
