Share the kept connection of integration.unanswered

Change: the caller's connection that tells whether a request without an answer was read moves to tests/support, for a second test.

--- a/tests/unanswered_test.cpp
+++ b/tests/unanswered_test.cpp
@@ -4,23 +4,16 @@
 #include <stop_token>
 #include <thread>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "support/gateway_system.hpp"
+#include "support/kept_connection.hpp"
 
 namespace tarragonquay::test_support
 {
 namespace
 {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
 using nlohmann::json;
 
 constexpr int gateway_count = 2;
@@ -35,89 +28,6 @@
 constexpr milliseconds stop_time{4'000};
 constexpr milliseconds refusals_begin{1'200};
 
-/// What a caller saw of one request.
-struct outcome
-{
-    /// 0 without an answer.
-    int status = 0;
-    bool complete = false;
-    /// The connection ended without an answer, but the gateway has received
-    /// further bytes, so it may have read and discarded the request.
-    bool swallowed = false;
-};
-
-/// A connection that is kept between requests.
-class kept_connection
-{
-public:
-    explicit kept_connection(const std::string& address) : stream_(io_)
-    {
-        const auto colon = address.rfind(':');
-        beast::error_code ec;
-        stream_.socket().connect(
-            {asio::ip::make_address(address.substr(0, colon)),
-                static_cast<std::uint16_t>(
-                    std::stoi(address.substr(colon + 1)))},
-            ec);
-        open_ = !ec;
-    }
-
-    bool open() const { return open_; }
-
-    void write(const std::string& text)
-    {
-        beast::error_code ignored;
-        asio::write(stream_.socket(), asio::buffer(text), ignored);
-    }
-
-    outcome read()
-    {
-        outcome out;
-        http::response_parser<http::string_body> parser;
-        beast::error_code failed;
-        stream_.expires_after(answer_time);
-        http::async_read(stream_, buffer_, parser,
-            [&](beast::error_code ec, std::size_t) { failed = ec; });
-        io_.restart();
-        io_.run();
-        if (parser.is_header_done())
-            out.status = static_cast<int>(parser.get().result_int());
-        out.complete = !failed && parser.is_done();
-        open_ = out.complete && parser.keep_alive();
-        if (failed == http::error::end_of_stream)
-            out.swallowed = accepts_more();
-        return out;
-    }
-
-private:
-    static constexpr milliseconds answer_time{10'000};
-
-    // A socket that was closed resets the connection when bytes arrive.
-    bool accepts_more()
-    {
-        constexpr milliseconds reset_time{20};
-        write("x");
-        std::this_thread::sleep_for(reset_time);
-        beast::error_code ec;
-        asio::write(stream_.socket(), asio::buffer("x", 1), ec);
-        return !ec;
-    }
-
-    asio::io_context io_;
-    beast::tcp_stream stream_;
-    beast::flat_buffer buffer_;
-    bool open_ = false;
-};
-
-std::string to_text(const http_call& call)
-{
-    std::string out = call.method + " " + call.target + " HTTP/1.1\r\n";
-    for (const auto& [name, value] : call.headers)
-        out += fmt::format("{}: {}\r\n", name, value);
-    return out + fmt::format("Content-Length: {}\r\n\r\n{}", call.body.size(),
-                     call.body);
-}
-
 /// Callers that keep their connections for as long as the newest configuration
 /// permits, while the configuration changes and gateways are stopped.
 class play
@@ -212,7 +122,7 @@
         }
     }
 
-    void note(const std::string& id, const outcome& seen)
+    void note(const std::string& id, const call_outcome& seen)
     {
         const std::scoped_lock lock(mutex_);
         if (seen.complete)
@@ -222,7 +132,7 @@
     }
 
     // Whether a stream that had begun was cut by a stop or at its deadline.
-    bool was_cut_in_time(const std::string& id, const outcome& seen) const
+    bool was_cut_in_time(const std::string& id, const call_outcome& seen) const
     {
         if (!slow_endpoints_ || seen.status != 200)
             return false;
@@ -327,7 +237,7 @@
     gateway_system system_;
     std::mutex processes_;
     std::mutex mutex_;
-    std::map<std::string, outcome> without_answer_;
+    std::map<std::string, call_outcome> without_answer_;
     std::size_t answered_ = 0;
     std::atomic<int> idle_limit_ms_ = 1'000;
     std::string logs_;
