--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -260,9 +260,14 @@
             each.join();
         CPPUNIT_ASSERT(ended);
         CPPUNIT_ASSERT_EQUAL(0, system.gateways[0]->exit_code());
+        // Shows that streams outlasted the stop: it interrupts them before the
+        // process ends.
         const auto log = system.gateways[0]->output();
-        CPPUNIT_ASSERT_MESSAGE(log,
-            log.find("\"process_ended\",\"running\":0") == std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(
+            log, log.find("\"requests_interrupted\",\"running\":") !=
+                         std::string::npos &&
+                     log.find("\"requests_interrupted\",\"running\":0") ==
+                         std::string::npos);
     }
 
     // Guards against instances that keep an old route, a withdrawn key or an
