--- a/src/gateway/forwarder_stop_test.cpp
+++ b/src/gateway/forwarder_stop_test.cpp
@@ -264,12 +264,8 @@
         full.listen(0);
         std::vector<asio::ip::tcp::socket> waiting;
         for (int i = 0; i < 4; ++i)
-        {
-            waiting.emplace_back(io).open(asio::ip::tcp::v4());
-            waiting.back().non_blocking(true);
-            boost::system::error_code ignored;
-            waiting.back().connect(full.local_endpoint(), ignored);
-        }
+            waiting.emplace_back(io).async_connect(
+                full.local_endpoint(), [](const boost::system::error_code&) {});
         fixture tested({}, {});
         auto entry = *tested.ctx.pool.find(endpoint_id("e0"));
         entry.address =
