--- a/src/dispatch/endpoint_pool.hpp
+++ b/src/dispatch/endpoint_pool.hpp
@@ -163,7 +163,8 @@
     void note_plain_end(const in_flight_request& sent,
         const service_id& service, time_point now);
     /// A time that few streams of this size exceed, from the first event to the
-    /// end: of this model, or of the service while the model has no measurement.
+    /// end: of this model, or of the service while the model has no
+    /// measurement.
     std::optional<duration> stream_time(const service_id& service,
         const model_id& model, std::int64_t output_tokens) const;
     /// A time that few plain requests exceed; none without a measurement.
