--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,5 +1,7 @@
-// Many users come at once, with bodies that the configured limits allow. The
-// platform kills a process that exceeds `memory_mb`.
+// The connections to the platform's store go silent, new ones work. After
+// `contact_ms`, the operator moves a route to another service and withdraws a
+// key. Which version do the gateways apply to requests sent later than
+// `config_apply_ms` after the acknowledgement?
 #include "../kit.hpp"
 
 using namespace kit;
@@ -7,180 +9,130 @@
 namespace
 {
 
-constexpr long memory_mb = 260;
-/// Below max_body_bytes of the configuration (4,194,304).
-constexpr std::size_t body_bytes = 4'000'000;
-/// Requests a second at one machine on quiet days, and in a burst.
-constexpr double usual_per_s = 8;
-constexpr double burst_x = 1.7;
-constexpr long usual_time_ms = 6000;
-constexpr long burst_time_ms = 3000;
-/// Time from the request to the first event; the objective is 3,000 ms.
-constexpr long first_event_ms = 2000;
-constexpr long deadline_ms = 10'000;
-constexpr int allowed_losses = 3;
+constexpr int gateway_count = 3;
+constexpr long contact_ms = 3000;
+constexpr long config_apply_ms = 2000;
+/// For the clients' own scheduling.
+constexpr long margin_ms = 100;
+constexpr long watched_ms = 9000;
 
-struct counts
-{
-    std::atomic<int> answered = 0;
-    std::atomic<int> other = 0;
-    std::atomic<int> lost = 0;
-};
-
-class runs
+class service
 {
 public:
-    void add(const std::string& id)
+    service(std::string name, record& log)
+        : name(std::move(name)),
+          log_(log),
+          server_([this](std::shared_ptr<stream> peer) { serve(*peer); })
     {
-        const std::lock_guard lock(mutex_);
-        ++count_[id];
-    }
-    bool has(const std::string& id)
-    {
-        const std::lock_guard lock(mutex_);
-        return count_.contains(id);
     }
+    std::string address() const { return server_.address(); }
+    const std::string name;
 
 private:
-    std::mutex mutex_;
-    std::map<std::string, int> count_;
-};
-
-void serve(stream& peer, record& log, runs& ran)
-{
-    while (true)
+    void serve(stream& peer)
     {
-        const auto request = read_message(peer);
-        if (!request.complete)
-            return;
-        const auto id = request.header("request-id");
-        ran.add(id);
-        log.line("replica runs " + id);
-        if (request.body.size() == body_bytes)
-            sleep_ms(first_event_ms);
-        std::string out = "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
-                          "\r\nResponse-Stamp: stamp-" + id +
-                          "\r\nContent-Type: text/event-stream\r\n"
-                          "Transfer-Encoding: chunked\r\n\r\n";
-        for (int i = 1; i <= 3; ++i)
+        while (true)
         {
-            const auto event =
-                "id: " + std::to_string(i) + "\ndata: piece\n\n";
-            char size[20];
-            std::snprintf(size, sizeof size, "%zx", event.size());
-            out += std::string(size) + "\r\n" + event + "\r\n";
+            const auto request = read_message(peer);
+            if (!request.complete)
+                return;
+            const auto id = request.header("request-id");
+            log_.line(name + " runs " + id);
+            sleep_ms(5);
+            if (!peer.write(answer_text(200,
+                    {{"Request-Id", id}, {"Response-Stamp", "stamp-" + id}},
+                    name)))
+                return;
         }
-        if (!peer.write(out + "0\r\n\r\n"))
-            return;
     }
-}
+    record& log_;
+    server server_;
+};
 
-// Sends a small request and then the large one on the same connection.
-void call(int port, const std::string& id, record& log, runs& ran, counts& out)
+json configuration(
+    int version, const std::string& target, int timeout_ms, const json& keys)
 {
-    const auto peer = dial(port);
-    if (!peer)
-    {
-        log.line(id + " was refused a connection");
-        ++out.other;
-        return;
-    }
-    peer->write(
-        request_text("POST", "/read/x", id + "-first", "key", deadline_ms, "{}"));
-    if (!read_message(*peer, now_ms() + deadline_ms).complete)
-    {
-        ++out.other;
-        return;
-    }
-    peer->write(request_text("POST", "/read/x", id, "key", deadline_ms,
-        std::string(body_bytes, 'x')));
-    const auto reply = read_message(*peer, now_ms() + deadline_ms + 500);
-    if (reply.status() != 0)
-    {
-        log.line(id + " answered " + std::to_string(reply.status()) +
-                 (reply.complete ? "" : ", incomplete"));
-        ++(reply.complete ? out.answered : out.other);
-        return;
-    }
-    const bool passed_on = ran.has(id);
-    log.line(id + " closed without an answer, " +
-             (passed_on ? "passed on" : "not passed on"));
-    ++(passed_on ? out.lost : out.other);
+    return {{"version", version},
+        {"routes", {plain_route("/book/", "unsafe", target, timeout_ms)}},
+        {"services", {plain_service("old-app"), plain_service("new-app")}},
+        {"limits", caller_limits()},
+        {"tenants", {{{"name", "dispatch"}, {"api_keys", keys}}}}};
 }
 
 void play(record& log)
 {
     scratch folder;
     table_service store;
-    runs ran;
-    server replica([&](std::shared_ptr<stream> peer)
-        { serve(*peer, log, ran); });
-    auto route = plain_route("/read/", "streaming", "desk", 10'000);
-    route["target_latency_ms"] = 3000;
-    route["gap_aim_ms"] = 250;
+    service old_app("old-app", log);
+    service new_app("new-app", log);
+    const json both = {"kept-key", "withdrawn-key"};
+    store.put("op", "config", configuration(3, "old-app", 1000, both));
+    for (const auto* each : {&old_app, &new_app})
+        store.put("servers", "i-" + each->name,
+            plain_entry(each->name, each->address(), unix_ms()));
+    std::vector<int> controls;
+    for (int i = 0; i < gateway_count; ++i)
+        controls.push_back(free_port());
+    std::vector<std::unique_ptr<gateway>> gateways;
+    for (int i = 0; i < gateway_count; ++i)
+        gateways.push_back(std::make_unique<gateway>(
+            folder, i, store.address(), controls[i], controls));
+    for (const auto& each : gateways)
+        if (!wait_until([&] { return each->ready(); }, 10'000))
+            end_case(log, 2);
+    sleep_ms(3000);
+    store.put("op", "config", configuration(5, "old-app", 1200, both));
+    log.line("version 5 acknowledged: another time-out");
+    sleep_ms(400);
+    if (trouble())
+    {
+        store.silence_open_connections();
+        log.line("the open connections to the store go silent");
+    }
+    sleep_ms(contact_ms + 500);
     store.put("op", "config",
-        {{"version", 3}, {"routes", {route}},
-            {"services", {plain_service("desk")}},
-            {"limits", caller_limits()},
-            {"tenants", {{{"name", "t"}, {"api_keys", {"key"}}}}}});
-    store.put("servers", "i-1",
-        plain_entry("desk", replica.address(), unix_ms()));
-    const int control = free_port();
-    gateway front(folder, 0, store.address(), control, {control});
-    if (!wait_until([&] { return front.ready(); }, 10'000))
-        end_case(log, 2);
-    sleep_ms(500);
-
-    std::atomic<bool> over = false;
-    std::atomic<long> peak_kb = 0;
-    std::atomic<bool> killed = false;
-    // The platform: a process that exceeds `memory_mb` is killed.
-    std::thread platform(
-        [&]
-        {
-            while (!over && !killed)
-            {
-                const auto kb = front.memory_kb();
-                peak_kb = std::max(peak_kb.load(), kb);
-                if (kb > memory_mb * 1000)
-                {
-                    killed = true;
-                    log.line("the process has " + std::to_string(kb) +
-                             " KB and is killed");
-                    front.signal(SIGKILL);
-                }
-                sleep_ms(10);
-            }
-        });
-    counts out;
-    std::vector<std::thread> callers;
-    int next = 0;
-    const auto send_for = [&](double per_s, long time_ms)
+        configuration(8, "new-app", 1200, json::array({"kept-key"})));
+    const auto acknowledged = now_ms();
+    log.line("version 8 acknowledged: the route leads to new-app, "
+             "withdrawn-key is gone");
+    int requests = 0;
+    int run_by_old = 0;
+    int run_with_withdrawn = 0;
+    for (int n = 0; now_ms() < acknowledged + watched_ms; ++n)
     {
-        const auto end = now_ms() + time_ms;
-        while (now_ms() < end && !killed)
-        {
-            callers.emplace_back(call, front.front, "r" + std::to_string(next++),
-                std::ref(log), std::ref(ran), std::ref(out));
-            sleep_ms(static_cast<long>(1000 / per_s));
-        }
-    };
-    send_for(usual_per_s, usual_time_ms);
-    if (trouble())
-        log.line("many users come at once");
-    send_for(trouble() ? usual_per_s * burst_x : usual_per_s, burst_time_ms);
-    for (auto& each : callers)
-        each.join();
-    over = true;
-    platform.join();
-    const auto summary = "most memory: " + std::to_string(peak_kb) +
-                         " KB, answered: " + std::to_string(out.answered) +
-                         ", passed on and closed without an answer: " +
-                         std::to_string(out.lost) +
-                         ", other: " + std::to_string(out.other);
-    log.line(summary);
-    std::printf("%s\n", summary.c_str());
-    end_case(log, out.lost > allowed_losses ? 1 : 0);
+        sleep_ms(25);
+        const bool withdrawn = n % 2 == 1;
+        const int to = n / 2 % gateway_count;
+        const auto id = "r" + std::to_string(n);
+        const auto sent = now_ms();
+        const auto peer = dial(gateways[to]->front);
+        if (!peer)
+            end_case(log, 2);
+        peer->write(request_text("POST", "/book/x", id,
+            withdrawn ? "withdrawn-key" : "kept-key", 1000, "{}"));
+        const auto reply = read_message(*peer, now_ms() + 1500);
+        const auto after = sent - acknowledged;
+        log.line(id + " with " + (withdrawn ? "withdrawn-key" : "kept-key") +
+                 " sent to front-" + std::to_string(to) + " " +
+                 std::to_string(after) + " ms after version 8, answered " +
+                 std::to_string(reply.status()) + " " + reply.body);
+        if (after <= config_apply_ms + margin_ms)
+            continue;
+        ++requests;
+        if (reply.status() != 200)
+            continue;
+        run_by_old += reply.body == "old-app" ? 1 : 0;
+        run_with_withdrawn += withdrawn ? 1 : 0;
+    }
+    log.line(
+        "requests sent later than config_apply_ms: " +
+        std::to_string(requests) +
+        ", run by old-app: " + std::to_string(run_by_old) +
+        ", run with the withdrawn key: " + std::to_string(run_with_withdrawn));
+    std::printf("%d requests late enough, %d run by old-app, %d run with the "
+                "withdrawn key\n",
+        requests, run_by_old, run_with_withdrawn);
+    end_case(log, run_by_old + run_with_withdrawn > 0 ? 1 : 0);
 }
 
 } // namespace
--- a/review/kit.hpp
+++ b/review/kit.hpp
@@ -83,7 +83,8 @@
 inline std::string lower(std::string text)
 {
     for (auto& each : text)
-        each = static_cast<char>(std::tolower(static_cast<unsigned char>(each)));
+        each =
+            static_cast<char>(std::tolower(static_cast<unsigned char>(each)));
     return text;
 }
 
@@ -281,8 +282,7 @@
     }
     const auto length = out.header("content-length");
     if (!length.empty())
-        out.complete =
-            read_bytes(from, std::stoul(length), out.body, deadline);
+        out.complete = read_bytes(from, std::stoul(length), out.body, deadline);
     else
         out.complete = true;
     return out;
@@ -360,10 +360,7 @@
         std::thread([this] { accept_all(); }).detach();
     }
     int port() const { return port_; }
-    std::string address() const
-    {
-        return "127.0.0.1:" + std::to_string(port_);
-    }
+    std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
 
 private:
     void accept_all()
@@ -373,8 +370,8 @@
             const int fd = ::accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC);
             if (fd < 0)
                 return;
-            std::thread([this, fd]
-                { on_connection_(std::make_shared<stream>(fd)); })
+            std::thread(
+                [this, fd] { on_connection_(std::make_shared<stream>(fd)); })
                 .detach();
         }
     }
@@ -396,7 +393,8 @@
                    (i + j < in.size() ? static_cast<unsigned char>(in[i + j])
                                       : 0U);
         for (std::size_t j = 0; j < 4; ++j)
-            out += i + j <= in.size() ? digits[bits >> (18 - 6 * j) & 63U] : '=';
+            out +=
+                i + j <= in.size() ? digits[bits >> (18 - 6 * j) & 63U] : '=';
     }
     return out;
 }
@@ -497,9 +495,9 @@
                 if (!each.deleted && key >= from && (to.empty() || key < to))
                     rows.push_back(
                         to_json(request.query("table"), key, each, false));
-            return reply_json(200, {{"rows", rows}, {"ver", version_},
-                                       {"now_ms", now_ms()},
-                                       {"more_pages", false}});
+            return reply_json(
+                200, {{"rows", rows}, {"ver", version_}, {"now_ms", now_ms()},
+                         {"more_pages", false}});
         }
         if (request.path() == "/-/rows-feed")
             return feed(request, lock, generation);
@@ -513,9 +511,8 @@
     {
         const auto table = request.query("table");
         const auto after = std::stoll(request.query("after"));
-        const auto until =
-            steady::now() +
-            std::chrono::milliseconds(std::stoll(request.query("wait_ms")));
+        const auto until = steady::now() + std::chrono::milliseconds(std::stoll(
+                                               request.query("wait_ms")));
         ++feeds_waiting_;
         json rows = json::array();
         while (generation == silent_before_)
@@ -527,13 +524,13 @@
                         each.version, to_json(table, key, each, false));
             for (auto& [version, each] : sorted)
                 rows.push_back(std::move(each));
-            if (!rows.empty() || changed_.wait_until(lock, until) ==
-                                     std::cv_status::timeout)
+            if (!rows.empty() ||
+                changed_.wait_until(lock, until) == std::cv_status::timeout)
                 break;
         }
         --feeds_waiting_;
-        return reply_json(200,
-            {{"rows", rows}, {"ver", version_}, {"now_ms", now_ms()}});
+        return reply_json(
+            200, {{"rows", rows}, {"ver", version_}, {"now_ms", now_ms()}});
     }
 
     std::string transact(const json& call)
@@ -553,8 +550,8 @@
                     to_json(each.at("table"), key, found->second, true));
         }
         if (!met)
-            return reply_json(412, {{"rows", current}, {"ver", version_},
-                                       {"now_ms", now_ms()}});
+            return reply_json(412,
+                {{"rows", current}, {"ver", version_}, {"now_ms", now_ms()}});
         for (const auto& each : call.value("puts", json::array()))
             write_row(each.at("table"), each.at("key"), each.at("value"));
         for (const auto& each : call.value("remove", json::array()))
@@ -623,7 +620,9 @@
 public:
     gateway(const scratch& folder, int index, const std::string& store,
         int own_control, const std::vector<int>& seeds, std::string log = {})
-        : front(free_port()), ready_port(free_port()), directory(free_port()),
+        : front(free_port()),
+          ready_port(free_port()),
+          directory(free_port()),
           control(own_control)
     {
         const auto name = "front-" + std::to_string(index);
@@ -663,8 +662,8 @@
         {
             // Ends with the case, however the case ends.
             ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-            const int out = ::open(
-                log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+            const int out =
+                ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(out, 1);
             ::dup2(out, 2);
             ::setenv("TARRAGONQUAY_CONFIG", file_.c_str(), 1);
@@ -727,8 +726,8 @@
 {
     return {{"service", service}, {"address", address}, {"zone", "zone-a"},
         {"version", "v1"}, {"slots", 64}, {"state", state},
-        {"cold_remaining_ms", 0}, {"stage", "both"},
-        {"models", json::array()}, {"sequence", 1}, {"born", born}};
+        {"cold_remaining_ms", 0}, {"stage", "both"}, {"models", json::array()},
+        {"sequence", 1}, {"born", born}};
 }
 
 inline json plain_route(const std::string& prefix, const std::string& kind,
@@ -760,8 +759,7 @@
     return method + " " + target + " HTTP/1.1\r\nHost: desk.example\r\n" +
            "Request-Id: " + id + "\r\nCredential: " + key + "\r\n" +
            "Deadline-Ms: " + std::to_string(deadline_ms) + "\r\n" + extra +
-           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-           body;
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 /// Runs a case, which ends with `end_case`.
