Find prompt parts that crash engines after the first event

Callers of sound streams saw them cut again and again: one part of other prompts crashed each engine that began to answer it, and no gateway ever refused the part. The first event of an answer cleared the evidence against all parts, a break after it was no evidence, and a begun stream was resumed at the next engine without asking.

A request is now established when its answer is complete or its engine still sends events 500 ms after the first one. Only that clears evidence, and until then the end of the engine is evidence. Resumed streams, takeovers and plain calls pass the same permission as first sends. A request that was lost in a crash while its parts are suspect waits until they are cleared or refused.

--- a/src/dispatch/crash_evidence.hpp
+++ b/src/dispatch/crash_evidence.hpp
@@ -18,8 +18,8 @@
 namespace tarragonquay::dispatch
 {
 
-/// The end of an engine process under which a request was lost before its first
-/// event.
+/// The end of an engine process under which a request was lost that waited or
+/// had just begun.
 struct crash_record
 {
     /// Identifies the ended process: hash of the endpoint and of its start.
@@ -35,7 +35,8 @@
 struct part_record
 {
     std::uint64_t part = 0;
-    /// Latest time at which an engine began to answer a request with the part.
+    /// Latest time at which a request with the part was established: an engine
+    /// had answered it completely or for a while.
     std::optional<time_point> answered_at;
     /// Crashes since then, one for each process, ordered by process.
     std::vector<crash_record> crashes;
@@ -76,12 +77,13 @@
 
 /// Finds the parts of prompts that crash every engine that answers them.
 ///
-/// When an engine ends, all requests that wait there are lost with it, and only
-/// one of them is the cause. Every part of the lost prompts but the last gets a
-/// crash record; an answer to any request with the part, at any instance,
-/// clears its records. A part that crashes engines is never answered, so its
-/// records add up, while parts of sound requests are cleared within seconds.
-/// Crashes that a refused part explains do not count against other parts.
+/// When an engine ends, all requests that wait or have just begun there are
+/// lost with it, and only one of them is the cause. Every part of the lost
+/// prompts but the last gets a crash record; an established answer to any
+/// request with the part, at any instance, clears its records. A part that
+/// crashes engines gets one or a few events at most, so its records add up,
+/// while parts of sound requests are cleared within seconds. Crashes that a
+/// refused part explains do not count against other parts.
 class crash_evidence
 {
 public:
@@ -109,10 +111,11 @@
     {
     }
 
-    /// Records that an engine has begun to answer the request.
+    /// Records that an engine has answered the request completely or for a
+    /// while.
     void note_answer(const prompt& request, time_point now);
     /// Records that the engine process ended while the request waited for its
-    /// first event.
+    /// first event or had just begun.
     void note_crash(const prompt& request, const endpoint_id& endpoint,
         std::int64_t started_unix_ms, time_point now);
 
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -79,11 +79,6 @@
            call.sends - call.sends_to_known < call.route->max_attempts;
 }
 
-bool take_attempt(call& call)
-{
-    return attempts_left(call) && take_repeat(call);
-}
-
 namespace
 {
 
--- a/src/gateway/call.hpp
+++ b/src/gateway/call.hpp
@@ -38,8 +38,8 @@
 
 std::string_view to_string(attempt_outcome value);
 
-/// Marks the parts of a suspect request as in flight at this instance, until
-/// its outcome is known.
+/// Marks the parts of a suspect request as in flight at this instance, until it
+/// is established or lost.
 class suspect_flight
 {
 public:
@@ -53,6 +53,16 @@
     std::vector<std::uint64_t> parts_;
 };
 
+/// A send whose connection the endpoint broke before the answer was
+/// established.
+struct lost_send
+{
+    dispatch::endpoint_choice at;
+    /// Start of the endpoint's process in milliseconds of Unix time.
+    std::int64_t started_unix_ms = 0;
+    time_point lost_at;
+};
+
 /// State of a request while the gateway serves it. `routes` is the
 /// configuration at the request's arrival; a later one does not replace it.
 struct call
@@ -81,8 +91,14 @@
     std::set<endpoint_id> tried;
     /// Set while the request is sent although one of its parts is suspect.
     std::unique_ptr<suspect_flight> suspect;
-    /// Whether an engine ended while the request waited there.
+    /// Whether an engine ended while the request waited or had just begun
+    /// there.
     bool lost_in_crash = false;
+    /// Whether an endpoint has answered the request for so long that its prompt
+    /// is no cause of crashes.
+    bool established = false;
+    /// Lost sends that are not yet recorded as evidence of crashes.
+    std::vector<lost_send> lost_sends;
     /// Endpoint of the latest attempt, for the log.
     endpoint_id endpoint;
     /// Reason code of the outcome, for the log and the metrics.
@@ -131,10 +147,6 @@
 /// Takes one repeat from the service's budget, unless this is the first send.
 /// Returns false when the budget is used up.
 bool take_repeat(call& call);
-/// Whether the request may be sent to one more endpoint. The first send is
-/// always allowed; each further one is limited by the route's attempts and
-/// takes one repeat from the service's budget.
-bool take_attempt(call& call);
 
 /// Must be called for each send. The admission charges the workspace for the
 /// first one, and this function for each further one while an earlier one may
--- a/src/gateway/context.hpp
+++ b/src/gateway/context.hpp
@@ -107,7 +107,7 @@
         request_adapter;
     /// Parts of prompts under which engines ended, as known to the whole fleet.
     dispatch::crash_evidence evidence;
-    /// Parts of suspect requests that wait at engines for their first event.
+    /// Parts of suspect requests that engines run and that are not established.
     std::set<std::uint64_t> suspect_parts_in_flight;
     /// Signalled when a verdict of `evidence` may have changed.
     change_signal evidence_changed;
--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -9,6 +9,7 @@
 #include "gateway/call.hpp"
 #include "gateway/endpoint_signals.hpp"
 #include "gateway/forwarder.hpp"
+#include "gateway/prompt_guard.hpp"
 #include "gateway/stop_limit.hpp"
 #include "gateway/ticket_guard.hpp"
 
@@ -131,6 +132,15 @@
     return end;
 }
 
+void note_lost(call& call, const dispatch::endpoint_choice& at,
+    const dispatch::in_flight_request& sent, const error& cause)
+{
+    if (is_broken_by_endpoint(cause) && !call.ctx.interrupted &&
+        !call.out.caller_gone())
+        call.lost_sends.push_back(
+            {at, sent.started_unix_ms, std::chrono::steady_clock::now()});
+}
+
 asio::awaitable<attempt_end> send_and_receive(call& call,
     const dispatch::endpoint_choice& to,
     const dispatch::in_flight_request& sent,
@@ -141,14 +151,23 @@
     auto head =
         co_await connection.send(make_exchange(call, to, call.deadline));
     if (!head)
+    {
+        note_lost(call, to, sent, head.error());
         co_return handle_failure(
             call, to, head.error(), switching.failure_recorded());
+    }
+    const auto established_at =
+        std::chrono::steady_clock::now() + establishing_time;
     note_answer_head(call.ctx, {to.id, to.started_unix_ms}, *head);
     const auto kind = classify_head(call, *head);
     auto body = co_await collect_body(call, connection, call.deadline);
     if (!body)
+    {
+        if (std::chrono::steady_clock::now() < established_at)
+            note_lost(call, to, sent, body.error());
         co_return handle_failure(
             call, to, body.error(), switching.failure_recorded());
+    }
     if (kind == attempt_outcome::unknown)
         co_return handle_failure(call, to,
             error(error_code::wrong_answer,
@@ -164,8 +183,11 @@
         const bool success = head->status < first_server_error;
         call.ctx.pool.record_answer(to.id, success);
         if (success)
+        {
+            note_prompt_answered(call);
             call.ctx.pool.note_plain_end(
                 sent, call.service->id, std::chrono::steady_clock::now());
+        }
         end.answer =
             make_caller_answer(call, std::move(*head), std::move(*body));
         co_return end;
@@ -260,14 +282,21 @@
     std::optional<whole_answer> last;
     while (std::chrono::steady_clock::now() <
                std::min(call.deadline, latest_answer_begin(call)) &&
-           take_attempt(call))
+           attempts_left(call))
     {
+        const auto permission = co_await permit_prompt(call);
+        if (permission == send_permission::refused)
+            co_return;
+        if (permission == send_permission::not_repeated || !take_repeat(call))
+            break;
         const auto to = call.ctx.pool.choose_plain(
             call.service->id, call.tried, std::chrono::steady_clock::now());
         if (!to)
             break;
         auto end = co_await attempt(call, *to);
         call.tried.insert(to->id);
+        co_await record_lost_sends(call);
+        call.suspect.reset();
         if (end.outcome == attempt_outcome::caller_gone)
         {
             call.reason = "caller_gone";
--- a/src/gateway/prompt_guard.cpp
+++ b/src/gateway/prompt_guard.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <optional>
 #include <string_view>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -88,7 +89,9 @@
             {"crashes",
                 call.ctx.evidence.crashes_under(*call.request.prompt)}});
     call.ctx.metrics.add("tq_gateway_refused_prompts_total", {});
-    if (runs_or_may_have_run(call))
+    if (call.out.answer_begun())
+        call.reason = "crashing_part";
+    else if (runs_or_may_have_run(call))
         co_await refuse(call, 502, "crashing_part");
     else
         co_await refuse(call, 503, "crashing_part",
@@ -96,6 +99,32 @@
     co_return send_permission::refused;
 }
 
+// The callers of a begun stream and of a request that has not begun wait for
+// different events.
+time_point latest_permission(const call& call, time_point now)
+{
+    const auto hold_time = std::max(min_hold_time,
+        milliseconds(hold_time_in_targets * call.route->target_latency_ms));
+    if (call.out.answer_begun())
+        return std::min(call.deadline, now + hold_time);
+    return std::min(
+        first_event_deadline(call), call.request.arrived_at + hold_time);
+}
+
+asio::awaitable<send_permission> end_hold(
+    call& call, const std::vector<std::uint64_t>& parts)
+{
+    call.ctx.log.info("prompt_held",
+        {{"request_id", call.request.id}, {"parts", to_text(parts)}});
+    if (call.lost_in_crash || call.out.answer_begun())
+        co_return send_permission::not_repeated;
+    if (runs_or_may_have_run(call))
+        co_await refuse(call, 502, "suspect_part");
+    else
+        co_await refuse(call, 503, "suspect_part", suspect_retry_s);
+    co_return send_permission::refused;
+}
+
 } // namespace
 
 suspect_flight::suspect_flight(context& ctx, std::vector<std::uint64_t> parts)
@@ -117,16 +146,15 @@
         co_return send_permission::granted;
     auto& ctx = call.ctx;
     const auto& prompt = *call.request.prompt;
-    const auto hold_until = std::min(first_event_deadline(call),
-        call.request.arrived_at +
-            std::max(min_hold_time,
-                milliseconds(
-                    hold_time_in_targets * call.route->target_latency_ms)));
+    const auto hold_until =
+        latest_permission(call, std::chrono::steady_clock::now());
     while (true)
     {
         const auto now = std::chrono::steady_clock::now();
         const auto verdict = ctx.evidence.judge(prompt, now);
-        if (verdict == dispatch::prompt_verdict::unsuspected)
+        const bool sound =
+            call.established && verdict == dispatch::prompt_verdict::suspect;
+        if (sound || verdict == dispatch::prompt_verdict::unsuspected)
             co_return send_permission::granted;
         auto parts = ctx.evidence.blamed_parts(prompt, now);
         const bool refused = verdict == dispatch::prompt_verdict::refused ||
@@ -135,32 +163,32 @@
                                      ctx.evidence.refusal_end(prompt), now));
         if (refused)
             co_return co_await refuse_prompt(call, parts, now);
-        if (call.lost_in_crash)
-            co_return send_permission::not_repeated;
-        if (!any_in_flight(ctx, parts))
+        if (!call.lost_in_crash && !any_in_flight(ctx, parts))
         {
             call.suspect =
                 std::make_unique<suspect_flight>(ctx, std::move(parts));
             co_return send_permission::granted;
         }
         if (now >= hold_until || call.out.caller_gone() || ctx.interrupted)
-        {
-            ctx.log.info("prompt_held",
-                {{"request_id", call.request.id}, {"parts", to_text(parts)}});
-            if (runs_or_may_have_run(call))
-                co_await refuse(call, 502, "suspect_part");
-            else
-                co_await refuse(call, 503, "suspect_part", suspect_retry_s);
-            co_return send_permission::refused;
-        }
+            co_return co_await end_hold(call, parts);
         co_await ctx.evidence_changed.wait(hold_until);
     }
 }
 
+bool may_send_elsewhere(const call& call, time_point now)
+{
+    if (!call.request.prompt)
+        return true;
+    const auto verdict = call.ctx.evidence.judge(*call.request.prompt, now);
+    return verdict == dispatch::prompt_verdict::unsuspected ||
+           (call.established && verdict == dispatch::prompt_verdict::suspect);
+}
+
 void note_prompt_answered(call& call)
 {
     if (!call.request.prompt)
         return;
+    call.established = true;
     auto& evidence = call.ctx.evidence;
     const auto before = evidence.revision();
     evidence.note_answer(
@@ -170,31 +198,48 @@
         call.ctx.announce_evidence();
 }
 
-asio::awaitable<void> note_prompt_lost(call& call,
-    const dispatch::endpoint_choice& at, std::int64_t started_unix_ms)
+bool is_broken_by_endpoint(const error& cause)
+{
+    return cause.code() == error_code::connection_broken ||
+           cause.code() == error_code::incomplete_answer;
+}
+
+namespace
+{
+
+asio::awaitable<void> note_prompt_lost(call& call, const lost_send& lost)
 {
     if (!call.request.prompt || call.request.prompt->parts.size() < 2 ||
         call.ctx.interrupted)
         co_return;
     auto& ctx = call.ctx;
-    const auto lost_at = std::chrono::steady_clock::now();
+    const auto now = std::chrono::steady_clock::now();
     const bool ended = co_await endpoints::http_connection::is_refused(
-        at.address, std::min(lost_at + probe_timeout, call.ctx.interrupts_at));
+        lost.at.address, std::min(now + probe_timeout, call.ctx.interrupts_at));
     if (!ended)
         co_return;
     call.lost_in_crash = true;
     const auto before = ctx.evidence.revision();
     ctx.evidence.note_crash(
-        *call.request.prompt, at.id, started_unix_ms, lost_at);
+        *call.request.prompt, lost.at.id, lost.started_unix_ms, lost.lost_at);
     ctx.log.info("engine_ended_under_request",
-        {{"request_id", call.request.id}, {"endpoint", at.id.str()},
+        {{"request_id", call.request.id}, {"endpoint", lost.at.id.str()},
             {"parts", to_text(shared_parts(*call.request.prompt))},
             {"crashes", ctx.evidence.crashes_under(*call.request.prompt)},
             {"verdict",
-                to_string(ctx.evidence.judge(*call.request.prompt, lost_at))}});
+                to_string(ctx.evidence.judge(*call.request.prompt, now))}});
     ctx.metrics.add("tq_gateway_requests_lost_in_crashes_total", {});
     if (ctx.evidence.revision() != before)
         ctx.announce_evidence();
 }
 
+} // namespace
+
+asio::awaitable<void> record_lost_sends(call& call)
+{
+    const auto lost = std::exchange(call.lost_sends, {});
+    for (const auto& each : lost)
+        co_await note_prompt_lost(call, each);
+}
+
 } // namespace tarragonquay::gateway
--- a/src/gateway/stream_call.cpp
+++ b/src/gateway/stream_call.cpp
@@ -168,8 +168,7 @@
                next_endpoint_deadline(call, state) &&
            !call.ctx.interrupted && may_send(call, state))
     {
-        const auto permission = state.begun ? send_permission::granted
-                                            : co_await permit_prompt(call);
+        const auto permission = co_await permit_prompt(call);
         if (permission == send_permission::refused)
             co_return;
         if (permission == send_permission::not_repeated)
@@ -192,15 +191,13 @@
             co_return;
         auto end = co_await relay_stream(call, state, *to);
         record_attempt(call, state, end.endpoint, end.outcome);
-        if (end.lost)
-            co_await note_prompt_lost(
-                call, end.lost->at, end.lost->started_unix_ms);
-        call.suspect.reset();
         if (end.outcome == relay_outcome::complete)
         {
             call.reason = "answered";
             co_return;
         }
+        co_await record_lost_sends(call);
+        call.suspect.reset();
         if (end.outcome == relay_outcome::caller_gone)
             break;
         if (end.outcome == relay_outcome::answered)
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -172,12 +172,12 @@
         return end;
     }
 
-    // Whether the endpoint broke the connection before the first event.
+    // Whether the endpoint broke the connection before the answer was
+    // established.
     bool is_lost(const error& cause) const
     {
-        return !state_.begun && !withdrawn_ && !call_.ctx.interrupted &&
-               (cause.code() == error_code::connection_broken ||
-                   cause.code() == error_code::incomplete_answer);
+        return !established_ && !withdrawn_ && !call_.ctx.interrupted &&
+               is_broken_by_endpoint(cause);
     }
 
     void close_connection()
@@ -222,7 +222,8 @@
                           ? relay_outcome::not_connected
                           : relay_outcome::broken;
         if (is_lost(cause))
-            end.lost = {to_, ticket_->ticket().started_unix_ms};
+            call_.lost_sends.push_back({to_, ticket_->ticket().started_unix_ms,
+                std::chrono::steady_clock::now()});
         if (call_.out.caller_gone())
             end.outcome = relay_outcome::caller_gone;
         else if (!withdrawn_ && !call_.ctx.interrupted)
@@ -372,8 +373,7 @@
             if (first)
                 note_first_event();
             else
-                call_.ctx.pool.note_progress(
-                    to_.id, std::chrono::steady_clock::now());
+                note_progress();
             first = false;
             const bool written = co_await deliver(head, std::move(*events));
             if (!written)
@@ -386,6 +386,7 @@
                 "the stream ended in the middle of an event",
                 execution_state::unknown));
         takeover_.stop();
+        note_established();
         return_to_pool();
         call_.ctx.pool.record_answer(to_.id, true);
         if (call_.request.prompt)
@@ -417,11 +418,25 @@
     void note_first_event()
     {
         verdict_changes_ = {};
-        note_prompt_answered(call_);
+        const auto now = std::chrono::steady_clock::now();
+        established_at_ = now + establishing_time;
         if (call_.request.prompt)
             call_.ctx.pool.note_first_event(ticket_->ticket(),
-                call_.service->id, call_.request.prompt->model,
-                std::chrono::steady_clock::now());
+                call_.service->id, call_.request.prompt->model, now);
+    }
+
+    void note_progress()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        call_.ctx.pool.note_progress(to_.id, now);
+        if (now >= established_at_)
+            note_established();
+    }
+
+    void note_established()
+    {
+        if (!std::exchange(established_, true))
+            note_prompt_answered(call_);
     }
 
     // Returns the complete events in the framer, concatenated. Fails if their
@@ -476,6 +491,10 @@
     time_point silent_since_ = std::chrono::steady_clock::now();
     /// Whether the endpoint sends only the rest of a stream.
     const bool continued_ = state_.last_event.has_value();
+    /// An event from this time on shows that the stream is established.
+    time_point established_at_ = time_point::max();
+    /// Whether this endpoint has established the stream.
+    bool established_ = false;
     /// Whether the request was taken back because its prompt is refused.
     bool withdrawn_ = false;
     change_signal::subscription interruption_;
@@ -505,6 +524,7 @@
     {
         record_attempt(call, state, end.endpoint, end.outcome);
         call.may_have_run = true;
+        co_await record_lost_sends(call);
         auto next =
             std::make_unique<relay>(call, state, std::move(*end.continuation));
         current = std::move(next);
--- a/src/gateway/stream_relay.hpp
+++ b/src/gateway/stream_relay.hpp
@@ -12,14 +12,6 @@
 namespace tarragonquay::gateway
 {
 
-/// A send whose connection the endpoint broke before the first event.
-struct lost_send
-{
-    dispatch::endpoint_choice at;
-    /// Start of the endpoint's process in milliseconds of Unix time.
-    std::int64_t started_unix_ms = 0;
-};
-
 struct relay_end
 {
     relay_outcome outcome = relay_outcome::broken;
@@ -29,8 +21,6 @@
     endpoint_id endpoint;
     /// Another endpoint has begun to continue the stream.
     std::optional<begun_stream> continuation;
-    /// The endpoint broke the connection before its first event.
-    std::optional<lost_send> lost;
 };
 
 /// When the caller stops waiting for the first event of the stream.
--- a/src/gateway/stream_takeover.cpp
+++ b/src/gateway/stream_takeover.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "gateway/endpoint_signals.hpp"
+#include "gateway/prompt_guard.hpp"
 #include "gateway/stream_relay.hpp"
 
 namespace tarragonquay::gateway
@@ -157,10 +158,7 @@
 
     std::optional<dispatch::endpoint_choice> choose(time_point now)
     {
-        // A request that may crash engines waits at one engine only.
-        if (!state_.begun && call_.request.prompt &&
-            call_.ctx.evidence.judge(*call_.request.prompt, now) !=
-                dispatch::prompt_verdict::unsuspected)
+        if (!may_send_elsewhere(call_, now))
             return std::nullopt;
         auto to = choose_next(call_, state_, {current_}, now);
         // The connection alone may have gone silent.
@@ -217,6 +215,10 @@
             co_return;
         if (!head)
         {
+            if (is_broken_by_endpoint(head.error()))
+                call_.lost_sends.push_back(
+                    {*asked_, ticket_->ticket().started_unix_ms,
+                        std::chrono::steady_clock::now()});
             fail(attempt_outcome::unknown, head.error().message());
             co_return;
         }
--- a/standins/http_platform.cpp
+++ b/standins/http_platform.cpp
@@ -355,6 +355,7 @@
         answer_ms_ = change.value("answer_ms", 0.0);
         event_ms_ = change.value("event_ms", usual_event_ms);
         crash_part_ = change.value("crash_part", std::string());
+        crash_after_events_ = change.value("crash_after_events", 0);
         crash_down_ms_ = change.value("crash_down_ms", usual_down_ms);
         announce(change);
     }
@@ -496,13 +497,13 @@
         if (!begun)
             co_return;
         note_delivered(announced);
-        if (crashes(request))
-        {
-            co_await crash();
-            co_return;
-        }
         for (int id = first; id <= events_of_a_stream; ++id)
         {
+            if (crashes(request) && id - first >= crash_after_events_)
+            {
+                co_await crash();
+                co_return;
+            }
             if (cut_streams_ > 0 && id == 3)
             {
                 --cut_streams_;
@@ -692,6 +693,8 @@
     double event_ms_ = usual_event_ms;
     /// Id of the part that crashes the engine; empty for none.
     std::string crash_part_;
+    /// Events of a stream with this part that are sent before the crash.
+    int crash_after_events_ = 0;
     double crash_down_ms_ = usual_down_ms;
     asio::io_context* io_ = nullptr;
     /// The process, by its start time, that is leaving; 0 for none.
--- a/tests/crashing_part_test.cpp
+++ b/tests/crashing_part_test.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <functional>
 #include <mutex>
 #include <stop_token>
 #include <thread>
@@ -129,6 +130,8 @@
 {
     CPPUNIT_TEST_SUITE(crashing_part_test);
     CPPUNIT_TEST(a_part_that_crashes_engines_is_kept_from_them);
+    CPPUNIT_TEST(a_part_that_crashes_engines_after_an_event_is_kept_from_them);
+    CPPUNIT_TEST(a_part_that_crashes_engines_at_both_moments_is_kept_from_them);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -136,10 +139,34 @@
     // what they have in common is known, and against sound requests that are
     // refused with them.
     void a_part_that_crashes_engines_is_kept_from_them()
+    {
+        play([](int) { return 0; });
+    }
+
+    // Guards against a first event that is taken for the answer to a request,
+    // so that the crash after it counts as no evidence.
+    void a_part_that_crashes_engines_after_an_event_is_kept_from_them()
+    {
+        play([](int) { return 1; });
+    }
+
+    // Guards against a first event at one engine that clears the crashes before
+    // the first event at others.
+    void a_part_that_crashes_engines_at_both_moments_is_kept_from_them()
+    {
+        play([](int number) { return number % 2; });
+    }
+
+private:
+    // `events_before_crash` tells how many events of a bad request an engine
+    // sends before it ends.
+    static void play(const std::function<int(int)>& events_before_crash)
     {
         gateway_system system(gateway_count, engine_count);
         for (int i = 0; i < engine_count; ++i)
-            system.fault(engine(i), {{"crash_part", "bad"}, {"begin_ms", 50}});
+            system.fault(
+                engine(i), {{"crash_part", "bad"}, {"begin_ms", 50},
+                               {"crash_after_events", events_before_crash(i)}});
         const sound_callers callers(system);
         CPPUNIT_ASSERT(eventually([&] { return callers.answers().size() > 20; },
             milliseconds(25'000)));
