Notice silent connections to the store within the bound of a change

Callers were served by an old configuration for up to 9.2 s: after the open connections to the store had gone silent, orders ran at a service that the route no longer named, and a withdrawn key was accepted. A feed call noticed it only at its end, 9.5 s after its begin at the latest, and the calls of all instances began together after each change.

The ends of the feed calls are now spread, so that in the whole fleet one ends each second; heartbeats carry the planned ends. An instance alone waits 1 s, one of eight or more waits 8 s as before. A call that was planned among others which are gone is replaced. A feed that is opened anew for this, or since it seems stalled, no longer counts as an outage of the store.

--- a/src/gateway/application.ipp
+++ b/src/gateway/application.ipp
@@ -199,6 +199,12 @@
     { return peers_.follows_store(std::chrono::steady_clock::now()); };
     configuration_feed_.only_while(follows);
     directory_feed_.only_while(follows);
+    peers_.on_feed_ends(
+        [this](const instance_id& peer, const peer_link::feed_ends& ends)
+        {
+            configuration_feed_.note_peer(peer, ends.configuration);
+            directory_feed_.note_peer(peer, ends.directory);
+        });
     peers_.on_feed_stalled([this] { directory_feed_.restart(); });
     boost::asio::co_spawn(
         io_, configuration_feed_.run(), boost::asio::detached);
@@ -341,6 +347,15 @@
     peers_.set_feeds_working(follows && ctx_.endpoints_known &&
                              !directory_feed_.failing() &&
                              !configuration_feed_.failing());
+    peer_link::feed_ends ends;
+    if (follows)
+    {
+        configuration_feed_.tick(now);
+        directory_feed_.tick(now);
+        ends = {
+            configuration_feed_.call_ends_at(), directory_feed_.call_ends_at()};
+    }
+    peers_.set_feed_ends(ends);
     directory_feed_.set_pause(feed_pause(now));
     if (!follows)
         directory_feed_.advance_to(documents_.directory_version());
--- a/src/gateway/document_feed.hpp
+++ b/src/gateway/document_feed.hpp
@@ -15,12 +15,14 @@
 
 #include "gateway/context.hpp"
 #include "gateway/documents.hpp"
+#include "gateway/feed_schedule.hpp"
 
 namespace tarragonquay::gateway
 {
 
 /// Follows a table of the store: reads the full table, then waits for its
-/// changes. After a failure it continues from the last version received.
+/// changes. After a failure it continues from the last version received. How
+/// long a call waits follows from the calls of the other instances.
 template <class Store>
 class document_feed
 {
@@ -36,7 +38,10 @@
     static constexpr std::chrono::milliseconds condition_interval{250};
 
     document_feed(context& ctx, Store& store, std::string table)
-        : ctx_(ctx), store_(store), table_(std::move(table))
+        : ctx_(ctx),
+          store_(store),
+          table_(std::move(table)),
+          schedule_(ctx.roster.self().id)
     {
     }
 
@@ -48,6 +53,18 @@
     }
     /// Whether the latest call failed.
     bool failing() const { return failing_; }
+    /// When the current call ends, if the store reports no change before.
+    std::optional<time_point> call_ends_at() const { return call_ends_at_; }
+    /// Records when the current call of another instance ends; no value when it
+    /// has none.
+    void note_peer(
+        const instance_id& peer, const std::optional<time_point>& ends_at)
+    {
+        if (ends_at)
+            schedule_.put(peer, *ends_at, std::chrono::steady_clock::now());
+        else
+            schedule_.erase(peer);
+    }
     /// Makes no calls while the condition is false.
     void only_while(std::function<bool()> condition)
     {
@@ -62,13 +79,20 @@
     {
         version_ = std::max(version_, version);
     }
-    /// Closes the connection, which seems stalled; the next call opens a new
-    /// one.
+    /// Ends the current call and begins a new one over a new connection. This
+    /// is no failure of the store.
     void restart()
     {
+        restarted_ = call_ends_at_.has_value();
         if (connection_)
             connection_->close();
     }
+    /// Ends a call that was planned among the calls of others which are gone.
+    void tick(time_point now)
+    {
+        if (call_ends_at_ && schedule_.ends_too_late(*call_ends_at_, now))
+            restart();
+    }
 
     boost::asio::awaitable<void> run()
     {
@@ -98,14 +122,25 @@
             co_return;
         table_read_ = true;
         version_ = rows->version;
+        after_changes_ = true;
         on_table_(*rows, std::chrono::steady_clock::now());
     }
 
     boost::asio::awaitable<void> follow()
     {
-        const auto wait = std::chrono::milliseconds(ctx_.settings.feed_wait_ms);
-        auto changes = co_await store_.follow_table(table_, version_,
-            std::chrono::steady_clock::now() + wait, connection_);
+        const auto ends_at =
+            schedule_.next_end(std::chrono::steady_clock::now(),
+                std::chrono::milliseconds(ctx_.settings.feed_wait_ms),
+                std::exchange(after_changes_, false));
+        call_ends_at_ = ends_at;
+        auto changes = co_await store_.follow_table(
+            table_, version_, ends_at, connection_);
+        call_ends_at_.reset();
+        if (std::exchange(restarted_, false) && !changes)
+        {
+            connection_.reset();
+            co_return;
+        }
         if (!changes && changes.error().code() == error_code::not_in_force)
         {
             ctx_.log.info("feed_history_gone",
@@ -119,6 +154,7 @@
         version_ = std::max(version_, changes->version);
         if (changes->rows.empty())
             co_return;
+        after_changes_ = true;
         on_changes_(*changes, std::chrono::steady_clock::now());
         if (pause_.count() > 0)
             co_await pause_for(pause_);
@@ -178,6 +214,13 @@
     std::function<bool()> only_while_;
     std::chrono::milliseconds pause_{0};
     std::optional<endpoints::http_connection> connection_;
+    feed_schedule schedule_;
+    std::optional<time_point> call_ends_at_;
+    /// Whether the last call returned changes, which ended the calls of the
+    /// other instances, too.
+    bool after_changes_ = false;
+    /// Whether the current call is ended by restart().
+    bool restarted_ = false;
     std::int64_t version_ = 0;
     bool table_read_ = false;
     bool failing_ = false;
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -26,6 +26,11 @@
 /// goes to all instances.
 constexpr milliseconds residency_interval{50};
 
+std::int64_t ms_until(time_point at, time_point now)
+{
+    return std::chrono::duration_cast<milliseconds>(at - now).count();
+}
+
 } // namespace
 
 peer_link::peer_link(context& ctx, documents& docs)
@@ -94,6 +99,11 @@
     }
     out.set_store_reached(feeds_working_);
     out.set_documents_current(feeds_working_ || feed_fallback_.current(now));
+    if (feed_ends_.configuration)
+        out.set_configuration_feed_ends_in_ms(
+            ms_until(*feed_ends_.configuration, now));
+    if (feed_ends_.directory)
+        out.set_directory_feed_ends_in_ms(ms_until(*feed_ends_.directory, now));
     for (const auto& each : ctx_.pool.leaving_processes())
     {
         auto& leaving = *out.add_leaving_endpoints();
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -103,6 +103,22 @@
     {
         on_feed_stalled_ = std::move(handler);
     }
+    /// When the current feed calls of an instance end; no value for a feed
+    /// without a call.
+    struct feed_ends
+    {
+        std::optional<time_point> configuration;
+        std::optional<time_point> directory;
+    };
+
+    /// Tells the others when the feed calls of this instance end.
+    void set_feed_ends(const feed_ends& ends) { feed_ends_ = ends; }
+    /// Sets the handler that receives what other instances tell.
+    void on_feed_ends(
+        std::function<void(const instance_id&, const feed_ends&)> handler)
+    {
+        on_feed_ends_ = std::move(handler);
+    }
     /// Whether the change feeds of this instance work.
     void set_feeds_working(bool working) { feeds_working_ = working; }
     /// Requests an adapter from the holder of the placement lease.
@@ -153,6 +169,8 @@
         const peer::Gateway_heartbeat& beat, time_point now);
     void use_report(
         const instance_id& from, const fleet_report& report, time_point now);
+    void receive_feed_ends(const instance_id& from,
+        const peer::Gateway_heartbeat& beat, time_point now);
     void update_document_state(const instance_id& from,
         const peer::Gateway_heartbeat& beat, time_point now);
     /// `stalled` is whether the own copy of the directory falls behind.
@@ -179,6 +197,8 @@
     known_holder holder_;
     bool directory_unavailable_ = false;
     bool feeds_working_ = false;
+    feed_ends feed_ends_;
+    std::function<void(const instance_id&, const feed_ends&)> on_feed_ends_;
     /// Working change feeds of which the own relay, another one or a member of
     /// the own group has told.
     feed_fallback feed_fallback_;
--- a/src/gateway/peer_receive.cpp
+++ b/src/gateway/peer_receive.cpp
@@ -88,6 +88,7 @@
             {endpoint_id(each.endpoint()), each.started_unix_ms()},
             dispatch::leaving_source::peer);
     handle_report(from, beat, now);
+    receive_feed_ends(from, beat, now);
     update_document_state(from, beat, now);
     // A sender that uses no relay does not know the other members yet.
     const bool without_relay = beat.scope() == peer::REPORT_SCOPE_OWN;
@@ -144,6 +145,20 @@
     ctx_.pool.put_peer_loads(from, report.loads, now);
 }
 
+void peer_link::receive_feed_ends(const instance_id& from,
+    const peer::Gateway_heartbeat& beat, time_point now)
+{
+    if (!on_feed_ends_)
+        return;
+    feed_ends told;
+    if (beat.has_configuration_feed_ends_in_ms())
+        told.configuration =
+            now + milliseconds(beat.configuration_feed_ends_in_ms());
+    if (beat.has_directory_feed_ends_in_ms())
+        told.directory = now + milliseconds(beat.directory_feed_ends_in_ms());
+    on_feed_ends_(from, told);
+}
+
 void peer_link::update_document_state(const instance_id& from,
     const peer::Gateway_heartbeat& beat, time_point now)
 {
