Return a request to the silent endpoint that it left

Callers got 502 although a sound endpoint would have answered: a stream without an event moved from an endpoint that was silent for a while to another one, which broke, and the first one was never asked again. Only endpoints that had broken a begun stream could be asked once more.

An endpoint that a stream left since it was silent may be asked once more, too. It counts as the same endpoint, so the route's attempts still limit the number of different ones.

a_moved_request_that_breaks_returns_to_its_first_endpoint failed before and passes now.

--- a/src/gateway/forwarder_stream_test.cpp
+++ b/src/gateway/forwarder_stream_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(a_silent_stream_goes_on_without_a_repeat_left);
     CPPUNIT_TEST(a_silent_stream_moves_to_an_endpoint_that_accepts_it);
     CPPUNIT_TEST(a_moved_stream_that_breaks_returns_to_its_first_endpoint);
+    CPPUNIT_TEST(a_moved_request_that_breaks_returns_to_its_first_endpoint);
     CPPUNIT_TEST(a_silent_connection_is_replaced_at_the_only_endpoint);
     CPPUNIT_TEST(a_stream_that_goes_on_is_not_moved);
     CPPUNIT_TEST(a_stream_that_breaks_moves_to_the_endpoint_being_asked);
@@ -169,6 +170,19 @@
         CPPUNIT_ASSERT(tested.out.ended);
     }
 
+    // Guards against giving up a request that a sound endpoint would answer,
+    // since it was silent before its first event and the next one broke.
+    void a_moved_request_that_breaks_returns_to_its_first_endpoint()
+    {
+        fixture tested(
+            {{"", then::silent},
+                {stream_head + chunk(event(1)) + stream_end, then::keep_open}},
+            {{stream_head}});
+        tested.run_long("/stream/x");
+        CPPUNIT_ASSERT_EQUAL(event(1), tested.out.stream);
+        CPPUNIT_ASSERT(tested.out.ended);
+    }
+
     // Guards against waiting at a connection that went silent for good when no
     // other endpoint can continue the stream.
     void a_silent_connection_is_replaced_at_the_only_endpoint()
--- a/src/gateway/stream_call.cpp
+++ b/src/gateway/stream_call.cpp
@@ -203,7 +203,8 @@
         if (end.outcome == relay_outcome::answered)
             last = std::move(end.answer);
         const bool ran = end.outcome == relay_outcome::answered ||
-                         end.outcome == relay_outcome::broken;
+                         end.outcome == relay_outcome::broken ||
+                         end.outcome == relay_outcome::moved;
         call.may_have_run = call.may_have_run || ran;
         if (ran && !resumable(call))
             break;
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -209,7 +209,7 @@
                 " ms; another endpoint continues the stream",
             send_);
         relay_end end;
-        end.outcome = relay_outcome::broken;
+        end.outcome = relay_outcome::moved;
         return end;
     }
 
--- a/src/gateway/stream_state.cpp
+++ b/src/gateway/stream_state.cpp
@@ -124,7 +124,9 @@
     const endpoint_id& endpoint, relay_outcome outcome)
 {
     const bool first = call.tried.insert(endpoint).second;
-    if (first && state.begun && outcome == relay_outcome::broken)
+    const bool retryable = outcome == relay_outcome::moved ||
+                           (state.begun && outcome == relay_outcome::broken);
+    if (first && retryable)
         state.retryable_endpoints.insert(endpoint);
     else
         state.retryable_endpoints.erase(endpoint);
--- a/src/gateway/stream_state.hpp
+++ b/src/gateway/stream_state.hpp
@@ -20,7 +20,8 @@
     bool begun = false;
     /// Id of the last event that the caller has got.
     std::optional<std::int64_t> last_event;
-    /// Endpoints that broke the stream once and may be tried once more.
+    /// Endpoints that broke the stream or were silent once and may be tried
+    /// once more.
     std::set<endpoint_id> retryable_endpoints;
 };
 
@@ -34,6 +35,8 @@
     not_connected,
     /// The stream was interrupted, stalled or invalid; it may be resumed.
     broken,
+    /// The endpoint was silent, and another one continues the stream.
+    moved,
     caller_gone
 };
 
@@ -70,7 +73,8 @@
 void count_send(call& call, const endpoint_id& endpoint);
 
 /// Records that an endpoint was tried. One that broke the stream may be tried
-/// once more, since it may be the only one that holds the model.
+/// once more, since it may be the only one that holds the model, and so may one
+/// that was silent, since sound endpoints fall silent for a while.
 void record_attempt(call& call, stream_state& state,
     const endpoint_id& endpoint, relay_outcome outcome);
 
