--- a/standins/http_platform.cpp
+++ b/standins/http_platform.cpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <cstdlib>
 #include <map>
+#include <random>
 #include <set>
 #include <string>
 
@@ -354,6 +355,8 @@
         begin_ms_ = change.value("begin_ms", 0.0);
         answer_ms_ = change.value("answer_ms", 0.0);
         event_ms_ = change.value("event_ms", usual_event_ms);
+        silent_percent_ = change.value("silent_percent", 0);
+        silence_ms_ = change.value("silence_ms", 0.0);
         crash_part_ = change.value("crash_part", std::string());
         crash_after_events_ = change.value("crash_after_events", 0);
         crash_down_ms_ = change.value("crash_down_ms", usual_down_ms);
@@ -463,12 +466,41 @@
         {
             if (answer_ms_ > 0)
                 co_await sleep_ms(answer_ms_);
-            co_await send(request, peer, own_answer(request));
+            co_await maybe_fall_silent();
+            if (silent_percent_ > 0)
+                co_await send_in_parts(request, peer);
+            else
+                co_await send(request, peer, own_answer(request));
         }
         else
             co_await stream(request, peer);
     }
 
+    // Sound endpoints may fall silent for a while and go on.
+    asio::awaitable<void> maybe_fall_silent()
+    {
+        if (std::uniform_int_distribution(0, 99)(random_) < silent_percent_)
+            co_await sleep_ms(silence_ms_);
+    }
+
+    asio::awaitable<void> send_in_parts(
+        const http_request& request, http_connection& peer)
+    {
+        const auto whole = own_answer(request);
+        const auto half = whole.body.size() / 2;
+        auto headers = whole.headers;
+        const auto announced = add_signals(request, headers);
+        const bool begun = co_await peer.begin_stream(headers);
+        if (!begun)
+            co_return;
+        note_delivered(announced);
+        co_await peer.send_chunk(whole.body.substr(0, half));
+        co_await maybe_fall_silent();
+        co_await peer.send_chunk(whole.body.substr(half));
+        co_await maybe_fall_silent();
+        co_await peer.finish_stream();
+    }
+
     bool holds(const std::string& model) const
     {
         const auto slash = model.find('/');
@@ -491,12 +523,14 @@
         const int first = last.empty() ? 1 : std::atoi(last.c_str()) + 1;
         if (begin_ms_ > 0)
             co_await sleep_ms(begin_ms_);
+        co_await maybe_fall_silent();
         auto headers = headers_of(request);
         const auto announced = add_signals(request, headers);
         const bool begun = co_await peer.begin_stream(headers);
         if (!begun)
             co_return;
         note_delivered(announced);
+        co_await maybe_fall_silent();
         for (int id = first; id <= events_of_a_stream; ++id)
         {
             if (crashes(request) && id - first >= crash_after_events_)
@@ -516,7 +550,10 @@
             if (!sent)
                 co_return;
             co_await sleep_ms(event_ms_);
+            if (id == events_of_a_stream / 2)
+                co_await maybe_fall_silent();
         }
+        co_await maybe_fall_silent();
         co_await peer.finish_stream();
     }
 
@@ -691,6 +728,11 @@
     /// Time from the arrival of a plain request to its answer.
     double answer_ms_ = 0;
     double event_ms_ = usual_event_ms;
+    /// How often the endpoint falls silent at each moment of an answer: before
+    /// the head, after it, in the middle, and before the end.
+    int silent_percent_ = 0;
+    double silence_ms_ = 0;
+    std::mt19937 random_;
     /// Id of the part that crashes the engine; empty for none.
     std::string crash_part_;
     /// Events of a stream with this part that are sent before the crash.
--- a/tests/unanswered_test.cpp
+++ b/tests/unanswered_test.cpp
@@ -39,14 +39,23 @@
     int gateway = 0;
 };
 
+enum class endpoint_behaviour
+{
+    prompt,
+    /// Many requests outlast the stop of their gateway.
+    slow,
+    /// Endpoints fall silent for 0.5 to 2 s and go on, several at once.
+    falls_silent
+};
+
 /// Callers that keep their connections for as long as the newest configuration
 /// permits, while the configuration changes and gateways are stopped.
 class play
 {
 public:
-    /// With slow endpoints, many requests outlast the stop of their gateway.
-    explicit play(std::uint32_t seed, bool slow_endpoints = false)
-        : seed_(seed), slow_endpoints_(slow_endpoints), system_(gateway_count)
+    explicit play(std::uint32_t seed,
+        endpoint_behaviour behaviour = endpoint_behaviour::prompt)
+        : seed_(seed), behaviour_(behaviour), system_(gateway_count)
     {
     }
 
@@ -60,7 +69,7 @@
                 { keep_calling(i, stop); });
         threads.emplace_back([this](const std::stop_token& stop)
             { change_configurations(stop); });
-        if (slow_endpoints_)
+        if (!prompt())
             threads.emplace_back(
                 [this](const std::stop_token& stop) { slow_down(stop); });
         const auto begin = std::chrono::steady_clock::now();
@@ -100,6 +109,8 @@
         return std::uniform_int_distribution(low, high)(random);
     }
 
+    bool prompt() const { return behaviour_ == endpoint_behaviour::prompt; }
+
     void keep_calling(int number, const std::stop_token& stop)
     {
         std::mt19937 random(seed_ * 1'000 + std::uint32_t(number));
@@ -123,7 +134,7 @@
                 target, i % 3 == 2 ? "m" : "", i % 2 == 0 ? "k1" : "k2");
             const auto id = fmt::format("u{}-{}", number, i);
             call.headers["Request-Id"] = id;
-            if (slow_endpoints_)
+            if (!prompt())
                 call.headers["Deadline-Ms"] = "9000";
             const auto sent_at = std::chrono::steady_clock::now();
             connection->write(to_text(call));
@@ -148,13 +159,13 @@
 
     milliseconds answer_time() const
     {
-        return slow_endpoints_ ? slow_answer_limit : answer_limit;
+        return prompt() ? answer_limit : slow_answer_limit;
     }
 
     // Whether a stream that had begun was cut by a stop or at its deadline.
     bool was_cut_in_time(const std::string& id, const sent_request& seen) const
     {
-        if (!slow_endpoints_ || seen.status != 200)
+        if (prompt() || seen.status != 200)
             return false;
         const auto finished = logs_.find(
             "\"event\":\"request_finished\",\"request_id\":\"" + id + "\"");
@@ -176,16 +187,26 @@
         {
             for (const auto* each : {"e1", "e2", "s1", "s2"})
             {
-                const bool slow = draw(random, 0, 1) == 0;
-                system_.fault(each,
-                    {{"begin_ms", slow ? draw(random, 0, 6'000) : 0},
-                        {"event_ms", slow ? draw(random, 10, 1'000) : 10},
-                        {"answer_ms", slow ? draw(random, 0, 6'000) : 0}});
+                if (behaviour_ == endpoint_behaviour::slow)
+                    system_.fault(each, slow_faults(random));
+                else
+                    system_.fault(
+                        each, {{"event_ms", 10},
+                                  {"silent_percent", draw(random, 0, 30)},
+                                  {"silence_ms", draw(random, 500, 2'000)}});
             }
             std::this_thread::sleep_for(milliseconds(draw(random, 200, 1'000)));
         }
     }
 
+    static json slow_faults(std::mt19937& random)
+    {
+        const bool slow = draw(random, 0, 1) == 0;
+        return {{"begin_ms", slow ? draw(random, 0, 6'000) : 0},
+            {"event_ms", slow ? draw(random, 10, 1'000) : 10},
+            {"answer_ms", slow ? draw(random, 0, 6'000) : 0}};
+    }
+
     void change_configurations(const std::stop_token& stop)
     {
         std::mt19937 random(seed_);
@@ -199,7 +220,7 @@
             auto& routes = next["routes"];
             for (int i = 0; i < 2; ++i)
                 routes[i]["timeout_ms"] = draw(random, 300, 5'000);
-            if (slow_endpoints_)
+            if (!prompt())
                 for (auto& route : routes)
                     route["timeout_ms"] = draw(random, 3'000, 9'000);
             routes[0].erase("service");
@@ -258,7 +279,7 @@
     }
 
     const std::uint32_t seed_;
-    const bool slow_endpoints_;
+    const endpoint_behaviour behaviour_;
     gateway_system system_;
     std::mutex processes_;
     std::mutex mutex_;
@@ -279,6 +300,7 @@
     CPPUNIT_TEST_SUITE(unanswered_test);
     CPPUNIT_TEST(requests_beside_changes_and_stops_are_answered);
     CPPUNIT_TEST(slow_requests_beside_changes_and_stops_are_answered);
+    CPPUNIT_TEST(requests_at_endpoints_that_fall_silent_are_answered);
     CPPUNIT_TEST(a_request_that_is_partly_read_is_answered_before_a_stop);
     CPPUNIT_TEST_SUITE_END();
 
@@ -297,7 +319,17 @@
     // The same for requests that last longer than the stop of their gateway.
     void slow_requests_beside_changes_and_stops_are_answered()
     {
-        play played(seed(), true);
+        play played(seed(), endpoint_behaviour::slow);
+        played.run();
+        CPPUNIT_ASSERT_EQUAL(std::string(), played.unanswered());
+        CPPUNIT_ASSERT(played.answered() > 20);
+    }
+
+    // Guards against an answer that ends sooner since its endpoint has fallen
+    // silent, which sound endpoints do.
+    void requests_at_endpoints_that_fall_silent_are_answered()
+    {
+        play played(seed(), endpoint_behaviour::falls_silent);
         played.run();
         CPPUNIT_ASSERT_EQUAL(std::string(), played.unanswered());
         CPPUNIT_ASSERT(played.answered() > 20);
