--- a/src/gateway/call.hpp
+++ b/src/gateway/call.hpp
@@ -136,8 +136,8 @@
 
 /// Whether the caller has gone and the request ends. A caller that closes only
 /// its sending side can't be told from one that has left, so a plain request
-/// that must not be repeated is finished once it was sent: only its answer tells
-/// whether it has run.
+/// that must not be repeated is finished once it was sent: only its answer
+/// tells whether it has run.
 bool is_abandoned(const call& call);
 
 /// The inputs of the decision about a request, for the log.
