--- a/src/gateway/document_feed.hpp
+++ b/src/gateway/document_feed.hpp
@@ -83,9 +83,10 @@
     /// is no failure of the store.
     void restart()
     {
+        if (!connection_)
+            return;
         restarted_ = call_ends_at_.has_value();
-        if (connection_)
-            connection_->close();
+        connection_->close();
     }
     /// Ends a call that was planned among the calls of others which are gone.
     void tick(time_point now)
