--- a/src/gateway/feed_schedule.hpp
+++ b/src/gateway/feed_schedule.hpp
@@ -41,6 +41,8 @@
     /// Records when the current call of another instance ends.
     void put(const instance_id& peer, time_point ends_at, time_point now)
     {
+        std::erase_if(reports_,
+            [now](const auto& each) { return now >= each.second.valid_until; });
         reports_[peer] = {ends_at, now + report_lifetime};
     }
     /// Removes an instance that has no call.
--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -184,7 +184,7 @@
         call.ctx.pool.record_answer(to.id, success);
         if (success)
         {
-            note_prompt_answered(call);
+            note_prompt_established(call);
             call.ctx.pool.note_plain_end(
                 sent, call.service->id, std::chrono::steady_clock::now());
         }
--- a/src/gateway/prompt_guard.cpp
+++ b/src/gateway/prompt_guard.cpp
@@ -184,7 +184,7 @@
            (call.established && verdict == dispatch::prompt_verdict::suspect);
 }
 
-void note_prompt_answered(call& call)
+void note_prompt_established(call& call)
 {
     if (!call.request.prompt)
         return;
--- a/src/gateway/prompt_guard.hpp
+++ b/src/gateway/prompt_guard.hpp
@@ -40,7 +40,7 @@
 bool may_send_elsewhere(const call& call, time_point now);
 
 /// Records that the request is established at an engine.
-void note_prompt_answered(call& call);
+void note_prompt_established(call& call);
 
 /// Whether the endpoint ended the connection before the answer was complete.
 bool is_broken_by_endpoint(const error& cause);
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -436,7 +436,7 @@
     void note_established()
     {
         if (!std::exchange(established_, true))
-            note_prompt_answered(call_);
+            note_prompt_established(call_);
     }
 
     // Returns the complete events in the framer, concatenated. Fails if their
