Ask the store for an immediate answer over a new connection

Cause: the feed call that follows a failed one waits at the store for changes, like any other. If the store does get it, the feed counts as lost until the next change of the table. When that change is the removal of an endpoint, its entry is taken for one that expired in the outage, and the endpoint is used for two seconds more.

Change: the first call over a connection does not wait. The class of fault is a wait on a connection of which nothing is known; connections to endpoints and between instances have no such waits.

Two new cases of document_feed_test fail without the change. The fake store of that test answers calls that do not wait, so its other cases count two calls for each connection; what they check is unchanged.

--- a/src/gateway/document_feed.hpp
+++ b/src/gateway/document_feed.hpp
@@ -22,7 +22,8 @@
 
 /// Follows a table of the store: reads the full table, then waits for its
 /// changes. After a failure it continues from the last version received. How
-/// long a call waits follows from the calls of the other instances.
+/// long a call waits follows from the calls of the other instances; the first
+/// call over a connection does not wait.
 template <class Store>
 class document_feed
 {
@@ -129,10 +130,7 @@
 
     boost::asio::awaitable<void> follow()
     {
-        const auto ends_at =
-            schedule_.next_end(std::chrono::steady_clock::now(),
-                std::chrono::milliseconds(ctx_.settings.feed_wait_ms),
-                std::exchange(after_changes_, false));
+        const auto ends_at = next_call_end();
         call_ends_at_ = ends_at;
         auto changes = co_await store_.follow_table(
             table_, version_, ends_at, connection_);
@@ -161,6 +159,19 @@
             co_await pause_for(pause_);
     }
 
+    // The first call over a connection does not wait for changes. Until the
+    // store has answered, it is unknown whether it will: calls that were sent
+    // while it was silent are never answered.
+    time_point next_call_end()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        if (!connection_ || !connection_->is_idle())
+            return now;
+        return schedule_.next_end(now,
+            std::chrono::milliseconds(ctx_.settings.feed_wait_ms),
+            std::exchange(after_changes_, false));
+    }
+
     void note(const error* failure)
     {
         const auto now = std::chrono::steady_clock::now();
--- a/src/gateway/document_feed_test.cpp
+++ b/src/gateway/document_feed_test.cpp
@@ -10,8 +10,8 @@
 namespace
 {
 
-/// A store whose table never changes. Its feed calls go to a server that does
-/// not answer.
+/// A store whose table never changes. It answers feed calls that do not wait;
+/// the others go to a server that does not answer.
 class unchanging_store
 {
 public:
@@ -32,12 +32,21 @@
         std::string, std::int64_t, time_point wait_until,
         std::optional<endpoints::http_connection>& connection)
     {
-        waits_until.push_back(wait_until);
-        auto opened =
-            co_await endpoints::http_connection::open(address_, wait_until);
-        if (!opened)
-            co_return tl::unexpected<error>(opened.error());
-        connection.emplace(std::move(*opened));
+        const auto now = std::chrono::steady_clock::now();
+        const bool waits = wait_until > now;
+        calls.push_back({!connection, waits, wait_until});
+        if (unavailable)
+            co_return fail(error_code::store_unavailable, "unavailable");
+        if (!connection)
+        {
+            auto opened =
+                co_await endpoints::http_connection::open(address_, now + 1s);
+            if (!opened)
+                co_return tl::unexpected<error>(opened.error());
+            connection.emplace(std::move(*opened));
+        }
+        if (!waits)
+            co_return remote_store::table_changes();
         endpoints::exchange_request request;
         request.address = address_;
         request.method = "GET";
@@ -49,7 +58,16 @@
         co_return remote_store::table_changes();
     }
 
-    std::vector<time_point> waits_until;
+    struct feed_call
+    {
+        bool opens_connection = false;
+        bool waits = false;
+        time_point wait_until;
+    };
+
+    std::vector<feed_call> calls;
+    /// Fails all feed calls.
+    bool unavailable = false;
 
 private:
     const std::string address_;
@@ -62,6 +80,8 @@
     CPPUNIT_TEST_SUITE(document_feed_test);
     CPPUNIT_TEST(a_restart_is_no_failure_of_the_store);
     CPPUNIT_TEST(an_unanswered_call_is_a_failure_of_the_store);
+    CPPUNIT_TEST(the_first_call_over_a_connection_does_not_wait);
+    CPPUNIT_TEST(a_feed_has_recovered_once_the_store_answers_again);
     CPPUNIT_TEST(a_call_that_ends_too_late_is_replaced);
     CPPUNIT_TEST_SUITE_END();
 
@@ -72,8 +92,7 @@
     {
         started_feed tested;
         tested.feed.restart();
-        CPPUNIT_ASSERT(tested.system.poll_until(
-            [&] { return tested.store.waits_until.size() == 2; }));
+        tested.await_calls(4);
         CPPUNIT_ASSERT(!tested.feed.failing());
         CPPUNIT_ASSERT_EQUAL(0, tested.recoveries);
     }
@@ -85,6 +104,39 @@
             tested.system.poll_until([&] { return tested.feed.failing(); }));
     }
 
+    // Guards against an instance that does not notice for the time of a whole
+    // wait that the store does not answer the call with which it returned
+    // (seen as CONFIG on sft-orders: 33 s without the configuration after a
+    // silence of 4 s).
+    void the_first_call_over_a_connection_does_not_wait()
+    {
+        started_feed tested;
+        tested.feed.restart();
+        tested.await_calls(4);
+        for (const std::size_t first : {0, 2})
+        {
+            CPPUNIT_ASSERT(tested.store.calls[first].opens_connection);
+            CPPUNIT_ASSERT(!tested.store.calls[first].waits);
+            CPPUNIT_ASSERT(!tested.store.calls[first + 1].opens_connection);
+            CPPUNIT_ASSERT(tested.store.calls[first + 1].waits);
+        }
+    }
+
+    // Guards against an outage that seems to last until the next change of the
+    // table, so that an entry which is removed then is taken for one that
+    // expired in the outage.
+    void a_feed_has_recovered_once_the_store_answers_again()
+    {
+        started_feed tested;
+        tested.store.unavailable = true;
+        CPPUNIT_ASSERT(
+            tested.system.poll_until([&] { return tested.feed.failing(); }));
+        tested.store.unavailable = false;
+        CPPUNIT_ASSERT(
+            tested.system.poll_until([&] { return tested.recoveries == 1; }));
+        CPPUNIT_ASSERT(!tested.feed.failing());
+    }
+
     // Guards against a call that was planned while others covered the time
     // until its end.
     void a_call_that_ends_too_late_is_replaced()
@@ -94,20 +146,18 @@
         const instance_id peer("a");
         tested.feed.note_peer(peer, now + 1s);
         tested.feed.restart();
-        CPPUNIT_ASSERT(tested.system.poll_until(
-            [&] { return tested.store.waits_until.size() == 2; }));
-        CPPUNIT_ASSERT(tested.store.waits_until[1] > now + 1'500ms);
+        tested.await_calls(4);
+        CPPUNIT_ASSERT(tested.store.calls[3].wait_until > now + 1'500ms);
         tested.feed.tick(std::chrono::steady_clock::now());
         tested.feed.note_peer(peer, std::nullopt);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(2), tested.store.waits_until.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), tested.store.calls.size());
         tested.feed.tick(std::chrono::steady_clock::now());
-        CPPUNIT_ASSERT(tested.system.poll_until(
-            [&] { return tested.store.waits_until.size() == 3; }));
+        tested.await_calls(6);
         CPPUNIT_ASSERT(!tested.feed.failing());
     }
 
 private:
-    // A feed whose first call waits at the store.
+    // A feed whose second call waits at the store.
     struct started_feed
     {
         started_feed()
@@ -117,10 +167,17 @@
             feed.on_recovery([this](time_point) { ++recoveries; });
             asio::co_spawn(system.io, feed.run(),
                 [this](const std::exception_ptr&) { ended = true; });
+            await_calls(2);
             CPPUNIT_ASSERT(system.poll_until(
                 [&] { return system.servers[0].requests.size() == 1; }));
         }
 
+        void await_calls(std::size_t count)
+        {
+            CPPUNIT_ASSERT(
+                system.poll_until([&] { return store.calls.size() == count; }));
+        }
+
         fixture system{
             {{"", then::silent}, {"", then::silent}, {"", then::silent}}, {}};
         unchanging_store store{system.servers[0].address()};
