Keep removed entries only after an outage in which entries may expire

Cause: after any failed call for the directory, however short, entries that were missing were kept for two seconds. Entries of live endpoints expire only after three heartbeat intervals without a renewal, so two full intervals without the store are needed, and other instances can tell whether it was away.

Change: instances tell in their heartbeats how long ago the store answered them. An instance whose calls have failed keeps missing entries only if no instance was answered for two intervals (settings: bounds.endpoint_heartbeat_ms) and that ended while its calls failed; it logs store_outage_ended. Only own answers are told: an age that is passed on would grow younger with each delivery.

Tests: four new cases of documents_test; without the change three of them fail, the fourth guards what has to stay. The older cases use an outage of 2.4 s where they used a recovery without one.

--- a/src/gateway/application.ipp
+++ b/src/gateway/application.ipp
@@ -193,8 +193,11 @@
     directory_feed_.on_changes(
         [this](const remote_store::table_changes& rows, time_point now)
         { documents_.apply_directory_changes(rows, now); });
+    directory_feed_.on_answer(
+        [this](time_point now) { documents_.note_store_answer(now); });
     directory_feed_.on_recovery(
-        [this](time_point now) { documents_.note_store_recovery(now); });
+        [this](time_point failing_since, time_point now)
+        { documents_.note_store_recovery(failing_since, now); });
     const auto follows = [this]
     { return peers_.follows_store(std::chrono::steady_clock::now()); };
     configuration_feed_.only_while(follows);
--- a/src/gateway/document_feed.hpp
+++ b/src/gateway/document_feed.hpp
@@ -48,7 +48,15 @@
 
     void on_table(rows_handler handler) { on_table_ = std::move(handler); }
     void on_changes(rows_handler handler) { on_changes_ = std::move(handler); }
-    void on_recovery(std::function<void(time_point)> handler)
+    /// Sets the handler of each answer of the store, which is called before the
+    /// rows of the answer are handled.
+    void on_answer(std::function<void(time_point now)> handler)
+    {
+        on_answer_ = std::move(handler);
+    }
+    /// Sets the handler of the first answer after failed calls.
+    void on_recovery(
+        std::function<void(time_point failing_since, time_point now)> handler)
     {
         on_recovery_ = std::move(handler);
     }
@@ -188,6 +196,8 @@
             return;
         }
         backoff_ = initial_backoff;
+        if (on_answer_)
+            on_answer_(now);
         if (!std::exchange(failing_, false))
             return;
         ctx_.log.info("store_regained",
@@ -197,7 +207,7 @@
                         now - failing_since_)
                         .count()}});
         if (on_recovery_)
-            on_recovery_(now);
+            on_recovery_(failing_since_, now);
     }
 
     boost::asio::awaitable<void> back_off()
@@ -222,7 +232,8 @@
     const std::string table_;
     rows_handler on_table_;
     rows_handler on_changes_;
-    std::function<void(time_point)> on_recovery_;
+    std::function<void(time_point)> on_answer_;
+    std::function<void(time_point, time_point)> on_recovery_;
     std::function<bool()> only_while_;
     std::chrono::milliseconds pause_{0};
     std::optional<endpoints::http_connection> connection_;
--- a/src/gateway/document_feed_test.cpp
+++ b/src/gateway/document_feed_test.cpp
@@ -164,7 +164,7 @@
         {
             feed.on_table([](const auto&, time_point) {});
             feed.on_changes([](const auto&, time_point) {});
-            feed.on_recovery([this](time_point) { ++recoveries; });
+            feed.on_recovery([this](time_point, time_point) { ++recoveries; });
             asio::co_spawn(system.io, feed.run(),
                 [this](const std::exception_ptr&) { ended = true; });
             await_calls(2);
--- a/src/gateway/documents.cpp
+++ b/src/gateway/documents.cpp
@@ -10,6 +10,17 @@
 namespace tarragonquay::gateway
 {
 
+using std::chrono::milliseconds;
+
+namespace
+{
+
+/// An entry expires after three heartbeat intervals without a renewal, the
+/// first of which may have passed before the store was lost.
+constexpr std::int64_t min_intervals_to_expiry = 2;
+
+} // namespace
+
 void documents::apply_configuration(
     const std::string& document, const char* source)
 {
@@ -111,10 +122,33 @@
     return out;
 }
 
-void documents::note_store_recovery(time_point now)
+void documents::note_store_answer(time_point now)
 {
-    keep_lapsed_until_ = now + std::chrono::milliseconds(
-                                   ctx_.settings.bounds.directory_recovery_ms);
+    store_answered_at_ = now;
+    note_contact(now);
+}
+
+void documents::note_contact(time_point at)
+{
+    if (contact_at_ && at <= *contact_at_)
+        return;
+    const milliseconds shortest_outage(
+        min_intervals_to_expiry * ctx_.settings.bounds.endpoint_heartbeat_ms);
+    if (contact_at_ && at - *contact_at_ >= shortest_outage)
+        outage_ended_at_ = at;
+    contact_at_ = at;
+}
+
+void documents::note_store_recovery(time_point failing_since, time_point now)
+{
+    if (!outage_ended_at_ || *outage_ended_at_ < failing_since)
+        return;
+    ctx_.log.info("store_outage_ended",
+        {{"ended_ms_ago",
+            std::chrono::duration_cast<milliseconds>(now - *outage_ended_at_)
+                .count()}});
+    keep_lapsed_until_ =
+        now + milliseconds(ctx_.settings.bounds.directory_recovery_ms);
 }
 
 void documents::tick(time_point now)
--- a/src/gateway/documents.hpp
+++ b/src/gateway/documents.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,10 +41,21 @@
     {
         on_directory_changes_ = std::move(observer);
     }
-    /// Records that the store answers again after a failure. Entries that
-    /// expired meanwhile may be registered again, so they are kept for the
-    /// configured recovery time.
-    void note_store_recovery(time_point now);
+    /// Records that the store answered a call of this instance for the
+    /// directory.
+    void note_store_answer(time_point now);
+    /// When the store last answered such a call.
+    std::optional<time_point> store_answered_at() const
+    {
+        return store_answered_at_;
+    }
+    /// Records when the store answered such a call of another instance.
+    void note_peer_answer(time_point at) { note_contact(at); }
+    /// Records that the store answers this instance again, whose calls have
+    /// failed since then. If it answered no instance for so long that entries
+    /// of live endpoints may have expired, these may be registered again, so
+    /// they are kept for the configured recovery time.
+    void note_store_recovery(time_point failing_since, time_point now);
     /// Erases expired entries that were not registered again in time.
     void tick(time_point now);
 
@@ -74,6 +86,7 @@
     /// Returns whether the entry was erased immediately.
     bool erase_entry(const std::string& key, time_point now);
     void erase_now(const std::string& key);
+    void note_contact(time_point at);
 
     context& ctx_;
     std::string configuration_;
@@ -82,6 +95,11 @@
     std::int64_t directory_version_ = 0;
     std::function<void(std::int64_t, const remote_store::table_changes&)>
         on_directory_changes_;
+    std::optional<time_point> store_answered_at_;
+    /// Latest answer of the store to any instance.
+    std::optional<time_point> contact_at_;
+    /// End of the latest outage in which entries may have expired.
+    std::optional<time_point> outage_ended_at_;
     time_point keep_lapsed_until_{};
     /// Expired entries that are kept, and when they are erased.
     std::map<std::string, time_point> lapsed_;
--- a/src/gateway/documents_test.cpp
+++ b/src/gateway/documents_test.cpp
@@ -17,6 +17,11 @@
 
 using namespace std::chrono_literals;
 using remote_store::changed_row;
+using std::chrono::milliseconds;
+
+/// Entries of live endpoints do not expire while the store is lost for this
+/// time, less than two heartbeat intervals.
+constexpr milliseconds longest_without_expiry{2'399};
 
 // Rows of the endpoint "e"; the value states whether it is leaving.
 changed_row serving(std::int64_t version)
@@ -60,6 +65,10 @@
     CPPUNIT_TEST(older_erasure_of_a_reregistered_entry_is_ignored);
     CPPUNIT_TEST(expired_entry_is_kept_for_the_recovery_time);
     CPPUNIT_TEST(expired_entry_of_a_leaving_endpoint_is_erased_at_once);
+    CPPUNIT_TEST(removed_entry_is_erased_at_once_after_failed_calls);
+    CPPUNIT_TEST(removed_entry_is_erased_at_once_while_others_are_answered);
+    CPPUNIT_TEST(expired_entry_is_kept_if_another_instance_is_answered_first);
+    CPPUNIT_TEST(removed_entry_is_erased_at_once_long_after_an_outage);
     CPPUNIT_TEST_SUITE_END();
 
     boost::asio::io_context io_;
@@ -80,6 +89,21 @@
             {std::move(rows), version, false}, clock_.now());
     }
 
+    // The store answers no instance for this time, and this one's calls fail.
+    void lose_store_for(milliseconds time)
+    {
+        tested_.note_store_answer(clock_.now());
+        const auto failing_since = clock_.now() + 1ms;
+        clock_.advance(time);
+        recover(failing_since);
+    }
+
+    void recover(time_point failing_since)
+    {
+        tested_.note_store_answer(clock_.now());
+        tested_.note_store_recovery(failing_since, clock_.now());
+    }
+
     bool known() const { return ctx_.pool.find(endpoint_id("e")) != nullptr; }
     bool is_leaving() const
     {
@@ -107,7 +131,7 @@
         start();
         change({leaving(5), erased(6)}, 6);
         CPPUNIT_ASSERT(!known());
-        tested_.note_store_recovery(clock_.now());
+        lose_store_for(longest_without_expiry + 1ms);
         change({serving(3)}, 3);
         CPPUNIT_ASSERT(!known());
         change({serving(3), leaving(5), erased(6)}, 6);
@@ -139,7 +163,7 @@
     void expired_entry_is_kept_for_the_recovery_time()
     {
         start();
-        tested_.note_store_recovery(clock_.now());
+        lose_store_for(longest_without_expiry + 1ms);
         change({erased(2)}, 2);
         CPPUNIT_ASSERT(known());
         clock_.advance(2s);
@@ -147,11 +171,67 @@
         CPPUNIT_ASSERT(!known());
     }
 
+    // Guards against sending requests for another 2 s to an endpoint that has
+    // left, because a call to the store failed. Entries expire only after a
+    // longer time without the store (seen in sft-orders mix 1058051245028).
+    void removed_entry_is_erased_at_once_after_failed_calls()
+    {
+        start();
+        lose_store_for(longest_without_expiry);
+        change({erased(2)}, 2);
+        CPPUNIT_ASSERT(!known());
+    }
+
+    // The same if only this instance was without the store: endpoints could
+    // renew their entries.
+    void removed_entry_is_erased_at_once_while_others_are_answered()
+    {
+        start();
+        tested_.note_store_answer(clock_.now());
+        const auto failing_since = clock_.now() + 1ms;
+        for (int i = 0; i < 10; ++i)
+        {
+            clock_.advance(1s);
+            tested_.note_peer_answer(clock_.now());
+        }
+        recover(failing_since);
+        change({erased(2)}, 2);
+        CPPUNIT_ASSERT(!known());
+    }
+
+    // Guards against losing endpoints because another instance noticed the
+    // return of the store earlier.
+    void expired_entry_is_kept_if_another_instance_is_answered_first()
+    {
+        start();
+        tested_.note_store_answer(clock_.now());
+        const auto failing_since = clock_.now() + 1ms;
+        clock_.advance(4s);
+        tested_.note_peer_answer(clock_.now());
+        clock_.advance(500ms);
+        recover(failing_since);
+        change({erased(2)}, 2);
+        CPPUNIT_ASSERT(known());
+    }
+
+    // Guards against an outage that is taken for the cause of later failures.
+    void removed_entry_is_erased_at_once_long_after_an_outage()
+    {
+        start();
+        lose_store_for(4s);
+        clock_.advance(1s);
+        lose_store_for(100ms);
+        clock_.advance(1'500ms);
+        tested_.tick(clock_.now());
+        change({erased(2)}, 2);
+        CPPUNIT_ASSERT(!known());
+    }
+
     // Guards against sending requests to a leaving endpoint for another 2 s.
     void expired_entry_of_a_leaving_endpoint_is_erased_at_once()
     {
         start();
-        tested_.note_store_recovery(clock_.now());
+        lose_store_for(longest_without_expiry + 1ms);
         change({leaving(2), erased(3)}, 3);
         CPPUNIT_ASSERT(!known());
     }
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -99,6 +99,9 @@
     }
     out.set_store_reached(feeds_working_);
     out.set_documents_current(feeds_working_ || feed_fallback_.current(now));
+    if (const auto answered_at = documents_.store_answered_at())
+        out.set_directory_answered_ms_ago(
+            std::max<std::int64_t>(0, -ms_until(*answered_at, now)));
     if (feed_ends_.configuration)
         out.set_configuration_feed_ends_in_ms(
             ms_until(*feed_ends_.configuration, now));
--- a/src/gateway/peer_receive.cpp
+++ b/src/gateway/peer_receive.cpp
@@ -89,6 +89,9 @@
             dispatch::leaving_source::peer);
     handle_report(from, beat, now);
     receive_feed_ends(from, beat, now);
+    if (beat.has_directory_answered_ms_ago())
+        documents_.note_peer_answer(
+            now - milliseconds(beat.directory_answered_ms_ago()));
     update_document_state(from, beat, now);
     // A sender that uses no relay does not know the other members yet.
     const bool without_relay = beat.scope() == peer::REPORT_SCOPE_OWN;
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -40,6 +40,8 @@
     read_seconds(node, "entries_keep_s", values.entries_keep_ms);
     node.read(
         "placement_lease_ms", values.placement_lease_ms, 100, max_interval_ms);
+    node.read("endpoint_heartbeat_ms", values.endpoint_heartbeat_ms, 10,
+        max_interval_ms);
     node.read("directory_recovery_ms", values.directory_recovery_ms, 0,
         max_interval_ms);
     node.read("repeat_ratio", values.repeat_ratio, 0, 100);
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -35,6 +35,9 @@
     /// Minimum time between the commands of two successive holders of the
     /// placement lease.
     std::int64_t placement_lease_ms = 3'000;
+    /// Interval at which endpoints renew their directory entries. An entry
+    /// expires after three intervals without a renewal.
+    std::int64_t endpoint_heartbeat_ms = 1'200;
     /// Time after the store becomes reachable again within which expired
     /// directory entries of live endpoints are restored.
     std::int64_t directory_recovery_ms = 2'000;
