Remember endpoints that leave while they have no entry

What callers saw: requests at an endpoint of which the gateway had been told, or had read in an answer, that it is leaving (DRAIN).

Cause: the word was dropped when the endpoint had no entry: before a gateway that starts has read the directory, or when the entry had expired. When the entry came, it said that the endpoint serves.

Change: the process is remembered, as one whose entry is erased while it leaves already was, with the source that told it. Before, the source became the directory, so that one misdirected request withdrew an endpoint from the whole fleet once its entry had expired and returned.

Tests: two new cases of endpoint_pool_test fail without the change.

--- a/src/dispatch/endpoint_pool.cpp
+++ b/src/dispatch/endpoint_pool.cpp
@@ -63,13 +63,9 @@
     {
         stored = record();
         stored.id_hash = fast_hash(entry.id.str());
-        const endpoint_process process{entry.id, entry.started_unix_ms};
-        if (std::find(departed_.begin(), departed_.end(), process) !=
-            departed_.end())
-            stored.availability.note_leaving(leaving_source::directory);
-    }
-    else
-    {
+        if (const auto* departed =
+                find_departed({entry.id, entry.started_unix_ms}))
+            stored.availability.note_leaving(departed->source);
     }
     auto listed = entry.models;
     // Entries don't show adapters that were loaded since, nor that a model is
@@ -90,23 +86,29 @@
     const auto found = records_.find(id);
     if (found == records_.end())
         return;
-    if (found->second.availability.leaving())
-        remember_departed(found->second);
+    if (const auto source = found->second.availability.source())
+        remember_departed({id, found->second.entry.started_unix_ms}, *source);
     records_.erase(found);
 }
 
-void endpoint_pool::remember_departed(const record& endpoint)
+const endpoint_pool::departed_process* endpoint_pool::find_departed(
+    const endpoint_process& process) const
+{
+    const auto found = std::find_if(departed_.begin(), departed_.end(),
+        [&](const departed_process& each) { return each.process == process; });
+    return found == departed_.end() ? nullptr : &*found;
+}
+
+bool endpoint_pool::remember_departed(
+    const endpoint_process& process, leaving_source source)
 {
     // Without a start time, a later process can't be told from this one.
-    if (endpoint.entry.started_unix_ms == 0)
-        return;
-    const endpoint_process process{
-        endpoint.entry.id, endpoint.entry.started_unix_ms};
-    if (std::find(departed_.begin(), departed_.end(), process) ==
-        departed_.end())
-        departed_.push_back(process);
+    if (process.started_unix_ms == 0 || find_departed(process) != nullptr)
+        return false;
+    departed_.push_back({process, source});
     if (departed_.size() > max_departed)
         departed_.pop_front();
+    return true;
 }
 
 endpoint_pool::record* endpoint_pool::find_process(
@@ -122,10 +124,15 @@
 bool endpoint_pool::mark_leaving(
     const endpoint_process& process, leaving_source source)
 {
-    auto* found = find_process(process);
-    if (found == nullptr || !found->availability.note_leaving(source))
+    const auto found = records_.find(process.id);
+    if (found == records_.end() ||
+        found->second.entry.started_unix_ms < process.started_unix_ms)
+        return remember_departed(process, source);
+    auto& stored = found->second;
+    if (stored.entry.started_unix_ms != process.started_unix_ms ||
+        !stored.availability.note_leaving(source))
         return false;
-    found->entry.leaving = true;
+    stored.entry.leaving = true;
     return true;
 }
 
--- a/src/dispatch/endpoint_pool.hpp
+++ b/src/dispatch/endpoint_pool.hpp
@@ -93,8 +93,8 @@
     void put(endpoints::directory_entry entry);
     void erase(const endpoint_id& id);
     /// Records that the process is leaving; returns whether this is news. It
-    /// gets no new requests from then on, also when its entry is erased and put
-    /// again. Has no effect on a later process of the endpoint.
+    /// gets no new requests from then on, also when its entry is put later, or
+    /// erased and put again. Has no effect on other processes of the endpoint.
     bool mark_leaving(const endpoint_process& process, leaving_source source);
     /// Records that the process wants no requests until then; returns whether
     /// this is news.
@@ -225,11 +225,22 @@
         const record& endpoint, const prompt& request, time_point now);
     bool usable(const record& endpoint, const service_id& service,
         const std::set<endpoint_id>& excluded, time_point now) const;
-    /// Bounds the memory for processes that were erased while they left.
+    /// A process that was leaving when it had no entry.
+    struct departed_process
+    {
+        endpoint_process process;
+        leaving_source source = leaving_source::directory;
+    };
+
+    /// Bounds the memory for processes that are leaving and have no entry.
     static constexpr std::size_t max_departed = 1'024;
 
     record* find_process(const endpoint_process& process);
-    void remember_departed(const record& endpoint);
+    const departed_process* find_departed(
+        const endpoint_process& process) const;
+    /// Returns whether the process was not remembered before.
+    bool remember_departed(
+        const endpoint_process& process, leaving_source source);
     /// Usable endpoints; suspended ones only when there is no other.
     std::vector<const record*> candidates(const service_id& service,
         const std::set<endpoint_id>& excluded, time_point now) const;
@@ -250,8 +261,8 @@
 
     std::string zone_;
     std::map<endpoint_id, record> records_;
-    /// Erased processes that were leaving, oldest first.
-    std::deque<endpoint_process> departed_;
+    /// Oldest first.
+    std::deque<departed_process> departed_;
     std::map<std::pair<service_id, model_id>, model_speed> speeds_;
     std::map<service_id, run_time> plain_times_;
     std::map<service_id, run_time> stream_times_;
--- a/src/dispatch/endpoint_pool_test.cpp
+++ b/src/dispatch/endpoint_pool_test.cpp
@@ -55,6 +55,8 @@
     CPPUNIT_TEST(an_engine_without_the_adapter_is_not_chosen);
     CPPUNIT_TEST(leaving_and_tried_endpoints_are_not_chosen);
     CPPUNIT_TEST(a_departed_process_is_not_used_when_its_entry_returns);
+    CPPUNIT_TEST(a_process_that_leaves_before_its_entry_is_put_is_not_used);
+    CPPUNIT_TEST(a_misdirected_request_is_not_told_after_the_entry_returns);
     CPPUNIT_TEST(an_older_answer_does_not_affect_a_new_process);
     CPPUNIT_TEST(a_misdirected_request_concerns_this_instance_only);
     CPPUNIT_TEST(a_paused_endpoint_gets_no_requests);
@@ -193,6 +195,33 @@
         CPPUNIT_ASSERT(pool.accepts_requests({endpoint_id("e0"), 2}, now_));
     }
 
+    // Guards against using an endpoint that leaves when others tell so before
+    // its entry has been read, or when its entry has expired meanwhile.
+    void a_process_that_leaves_before_its_entry_is_put_is_not_used()
+    {
+        auto pool = make_pool(0);
+        CPPUNIT_ASSERT(
+            pool.mark_leaving({endpoint_id("e0"), 1}, leaving_source::peer));
+        CPPUNIT_ASSERT(
+            !pool.mark_leaving({endpoint_id("e0"), 1}, leaving_source::peer));
+        pool.put(make_entry("e0", engines));
+        CPPUNIT_ASSERT(!pool.accepts_requests({endpoint_id("e0"), 1}, now_));
+        pool.put(make_entry("e0", engines, "z1", 2));
+        CPPUNIT_ASSERT(pool.accepts_requests({endpoint_id("e0"), 2}, now_));
+    }
+
+    // Guards against one wrong answer that withdraws an endpoint from the whole
+    // fleet once its entry has expired and returned.
+    void a_misdirected_request_is_not_told_after_the_entry_returns()
+    {
+        auto pool = make_pool(1);
+        pool.mark_leaving({endpoint_id("e0"), 1}, leaving_source::misdirected);
+        pool.erase(endpoint_id("e0"));
+        pool.put(make_entry("e0", engines));
+        CPPUNIT_ASSERT(!pool.accepts_requests({endpoint_id("e0"), 1}, now_));
+        CPPUNIT_ASSERT(pool.leaving_processes().empty());
+    }
+
     // Guards against a late answer of a process that has ended.
     void an_older_answer_does_not_affect_a_new_process()
     {
