Serve callers once it is known which endpoints are leaving

What callers saw: a gateway that had just started sent requests to an endpoint that all others knew to be leaving (DRAIN; KNOWN-RED, integration.late_gateway and endpoint_soak).

Cause: it took requests as soon as it had read the directory, 10 ms after its start, but learned what others know from a heartbeat, up to 250 ms later.

Change: a gateway that starts sends its first message at once; one that hears of a new process answers at once, over a new connection, with all members and the leaving endpoints. Until a ready gateway that knows the new process has told, or for 500 ms when none does, it is not ready and answers 503 with Retry-After ("starting"). A message that was sent before the start, and was queued for the earlier process, does not count.

A new case of forwarder_test fails without the check in the forwarder.

--- a/src/explain/request_story.cpp
+++ b/src/explain/request_story.cpp
@@ -191,11 +191,14 @@
 
 /// The first rule with the reason of the request and an event that occurred
 /// applies.
-constexpr std::array<cause_rule, 18> cause_rules{{
+constexpr std::array<cause_rule, 19> cause_rules{{
     {"rate_limited", "limit_reached", true,
         "the request exceeded the remaining limit of the workspace; compare "
         "demand_of_all with rate"},
     {"stopping", "process_stopping", false, "the gateway was stopping"},
+    {"starting", "process_started", true,
+        "the gateway had just started and did not know which endpoints were "
+        "leaving"},
     {"no_configuration", "store_lost", true,
         "the gateway had no configuration and did not reach the store"},
     {"no_configuration", "peer_lost", true,
--- a/src/gateway/application.ipp
+++ b/src/gateway/application.ipp
@@ -306,6 +306,7 @@
             {"incarnation", ctx_.roster.self().incarnation},
             {"store", ctx_.settings.store_address}});
     ctx_.log.flush();
+    peers_.announce();
     io_.run();
     ctx_.log.info("process_ended", {{"running", ctx_.running_requests}});
     ctx_.log.flush();
--- a/src/gateway/caller_connection_test.cpp
+++ b/src/gateway/caller_connection_test.cpp
@@ -91,6 +91,7 @@
           caller_(caller_io_)
     {
         ctx.routes = make_routes(limits);
+        ctx.leaving_known = true;
         asio::ip::tcp::acceptor acceptor(
             io, {asio::ip::address_v4::loopback(), 0});
         caller_.connect(acceptor.local_endpoint());
--- a/src/gateway/context.hpp
+++ b/src/gateway/context.hpp
@@ -52,10 +52,11 @@
     }
 
     /// Whether the gateway serves new callers: it has a configuration and the
-    /// list of endpoints, and is not stopping.
+    /// list of endpoints, knows which of them leave, and is not stopping.
     bool ready() const
     {
-        return routes != nullptr && endpoints_known && !stopping;
+        return routes != nullptr && endpoints_known && leaving_known &&
+               !stopping;
     }
 
     /// Ends the waits of the idle connections, which then examine their state
@@ -76,6 +77,9 @@
     /// Null until the first configuration has been received.
     std::shared_ptr<const routes::route_table> routes;
     bool endpoints_known = false;
+    /// Another instance has told which endpoints are leaving, or none did in
+    /// time after the start.
+    bool leaving_known = false;
     bool stopping = false;
     /// Latest time at which the process ends.
     time_point stop_deadline = time_point::max();
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -17,8 +17,8 @@
 namespace
 {
 
-/// Retry-After while the gateway has no configuration yet, in seconds.
-constexpr double configuration_retry_s = 0.5;
+/// Retry-After while the gateway starts, in seconds.
+constexpr double startup_retry_s = 0.5;
 
 double ms_between(time_point from, time_point to)
 {
@@ -69,7 +69,12 @@
     auto& ctx = call.ctx;
     if (!call.routes)
     {
-        co_await refuse(call, 503, "no_configuration", configuration_retry_s);
+        co_await refuse(call, 503, "no_configuration", startup_retry_s);
+        co_return false;
+    }
+    if (!ctx.leaving_known)
+    {
+        co_await refuse(call, 503, "starting", startup_retry_s);
         co_return false;
     }
     call.route =
--- a/src/gateway/forwarder_fixture_test.hpp
+++ b/src/gateway/forwarder_fixture_test.hpp
@@ -202,6 +202,7 @@
     {
         ctx.routes = make_routes();
         ctx.endpoints_known = true;
+        ctx.leaving_known = true;
         for (int i = 0; i < 2; ++i)
             add_endpoint(i);
     }
--- a/src/gateway/forwarder_test.cpp
+++ b/src/gateway/forwarder_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(an_answer_is_delivered_unchanged);
     CPPUNIT_TEST(a_request_without_a_known_key_reaches_no_endpoint);
     CPPUNIT_TEST(a_missing_configuration_is_answered_with_503);
+    CPPUNIT_TEST(a_gateway_that_does_not_know_who_leaves_sends_nothing);
     CPPUNIT_TEST(an_idempotent_request_is_repeated_after_a_failure);
     CPPUNIT_TEST(a_non_idempotent_request_is_sent_once);
     CPPUNIT_TEST(a_rejected_request_may_be_sent_again);
@@ -69,6 +70,22 @@
 
     // Guards against 401 and 404 from a gateway that has just started and has
     // no configuration yet.
+    // Guards against requests to endpoints that other gateways know to be
+    // leaving.
+    void a_gateway_that_does_not_know_who_leaves_sends_nothing()
+    {
+        fixture tested({{ok_answer, then::keep_open}}, {});
+        tested.ctx.leaving_known = false;
+        CPPUNIT_ASSERT(!tested.ctx.ready());
+        tested.run("/safe/x");
+        CPPUNIT_ASSERT_EQUAL(503, tested.out.whole->status);
+        CPPUNIT_ASSERT(tested.servers[0].requests.empty());
+        tested.ctx.leaving_known = true;
+        CPPUNIT_ASSERT(tested.ctx.ready());
+        tested.run("/safe/x");
+        CPPUNIT_ASSERT_EQUAL(200, tested.out.whole->status);
+    }
+
     void a_missing_configuration_is_answered_with_503()
     {
         fixture tested({}, {});
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -59,6 +59,7 @@
     if (!made)
         return tl::unexpected<error>(made.error());
     transport_ = std::move(*made);
+    first_news_until_ = std::chrono::steady_clock::now() + first_news_timeout;
     return {};
 }
 
@@ -131,6 +132,8 @@
         holder_.note(ctx_.roster.self().id, lease.fencing, now);
     else
         holder_.note_without_lease(ctx_.roster.self().id, now);
+    if (now >= first_news_until_)
+        ctx_.leaving_known = true;
     ctx_.roster.set_ready(ctx_.ready());
     ctx_.roster.advance_heartbeat();
     expire_silent_members(now);
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -41,6 +41,11 @@
     /// this instance is considered stalled.
     static constexpr std::chrono::milliseconds feed_lag_timeout{1'000};
 
+    /// A gateway that starts waits this long to hear from another one which
+    /// endpoints are leaving. An answer takes one round trip, or two heartbeat
+    /// intervals if the first message or its answer is lost.
+    static constexpr std::chrono::milliseconds first_news_timeout{500};
+
     /// Receives the model demand that another gateway reports; an empty list
     /// means that the gateway was lost.
     using demand_handler = std::function<void(
@@ -79,7 +84,7 @@
     {
         on_holder_lease_ = std::move(handler);
     }
-    /// Sends heartbeats at once because this gateway stops or has become ready.
+    /// Sends heartbeats at once because this gateway starts or stops.
     void announce();
     void send_residency(const std::vector<engine_residency>& engines);
     /// Whether the holder of the placement lease is known and alive.
@@ -218,6 +223,9 @@
     /// Engines whose state is sent in the next residency update.
     std::map<endpoint_id, engine_residency> residency_queue_;
     boost::asio::steady_timer residency_timer_;
+    /// When a gateway that has just started stops waiting for others to tell
+    /// which endpoints are leaving.
+    time_point first_news_until_{};
     evidence_exchange evidence_;
     boost::asio::steady_timer evidence_timer_;
     /// Earliest time of the next log line on ignored entries of evidence.
--- a/src/gateway/peer_receive.cpp
+++ b/src/gateway/peer_receive.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <chrono>
 
 #include "gateway/endpoint_signals.hpp"
@@ -18,6 +19,23 @@
 /// Minimum interval between log lines on ignored entries of evidence.
 constexpr std::chrono::minutes evidence_warning_interval{1};
 
+/// Whether the sender knows this process of the member.
+bool lists_process(
+    const peer::Gateway_heartbeat& beat, const fleet::member& subject)
+{
+    const auto is_record = [&](const peer::Fleet_member& each)
+    {
+        return each.instance() == subject.id.str() &&
+               each.incarnation() == subject.incarnation;
+    };
+    const auto is_progress = [key = fleet::progress_key(subject)](
+                                 const peer::Member_progress& each)
+    { return each.key() == key; };
+    return std::any_of(beat.others().begin(), beat.others().end(), is_record) ||
+           std::any_of(
+               beat.progress().begin(), beat.progress().end(), is_progress);
+}
+
 } // namespace
 
 void peer_link::receive(const peer::Envelope& message)
@@ -87,15 +105,25 @@
         note_leaving(ctx_,
             {endpoint_id(each.endpoint()), each.started_unix_ms()},
             dispatch::leaving_source::peer);
+    // A sender that is not ready may know as little as this instance. One that
+    // does not know this process has sent the message before its start.
+    if (!ctx_.leaving_known && self.ready &&
+        lists_process(beat, ctx_.roster.self()))
+        ctx_.leaving_known = true;
     handle_report(from, beat, now);
     receive_feed_ends(from, beat, now);
     if (beat.has_directory_answered_ms_ago())
         documents_.note_peer_answer(
             now - milliseconds(beat.directory_answered_ms_ago()));
     update_document_state(from, beat, now);
-    // A sender that uses no relay does not know the other members yet.
+    // A socket that was connected to an earlier process of the sender may wait
+    // before it connects again.
+    if (unknown && transport_)
+        transport_->remove_peer(from);
+    // A sender that uses no relay does not know the other members yet; one that
+    // has just started needs to know which endpoints are leaving.
     const bool without_relay = beat.scope() == peer::REPORT_SCOPE_OWN;
-    if (router_.relayed() && (without_relay || unknown))
+    if (unknown || (router_.relayed() && without_relay))
         send_introduction(from, now);
     if (const auto update = evidence_.message(now); unknown && update)
     {
