Let a feed wait again once the store has answered it

A store, or a proxy before it, that closes the connection after each answer would have been called without a pause.

Change: only a call that follows an unanswered or restarted one does not wait.

--- a/src/gateway/document_feed.hpp
+++ b/src/gateway/document_feed.hpp
@@ -22,8 +22,8 @@
 
 /// Follows a table of the store: reads the full table, then waits for its
 /// changes. After a failure it continues from the last version received. How
-/// long a call waits follows from the calls of the other instances; the first
-/// call over a connection does not wait.
+/// long a call waits follows from the calls of the other instances; one that
+/// follows an unanswered call does not wait.
 template <class Store>
 class document_feed
 {
@@ -146,6 +146,7 @@
         if (std::exchange(restarted_, false) && !changes)
         {
             connection_.reset();
+            answered_ = false;
             co_return;
         }
         if (!changes && changes.error().code() == error_code::not_in_force)
@@ -167,13 +168,12 @@
             co_await pause_for(pause_);
     }
 
-    // The first call over a connection does not wait for changes. Until the
-    // store has answered, it is unknown whether it will: calls that were sent
-    // while it was silent are never answered.
+    // A call that follows an unanswered one does not wait for changes: it may
+    // be sent while the store is still silent, and is never answered then.
     time_point next_call_end()
     {
         const auto now = std::chrono::steady_clock::now();
-        if (!connection_ || !connection_->is_idle())
+        if (!answered_)
             return now;
         return schedule_.next_end(now,
             std::chrono::milliseconds(ctx_.settings.feed_wait_ms),
@@ -183,6 +183,7 @@
     void note(const error* failure)
     {
         const auto now = std::chrono::steady_clock::now();
+        answered_ = failure == nullptr;
         if (failure != nullptr)
         {
             connection_.reset();
@@ -246,6 +247,8 @@
     bool restarted_ = false;
     std::int64_t version_ = 0;
     bool table_read_ = false;
+    /// Whether the store has answered the last call.
+    bool answered_ = false;
     bool failing_ = false;
     time_point failing_since_{};
     std::chrono::milliseconds backoff_ = initial_backoff;
