--- a/src/settings/gateway_settings_test.cpp
+++ b/src/settings/gateway_settings_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST_SUITE(gateway_settings_test);
     CPPUNIT_TEST(minimal_file_is_accepted);
     CPPUNIT_TEST(seconds_become_milliseconds);
+    CPPUNIT_TEST(a_heartbeat_interval_out_of_range_is_refused);
     CPPUNIT_TEST(error_names_every_invalid_key);
     CPPUNIT_TEST_SUITE_END();
 
@@ -42,6 +43,22 @@
             std::int64_t(2'500), values->bounds.entries_keep_ms);
     }
 
+    // Guards against an interval of 0, with which each failed call would count
+    // as an outage in which entries may have expired.
+    void a_heartbeat_interval_out_of_range_is_refused()
+    {
+        const auto parse = [](const char* interval)
+        {
+            return parse_gateway(
+                minimal + "bounds: {endpoint_heartbeat_ms: " + interval + "}\n",
+                "f");
+        };
+        CPPUNIT_ASSERT(!parse("0"));
+        CPPUNIT_ASSERT(!parse("soon"));
+        CPPUNIT_ASSERT_EQUAL(
+            std::int64_t(800), parse("800")->bounds.endpoint_heartbeat_ms);
+    }
+
     // Guards against a misspelt key that silently keeps its default.
     void error_names_every_invalid_key()
     {
