Shorten the wait of gateways that all start at the same time

Cause: nobody is ready to tell which endpoints leave, so each gateway waited the whole 500 ms.

Change: once a gateway that is not ready has answered, a ready one has 100 ms more to do so.

--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -38,6 +38,7 @@
       documents_(docs),
       feed_fallback_(ctx.roster.self().id),
       residency_timer_(ctx.io),
+      first_news_timer_(ctx.io),
       evidence_(ctx.evidence),
       evidence_timer_(ctx.io)
 {
@@ -59,10 +60,32 @@
     if (!made)
         return tl::unexpected<error>(made.error());
     transport_ = std::move(*made);
-    first_news_until_ = std::chrono::steady_clock::now() + first_news_timeout;
+    await_first_news(std::chrono::steady_clock::now() + first_news_timeout);
     return {};
 }
 
+void peer_link::await_first_news(time_point until)
+{
+    first_news_timer_.expires_at(until);
+    first_news_timer_.async_wait(
+        [this](const boost::system::error_code& failed)
+        {
+            if (!failed)
+                ctx_.leaving_known = true;
+        });
+}
+
+void peer_link::note_first_answer(bool from_ready, time_point now)
+{
+    if (from_ready)
+    {
+        ctx_.leaving_known = true;
+        first_news_timer_.cancel();
+    }
+    else if (now + unready_answer_timeout < first_news_timer_.expiry())
+        await_first_news(now + unready_answer_timeout);
+}
+
 void peer_link::send(const instance_id& to, peer::Envelope message)
 {
     const auto* peer = ctx_.roster.find(to);
@@ -132,8 +155,6 @@
         holder_.note(ctx_.roster.self().id, lease.fencing, now);
     else
         holder_.note_without_lease(ctx_.roster.self().id, now);
-    if (now >= first_news_until_)
-        ctx_.leaving_known = true;
     ctx_.roster.set_ready(ctx_.ready());
     ctx_.roster.advance_heartbeat();
     expire_silent_members(now);
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -45,6 +45,9 @@
     /// endpoints are leaving. An answer takes one round trip, or two heartbeat
     /// intervals if the first message or its answer is lost.
     static constexpr std::chrono::milliseconds first_news_timeout{500};
+    /// The same once one that is not ready has answered. A ready one answers as
+    /// soon, so probably all have just started.
+    static constexpr std::chrono::milliseconds unready_answer_timeout{100};
 
     /// Receives the model demand that another gateway reports; an empty list
     /// means that the gateway was lost.
@@ -166,6 +169,11 @@
     void schedule_evidence();
     void send_due_evidence();
 
+    /// Waits until then for others to tell which endpoints are leaving.
+    void await_first_news(time_point until);
+    /// Notes that a gateway has answered this one, which has just started.
+    void note_first_answer(bool from_ready, time_point now);
+
     // Receiving.
     void receive(const peer::Envelope& message);
     void receive_heartbeat(
@@ -223,9 +231,9 @@
     /// Engines whose state is sent in the next residency update.
     std::map<endpoint_id, engine_residency> residency_queue_;
     boost::asio::steady_timer residency_timer_;
-    /// When a gateway that has just started stops waiting for others to tell
+    /// Ends the wait of a gateway that has just started for others to tell
     /// which endpoints are leaving.
-    time_point first_news_until_{};
+    boost::asio::steady_timer first_news_timer_;
     evidence_exchange evidence_;
     boost::asio::steady_timer evidence_timer_;
     /// Earliest time of the next log line on ignored entries of evidence.
--- a/src/gateway/peer_receive.cpp
+++ b/src/gateway/peer_receive.cpp
@@ -105,11 +105,10 @@
         note_leaving(ctx_,
             {endpoint_id(each.endpoint()), each.started_unix_ms()},
             dispatch::leaving_source::peer);
-    // A sender that is not ready may know as little as this instance. One that
-    // does not know this process has sent the message before its start.
-    if (!ctx_.leaving_known && self.ready &&
-        lists_process(beat, ctx_.roster.self()))
-        ctx_.leaving_known = true;
+    // One that does not know this process has sent the message before its
+    // start.
+    if (!ctx_.leaving_known && lists_process(beat, ctx_.roster.self()))
+        note_first_answer(self.ready, now);
     handle_report(from, beat, now);
     receive_feed_ends(from, beat, now);
     if (beat.has_directory_answered_ms_ago())
