Shorten the wait of a gateway whose seeds are down

Change: a gateway that starts connects to its seeds; once all have refused, it waits 100 ms more, as after the answer of one that is not ready.

--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -4,6 +4,10 @@
 #include <chrono>
 #include <utility>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "endpoints/http_connection.hpp"
 #include "peer.pb.h"
 
 namespace tarragonquay::gateway
@@ -61,6 +65,7 @@
         return tl::unexpected<error>(made.error());
     transport_ = std::move(*made);
     await_first_news(std::chrono::steady_clock::now() + first_news_timeout);
+    boost::asio::co_spawn(ctx_.io, probe_seeds(), boost::asio::detached);
     return {};
 }
 
@@ -75,15 +80,34 @@
         });
 }
 
-void peer_link::note_first_answer(bool from_ready, time_point now)
+void peer_link::shorten_first_wait(time_point now)
+{
+    if (now + unready_answer_timeout < first_news_timer_.expiry())
+        await_first_news(now + unready_answer_timeout);
+}
+
+void peer_link::end_first_wait()
 {
-    if (from_ready)
+    ctx_.leaving_known = true;
+    first_news_timer_.cancel();
+}
+
+boost::asio::awaitable<void> peer_link::probe_seeds()
+{
+    const auto until = first_news_timer_.expiry();
+    // The settings may be read anew meanwhile.
+    const auto seeds = ctx_.settings.seeds;
+    for (const auto& seed : seeds)
     {
-        ctx_.leaving_known = true;
-        first_news_timer_.cancel();
+        if (seed == ctx_.settings.listen.peers)
+            continue;
+        const bool refused =
+            co_await endpoints::http_connection::is_refused(seed, until);
+        if (!refused)
+            co_return;
     }
-    else if (now + unready_answer_timeout < first_news_timer_.expiry())
-        await_first_news(now + unready_answer_timeout);
+    if (!ctx_.leaving_known)
+        shorten_first_wait(std::chrono::steady_clock::now());
 }
 
 void peer_link::send(const instance_id& to, peer::Envelope message)
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "gateway/context.hpp"
@@ -45,8 +46,9 @@
     /// endpoints are leaving. An answer takes one round trip, or two heartbeat
     /// intervals if the first message or its answer is lost.
     static constexpr std::chrono::milliseconds first_news_timeout{500};
-    /// The same once one that is not ready has answered. A ready one answers as
-    /// soon, so probably all have just started.
+    /// The same once one that is not ready has answered, or all seeds have
+    /// refused a connection. A ready one answers as soon, so probably all have
+    /// just started.
     static constexpr std::chrono::milliseconds unready_answer_timeout{100};
 
     /// Receives the model demand that another gateway reports; an empty list
@@ -171,8 +173,10 @@
 
     /// Waits until then for others to tell which endpoints are leaving.
     void await_first_news(time_point until);
-    /// Notes that a gateway has answered this one, which has just started.
-    void note_first_answer(bool from_ready, time_point now);
+    void shorten_first_wait(time_point now);
+    void end_first_wait();
+    /// Shortens the wait if no seed accepts connections.
+    boost::asio::awaitable<void> probe_seeds();
 
     // Receiving.
     void receive(const peer::Envelope& message);
--- a/src/gateway/peer_receive.cpp
+++ b/src/gateway/peer_receive.cpp
@@ -108,7 +108,12 @@
     // One that does not know this process has sent the message before its
     // start.
     if (!ctx_.leaving_known && lists_process(beat, ctx_.roster.self()))
-        note_first_answer(self.ready, now);
+    {
+        if (self.ready)
+            end_first_wait();
+        else
+            shorten_first_wait(now);
+    }
     handle_report(from, beat, now);
     receive_feed_ends(from, beat, now);
     if (beat.has_directory_answered_ms_ago())
