Wait one heartbeat interval at most for the first news of leaving endpoints

Cause: after a loss of power of all machines the seeds answer nothing, not even with a refusal, so that the first gateways refused requests for 450 ms. An endpoint that leaves mostly still serves; a refusal is worse for callers.

--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -43,9 +43,10 @@
     static constexpr std::chrono::milliseconds feed_lag_timeout{1'000};
 
     /// A gateway that starts waits this long to hear from another one which
-    /// endpoints are leaving. An answer takes one round trip, or two heartbeat
-    /// intervals if the first message or its answer is lost.
-    static constexpr std::chrono::milliseconds first_news_timeout{500};
+    /// endpoints are leaving. A seed answers within a round trip; others that
+    /// have not noticed the restart send their next heartbeat within this time.
+    static constexpr std::chrono::milliseconds first_news_timeout{
+        heartbeat_interval};
     /// The same once one that is not ready has answered, or all seeds have
     /// refused a connection. A ready one answers as soon, so probably all have
     /// just started.
