Check before the removal that the endpoint gets requests

Cause: integration.store_return asked after the removal whether the endpoint had had requests. Nothing was wrong with the gateways.

Change: requests run for 500 ms before the removal, and the check stands there; what must hold after the removal is unchanged.

--- a/tests/store_return_test.cpp
+++ b/tests/store_return_test.cpp
@@ -18,6 +18,8 @@
 constexpr milliseconds drain_time{2'000};
 /// Longer than endpoints need to lose their rows.
 constexpr milliseconds outage_time{4'000};
+/// Long enough for each endpoint to get requests.
+constexpr milliseconds use_time{500};
 /// So many that some of them wait for changes longer than `contact_time`.
 constexpr int gateways = 7;
 
@@ -56,12 +58,13 @@
         system.disturb_store({{"drop_new", true}, {"cut_all", true}});
         std::this_thread::sleep_for(outage_time);
         system.disturb_store({{"heal", true}});
-        std::this_thread::sleep_for(contact_time);
+        std::this_thread::sleep_for(contact_time - use_time);
+        call_until(system, clock::now() + use_time);
+        CPPUNIT_ASSERT(arrivals(system, "s1") > 0);
         system.put("servers", "s1", nullptr);
         const auto due = clock::now() + drain_time;
         call_until(system, due);
         const auto before = arrivals(system, "s1");
-        CPPUNIT_ASSERT(before > 0);
         call_until(system, due + milliseconds(500));
         CPPUNIT_ASSERT_EQUAL(before, arrivals(system, "s1"));
     }
