--- a/src/common/message_framing_fuzz_test.cpp
+++ b/src/common/message_framing_fuzz_test.cpp
@@ -228,7 +228,9 @@
                 generator(static_cast<std::uint64_t>(seed)).head(IsRequest);
             for (const auto& body : {plain_body, chunked_body})
             {
-                const auto bytes = head + body + tail;
+                auto bytes = head;
+                bytes += body;
+                bytes += tail;
                 const auto read = read_as_daemon<IsRequest>(bytes);
                 const auto expected = read_strictly(bytes, IsRequest);
                 const auto message =
