Count a feed as working only while the store answers the fleet

Callers saw changes of the configuration late when the store ignored all relays of a fleet and served others. A call of a feed waits at the store for up to 8 s, and a relay told others that its feeds work as long as no call had failed, so the members relied on relays that knew nothing new until the last relay had noticed.

Instances tell of a working feed and of current documents only while the store has answered some instance within 2 s, which heartbeats tell already. The time until the fleet notices no longer depends on the number of relays, and stays within the 5 s stated in gateway/feed_schedule.

--- a/src/gateway/document_feed.hpp
+++ b/src/gateway/document_feed.hpp
@@ -62,6 +62,9 @@
     }
     /// Whether the latest call failed.
     bool failing() const { return failing_; }
+    /// Whether the store has answered the latest call that ended. A feed that
+    /// begins or begins again does not work before its first answer.
+    bool working() const { return table_read_ && answered_; }
     /// When the current call ends, if the store reports no change before.
     std::optional<time_point> call_ends_at() const { return call_ends_at_; }
     /// Records when the current call of another instance ends; no value when it
@@ -110,6 +113,7 @@
         {
             if (only_while_ && !only_while_())
             {
+                answered_ = false;
                 co_await pause_for(condition_interval);
                 continue;
             }
--- a/src/gateway/document_feed_test.cpp
+++ b/src/gateway/document_feed_test.cpp
@@ -90,6 +90,7 @@
     CPPUNIT_TEST(a_store_that_closes_connections_is_not_asked_at_once_again);
     CPPUNIT_TEST(a_feed_has_recovered_once_the_store_answers_again);
     CPPUNIT_TEST(a_call_that_ends_too_late_is_replaced);
+    CPPUNIT_TEST(a_feed_that_begins_again_works_after_its_first_answer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -181,6 +182,27 @@
         CPPUNIT_ASSERT(!tested.feed.failing());
     }
 
+    // Guards against an instance that tells others of a working feed although
+    // the store does not answer it.
+    void a_feed_that_begins_again_works_after_its_first_answer()
+    {
+        started_feed tested;
+        CPPUNIT_ASSERT(tested.feed.working());
+        bool follows = false;
+        tested.feed.only_while([&] { return follows; });
+        tested.feed.restart();
+        CPPUNIT_ASSERT(
+            tested.system.poll_until([&] { return !tested.feed.working(); }));
+        tested.store.unavailable = true;
+        follows = true;
+        CPPUNIT_ASSERT(
+            tested.system.poll_until([&] { return tested.feed.failing(); }));
+        CPPUNIT_ASSERT(!tested.feed.working());
+        tested.store.unavailable = false;
+        CPPUNIT_ASSERT(
+            tested.system.poll_until([&] { return tested.feed.working(); }));
+    }
+
 private:
     // A feed whose first call waits at the store.
     struct started_feed
--- a/src/gateway/documents.hpp
+++ b/src/gateway/documents.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -9,6 +10,7 @@
 
 #include "common/clock.hpp"
 #include "gateway/context.hpp"
+#include "gateway/feed_schedule.hpp"
 #include "remote_store/calls.hpp"
 
 namespace tarragonquay::gateway
@@ -21,6 +23,11 @@
 class documents
 {
 public:
+    /// In a fleet that follows the store, a call ends each second. This leaves
+    /// a second for a slow store and for the heartbeat that tells its answer.
+    static constexpr duration answer_lifetime =
+        feed_schedule::max_distance + std::chrono::milliseconds(1'000);
+
     explicit documents(context& ctx) : ctx_(ctx) {}
 
     /// Applies a configuration if it is newer. `source` is written to the log.
@@ -51,6 +58,12 @@
     }
     /// Records when the store answered such a call of another instance.
     void note_peer_answer(time_point at) { note_contact(at); }
+    /// Whether the store has answered such a call of any instance lately. While
+    /// an open call waits, nothing else shows that the store still answers.
+    bool answered_lately(time_point now) const
+    {
+        return contact_at_ && now < *contact_at_ + answer_lifetime;
+    }
     /// Records that the store answers this instance again, whose calls have
     /// failed since then. If it answered no instance for so long that entries
     /// of live endpoints may have expired, these may be registered again, so
--- a/src/gateway/documents_test.cpp
+++ b/src/gateway/documents_test.cpp
@@ -67,6 +67,7 @@
     CPPUNIT_TEST(expired_entry_of_a_leaving_endpoint_is_erased_at_once);
     CPPUNIT_TEST(removed_entry_is_erased_at_once_after_failed_calls);
     CPPUNIT_TEST(removed_entry_is_erased_at_once_while_others_are_answered);
+    CPPUNIT_TEST(the_store_answers_lately_only_for_a_short_time);
     CPPUNIT_TEST(expired_entry_is_kept_if_another_instance_is_answered_first);
     CPPUNIT_TEST(removed_entry_is_erased_at_once_long_after_an_outage);
     CPPUNIT_TEST_SUITE_END();
@@ -199,6 +200,21 @@
         CPPUNIT_ASSERT(!known());
     }
 
+    // Guards against a fleet whose relays take open calls that are never
+    // answered for working feeds.
+    void the_store_answers_lately_only_for_a_short_time()
+    {
+        CPPUNIT_ASSERT(!tested_.answered_lately(clock_.now()));
+        start();
+        tested_.note_store_answer(clock_.now());
+        clock_.advance(1'999ms);
+        CPPUNIT_ASSERT(tested_.answered_lately(clock_.now()));
+        clock_.advance(1ms);
+        CPPUNIT_ASSERT(!tested_.answered_lately(clock_.now()));
+        tested_.note_peer_answer(clock_.now());
+        CPPUNIT_ASSERT(tested_.answered_lately(clock_.now()));
+    }
+
     // Guards against losing endpoints because another instance noticed the
     // return of the store earlier.
     void expired_entry_is_kept_if_another_instance_is_answered_first()
--- a/standins/http_platform.cpp
+++ b/standins/http_platform.cpp
@@ -87,12 +87,65 @@
         .count();
 }
 
+/// How the store turns away the callers of one of its addresses.
+class admission
+{
+public:
+    bool admits() const { return refusal_.empty(); }
+    /// "many" answers 429, "busy" 503, "reset" resets the connection, "silent"
+    /// never answers; empty ends the refusals.
+    void set_refusal(std::string how) { refusal_ = std::move(how); }
+
+    asio::awaitable<void> refuse(http_connection& peer) const
+    {
+        if (refusal_ == "reset")
+            peer.abort();
+        else if (refusal_ == "silent")
+            co_await peer.stay_silent();
+        else
+            co_await peer.answer(error_answer(refusal_ == "many" ? 429 : 503,
+                "refused", "the store turns this caller away"));
+    }
+
+private:
+    std::string refusal_;
+};
+
 /// Rows with versions, change feeds and conditional transactions, over HTTP.
 class row_store
 {
 public:
+    /// Handles a call at an address that turns callers away at times.
+    asio::awaitable<void> handle_apart(
+        const http_request& request, http_connection& peer)
+    {
+        if (apart_.admits())
+            co_await handle(request, peer, apart_);
+        else
+            co_await apart_.refuse(peer);
+    }
+
     asio::awaitable<void> handle(
         const http_request& request, http_connection& peer)
+    {
+        return handle(request, peer, all_);
+    }
+
+    /// Writes a row with this text.
+    void put(const std::string& table, const std::string& key,
+        const std::string& text)
+    {
+        rows_[{table, key}] = {encode_base64(text), ++version_, false};
+    }
+
+    void erase(const std::string& table, const std::string& key)
+    {
+        rows_[{table, key}] = {"", ++version_, true};
+    }
+
+private:
+    asio::awaitable<void> handle(const http_request& request,
+        http_connection& peer, const admission& caller)
     {
         if (request.path == "/admin/put")
             co_await peer.answer(put(request.body_json()));
@@ -101,6 +154,11 @@
             down_ = request.body_json().value("down", false);
             co_await peer.answer(json_answer(json::object()));
         }
+        else if (request.path == "/admin/turn_away")
+        {
+            apart_.set_refusal(request.body_json().value("how", ""));
+            co_await peer.answer(json_answer(json::object()));
+        }
         else if (request.path == "/admin/endless")
         {
             endless_ = request.body_json().value("endless", std::string());
@@ -116,25 +174,12 @@
         else if (request.path == "/-/rows-get")
             co_await peer.answer(read(request));
         else if (request.path == "/-/rows-feed")
-            co_await feed(request, peer);
+            co_await feed(request, peer, caller);
         else
             co_await peer.answer(
                 error_answer(404, "not_found", "no such call"));
     }
 
-    /// Writes a row with this text.
-    void put(const std::string& table, const std::string& key,
-        const std::string& text)
-    {
-        rows_[{table, key}] = {encode_base64(text), ++version_, false};
-    }
-
-    void erase(const std::string& table, const std::string& key)
-    {
-        rows_[{table, key}] = {"", ++version_, true};
-    }
-
-private:
     struct row
     {
         std::string value;
@@ -226,24 +271,30 @@
         return out;
     }
 
-    asio::awaitable<void> feed(
-        const http_request& request, http_connection& peer)
+    asio::awaitable<void> feed(const http_request& request,
+        http_connection& peer, const admission& caller)
     {
         const auto table = request.query.at("table");
         const auto after = request.number("after", 0);
         auto left = static_cast<double>(request.number("wait_ms", 0));
         auto found = changes(table, after);
-        for (; found.empty() && left > 0 && !down_; left -= feed_poll_ms)
+        for (; found.empty() && left > 0 && !down_ && caller.admits();
+             left -= feed_poll_ms)
         {
             co_await sleep_ms(feed_poll_ms);
             found = changes(table, after);
         }
-        co_await peer.answer(rows_answer(found));
+        if (caller.admits())
+            co_await peer.answer(rows_answer(found));
+        else
+            co_await caller.refuse(peer);
     }
 
     std::map<row_key, row> rows_;
     std::int64_t version_ = 0;
     bool down_ = false;
+    const admission all_;
+    admission apart_;
     /// Part of the answers that has no end, see send_endless(); empty for none.
     std::string endless_;
 };
@@ -761,6 +812,9 @@
     listen_or_throw(io, "store", listen,
         [store](const http_request& request, http_connection& peer)
         { return store->handle(request, peer); });
+    listen_or_throw(io, "store-apart", "127.0.0.1:0",
+        [store](const http_request& request, http_connection& peer)
+        { return store->handle_apart(request, peer); });
     std::vector<std::unique_ptr<replica>> replicas;
     for (int i = 1; i <= engines; ++i)
         replicas.push_back(
--- a/tests/support/gateway_system.hpp
+++ b/tests/support/gateway_system.hpp
@@ -6,7 +6,9 @@
 #include <fstream>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -53,9 +55,10 @@
 class gateway_system
 {
 public:
-    /// Endpoints write their rows once when `heartbeat_ms` is 0.
-    explicit gateway_system(
-        int count = 2, int engine_count = 2, int heartbeat_ms = 0)
+    /// Endpoints write their rows once when `heartbeat_ms` is 0. The gateways
+    /// in `apart` use the address of the store that turn_away() refers to.
+    explicit gateway_system(int count = 2, int engine_count = 2,
+        int heartbeat_ms = 0, std::set<int> apart = {})
         : platform(process::start_standin("http-platform",
               {"--engines", std::to_string(engine_count), "--heartbeat-ms",
                   std::to_string(heartbeat_ms)})),
@@ -63,6 +66,7 @@
               "proxy", {"--listen", "127.0.0.1:0", "--target",
                            platform->address("store")})),
           ports(static_cast<std::size_t>(count)),
+          gateways_apart(std::move(apart)),
           gateways(static_cast<std::size_t>(count))
     {
         // Gateways overwrite the memory that they free, so that a use of it
@@ -102,7 +106,8 @@
             "store: {{address: '{}'}}\n"
             "bounds: {{stop_s: 4, placement_lease_ms: 500}}\n",
             i, own[0], own[1], own[2], own[3], ports[i == 0 ? 1 : 0][3],
-            store_proxy->address("proxy-0"));
+            gateways_apart.contains(i) ? platform->address("store-apart")
+                                       : store_proxy->address("proxy-0"));
         gateways[i] = process::start_bound(
             "i" + std::to_string(i), "tqgatewayd", {"--settings", file});
     }
@@ -187,10 +192,18 @@
         post(store_proxy->address("admin"), "/admin/routes", change);
     }
 
+    /// Makes the store turn the gateways apart away: "many" (429), "busy"
+    /// (503), "reset", "silent", or empty to serve them again.
+    void turn_away(const std::string& how) const
+    {
+        post(platform->address("store"), "/admin/turn_away", {{"how", how}});
+    }
+
     std::unique_ptr<process> platform;
     std::unique_ptr<process> store_proxy;
     /// Callers, entries, readiness, peers.
     std::vector<std::vector<int>> ports;
+    std::set<int> gateways_apart;
     std::vector<std::unique_ptr<process>> gateways;
     std::atomic<int> requests = 0;
 };
