Give the models of limited engines further replicas

The planner took an engine that takes a part of its usual requests for a whole one, so the other engines that hold a model stayed alone with the rest of its demand. The demand for a model now counts as larger by the part that its limited engines can't serve; replicas at these engines still count, so no model that only they hold replaces another.

--- a/src/dispatch/limit_share.cpp
+++ b/src/dispatch/limit_share.cpp
@@ -13,6 +13,7 @@
 
 /// Requests in 4 s that the platform allows beyond 1.5 times the limit.
 constexpr std::size_t allowed_slack = 5;
+/// Left in a larger fleet, where one holder replaces another.
 constexpr std::size_t free_places = 2;
 /// More holders than instances in the largest fleet change nothing.
 constexpr double max_rate = 100'000;
--- a/src/gateway/placement_agent.cpp
+++ b/src/gateway/placement_agent.cpp
@@ -3,10 +3,13 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <set>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "gateway/limited_engines.hpp"
+
 namespace tarragonquay::gateway
 {
 
@@ -205,6 +208,10 @@
 {
     std::vector<placement::model_view> out;
     const auto add_above = targets_of(service).add_above;
+    std::set<endpoint_id> limited;
+    for (const auto& each : engines)
+        if (ctx_.pool.limited(each.id))
+            limited.insert(each.id);
     for (const auto& model : service.engines->models)
     {
         placement::model_view view;
@@ -220,6 +227,7 @@
             trends_[{service.id, model.id}].forecast(load_s));
         view.tokens_per_second = std::max(view.tokens_per_second,
             engine_time_for_adapters(service, model.id, demand, add_above));
+        view.tokens_per_second *= demand_factor(model.id, engines, limited);
         const bool served = std::any_of(engines.begin(), engines.end(),
             [&](const placement::engine_view& engine)
             {
--- a/src/gateway/placement_inputs_test.cpp
+++ b/src/gateway/placement_inputs_test.cpp
@@ -1,9 +1,11 @@
 #include <algorithm>
+#include <set>
 #include <vector>
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "gateway/demand_trend.hpp"
+#include "gateway/limited_engines.hpp"
 #include "gateway/load_window.hpp"
 #include "gateway/model_demand.hpp"
 
@@ -21,6 +23,7 @@
     CPPUNIT_TEST(rising_demand_is_extrapolated);
     CPPUNIT_TEST(steady_demand_is_not_mistaken_for_a_trend);
     CPPUNIT_TEST(demand_that_has_ended_is_dropped);
+    CPPUNIT_TEST(demand_counts_as_larger_for_models_of_limited_engines);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -102,6 +105,37 @@
         CPPUNIT_ASSERT(tested.rates(now_ + 60s).empty());
     }
 
+    // Guards against a model that gets no further replica although the engines
+    // that hold it take few of its requests.
+    void demand_counts_as_larger_for_models_of_limited_engines()
+    {
+        const auto engine = [](const char* id, bool ready, bool usable)
+        {
+            placement::replica_view replica;
+            replica.model = model_id("m");
+            replica.ready = ready;
+            placement::engine_view out;
+            out.id = endpoint_id(id);
+            out.usable = usable;
+            out.replicas = {replica};
+            return out;
+        };
+        const std::vector<placement::engine_view> engines{
+            engine("e1", true, true), engine("e2", true, true),
+            engine("e3", false, true), engine("e4", true, false)};
+        const auto factor = [&](const std::set<endpoint_id>& limited)
+        { return demand_factor(model_id("m"), engines, limited); };
+        CPPUNIT_ASSERT_EQUAL(1.0, factor({}));
+        CPPUNIT_ASSERT_EQUAL(
+            1.0, factor({endpoint_id("e3"), endpoint_id("e4")}));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(
+            2 / 1.4, factor({endpoint_id("e1")}), 1e-9);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(
+            2.5, factor({endpoint_id("e1"), endpoint_id("e2")}), 1e-9);
+        CPPUNIT_ASSERT_EQUAL(
+            1.0, demand_factor(model_id("other"), engines, {}));
+    }
+
 private:
     static load_limit limit(double rate)
     {
