--- a/src/dispatch/limit_share_test.cpp
+++ b/src/dispatch/limit_share_test.cpp
@@ -21,8 +21,9 @@
 std::vector<instance_id> make_fleet(int size)
 {
     std::vector<instance_id> out;
+    out.reserve(static_cast<std::size_t>(size));
     for (int i = 0; i < size; ++i)
-        out.push_back(instance_id("i" + std::to_string(i)));
+        out.emplace_back("i" + std::to_string(i));
     return out;
 }
 
--- a/standins/http_platform.cpp
+++ b/standins/http_platform.cpp
@@ -293,7 +293,7 @@
     std::map<row_key, row> rows_;
     std::int64_t version_ = 0;
     bool down_ = false;
-    const admission all_;
+    const admission all_{};
     admission apart_;
     /// Part of the answers that has no end, see send_endless(); empty for none.
     std::string endless_;
