Keep following the store while the relay lacks it

A member that followed the store since its relays had no news stopped as soon as its relay was current through it, and began again after another second without news. Changes in between reached no instance for up to 2 s and more.

Such a member now goes on until its relay reaches the store itself.

--- a/src/gateway/peer_receive.cpp
+++ b/src/gateway/peer_receive.cpp
@@ -202,11 +202,14 @@
 void peer_link::update_document_state(const instance_id& from,
     const peer::Gateway_heartbeat& beat, time_point now)
 {
-    const bool from_relay = from == router_.relay();
+    // An instance that follows the store while its relay lacks it goes on: the
+    // relay has its documents from such instances.
+    const bool from_current_relay = from == router_.relay() &&
+                                    beat.documents_current() &&
+                                    (beat.store_reached() || !feeds_working_);
     const bool reports_here = beat.scope() == peer::REPORT_SCOPE_GROUP ||
                               beat.scope() == peer::REPORT_SCOPE_MEMBER;
-    if ((from_relay && beat.documents_current()) ||
-        (reports_here && beat.store_reached()))
+    if (from_current_relay || (reports_here && beat.store_reached()))
         feed_fallback_.note_heard(now);
     const auto own_version = documents_.directory_version();
     if (beat.store_reached())
