Follow the store for a relay until it has an answer of its own

A relay whose own call to the store was still open counted its feed as working again as soon as a member that followed the store in its place was answered. The member took this for the return of the relay and stopped, so that changes reached no instance until the next member began.

The member now goes on until the relay tells an answer to a call of its own that is newer than the member's feed.

--- a/src/gateway/application.ipp
+++ b/src/gateway/application.ipp
@@ -348,10 +348,10 @@
 {
     const bool follows = peers_.follows_store(now);
     peers_.set_directory_unavailable(directory_feed_.failing());
-    peers_.set_feeds_working(follows && ctx_.endpoints_known &&
-                             directory_feed_.working() &&
-                             configuration_feed_.working() &&
-                             documents_.answered_lately(now));
+    peers_.set_feeds_working(
+        follows && ctx_.endpoints_known && directory_feed_.working() &&
+            configuration_feed_.working() && documents_.answered_lately(now),
+        now);
     peer_link::feed_ends ends;
     if (follows)
     {
--- a/src/gateway/feed_fallback.hpp
+++ b/src/gateway/feed_fallback.hpp
@@ -39,6 +39,8 @@
     /// Whether a working feed was heard of so lately that the documents are
     /// current.
     bool current(time_point now) const { return now < current_until_; }
+    /// Whether a working feed was ever heard of.
+    bool heard() const { return current_until_ != time_point(); }
     /// Whether this instance follows the store. An instance that has not heard
     /// of a working feed yet does so at once.
     bool follows(time_point now) const { return now >= follows_from_; }
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -428,6 +428,15 @@
            feed_fallback_.follows(now);
 }
 
+void peer_link::set_feeds_working(bool working, time_point now)
+{
+    feeds_working_ = working;
+    if (!working || router_.acts_as_relay())
+        replaces_relay_since_.reset();
+    else if (!replaces_relay_since_ && feed_fallback_.heard())
+        replaces_relay_since_ = now;
+}
+
 void peer_link::push_changes(
     std::int64_t after, const remote_store::table_changes& changes)
 {
--- a/src/gateway/peer_link.hpp
+++ b/src/gateway/peer_link.hpp
@@ -135,7 +135,7 @@
         on_feed_ends_ = std::move(handler);
     }
     /// Whether the change feeds of this instance work.
-    void set_feeds_working(bool working) { feeds_working_ = working; }
+    void set_feeds_working(bool working, time_point now);
     /// Requests an adapter from the holder of the placement lease.
     void request_adapter(const demanded_model& requested);
     /// While the directory feed fails, the directory is requested from other
@@ -197,6 +197,10 @@
     void update_document_state(const instance_id& from,
         const peer::Gateway_heartbeat& beat, time_point now);
     /// `stalled` is whether the own copy of the directory falls behind.
+    /// Whether the own relay tells that the documents are current, and does not
+    /// know so from this instance alone.
+    bool tells_current_documents(const instance_id& from,
+        const peer::Gateway_heartbeat& beat, time_point now) const;
     void request_documents(const instance_id& from,
         const peer::Gateway_heartbeat& beat, time_point now, bool stalled);
     void receive_documents_request(
@@ -220,6 +224,9 @@
     known_holder holder_;
     bool directory_unavailable_ = false;
     bool feeds_working_ = false;
+    /// Since when the feeds of this instance work in place of those of its
+    /// relay; no value while they do not.
+    std::optional<time_point> replaces_relay_since_;
     feed_ends feed_ends_;
     std::function<void(const instance_id&, const feed_ends&)> on_feed_ends_;
     /// Working change feeds of which the own relay, another one or a member of
--- a/src/gateway/peer_receive.cpp
+++ b/src/gateway/peer_receive.cpp
@@ -202,14 +202,10 @@
 void peer_link::update_document_state(const instance_id& from,
     const peer::Gateway_heartbeat& beat, time_point now)
 {
-    // An instance that follows the store while its relay lacks it goes on: the
-    // relay has its documents from such instances.
-    const bool from_current_relay = from == router_.relay() &&
-                                    beat.documents_current() &&
-                                    (beat.store_reached() || !feeds_working_);
     const bool reports_here = beat.scope() == peer::REPORT_SCOPE_GROUP ||
                               beat.scope() == peer::REPORT_SCOPE_MEMBER;
-    if (from_current_relay || (reports_here && beat.store_reached()))
+    if (tells_current_documents(from, beat, now) ||
+        (reports_here && beat.store_reached()))
         feed_fallback_.note_heard(now);
     const auto own_version = documents_.directory_version();
     if (beat.store_reached())
@@ -227,6 +223,21 @@
     request_documents(from, beat, now, stalled);
 }
 
+// A call of the relay that is still open does not show that the store answers
+// the relay. An instance that follows the store in its place goes on until the
+// relay has got an answer of its own.
+bool peer_link::tells_current_documents(const instance_id& from,
+    const peer::Gateway_heartbeat& beat, time_point now) const
+{
+    if (from != router_.relay() || !beat.documents_current())
+        return false;
+    if (!replaces_relay_since_)
+        return true;
+    return beat.store_reached() && beat.has_directory_answered_ms_ago() &&
+           now - milliseconds(beat.directory_answered_ms_ago()) >
+               *replaces_relay_since_;
+}
+
 void peer_link::request_documents(const instance_id& from,
     const peer::Gateway_heartbeat& beat, time_point now, bool stalled)
 {
