--- a/src/dispatch/endpoint_pool_test.cpp
+++ b/src/dispatch/endpoint_pool_test.cpp
@@ -268,8 +268,8 @@
         pool.pause({endpoint_id("e0"), 1}, now_ + 2s);
         CPPUNIT_ASSERT(!pool.earliest_return(engines, nullptr, now_));
         pool.pause({endpoint_id("e1"), 1}, now_ + 1s);
-        CPPUNIT_ASSERT(
-            pool.earliest_return(engines, nullptr, now_)->at == now_ + 1s);
+        CPPUNIT_ASSERT((pool.earliest_return(engines, nullptr, now_) ==
+                        endpoint_return{now_ + 1s, false}));
         CPPUNIT_ASSERT(!pool.earliest_return(plain, nullptr, now_));
     }
 
