Ask for an adapter elsewhere when its engines have no place

A request for an adapter that only limited or paused engines held was refused at once, before the adapter was asked for, although another engine holds the model and loads the adapter within some milliseconds.

A request now waits as before, unless all engines that hold its model and adapter have no place left of their limits and no other engine that accepts requests holds the model. Pauses count for a refusal only if the whole service is paused, as before.

forwarder_limits_test: two of its four cases failed before, all pass.

--- a/src/gateway/call.hpp
+++ b/src/gateway/call.hpp
@@ -135,8 +135,9 @@
     double retry_after_s;
 };
 
-/// No value unless all endpoints that could serve the request have asked for a
-/// pause or have no place left of the limit that they have named.
+/// No value unless all endpoints of the service have asked for a pause or have
+/// no place left of the limit that they have named, or the engines that hold
+/// the model and the adapter have no place left.
 std::optional<blocked_endpoints> find_blocked(const call& call);
 
 /// Whether an endpoint runs the request, has run it or may have run it. A send
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -152,11 +152,16 @@
 std::optional<blocked_endpoints> find_blocked(const call& call)
 {
     const auto now = std::chrono::steady_clock::now();
-    const auto* prompt = call.request.prompt && call.service->engines
-                             ? &*call.request.prompt
-                             : nullptr;
-    const auto first =
-        call.ctx.pool.earliest_return(call.service->id, prompt, now);
+    const auto& pool = call.ctx.pool;
+    auto first = pool.earliest_return(call.service->id, nullptr, now);
+    if (!first && call.request.prompt && call.service->engines)
+    {
+        first =
+            pool.earliest_return(call.service->id, &*call.request.prompt, now);
+        // Another engine may load the model before a pause ends.
+        if (first && !first->limited)
+            first.reset();
+    }
     if (!first)
         return std::nullopt;
     return blocked_endpoints{
--- a/src/gateway/stream_call.cpp
+++ b/src/gateway/stream_call.cpp
@@ -28,16 +28,31 @@
     return call.route->repeat == routes::repeat_rule::resumable;
 }
 
-// Whether a wait can help a request whose engines accept none now: not if all
-// that hold its model are paused or without a place for longer.
-bool place_comes_by(const call& call, const dispatch::prompt& prompt,
+// Whether another engine than those that hold the adapter accepts requests and
+// could load it.
+bool can_load_adapter(
+    const call& call, const dispatch::prompt& prompt, time_point now)
+{
+    if (prompt.adapter.empty())
+        return false;
+    auto without_adapter = prompt;
+    without_adapter.adapter = {};
+    return call.ctx.pool
+        .choose_engine(call.service->id, without_adapter, {}, now)
+        .has_value();
+}
+
+// Whether no engine will accept the request in time, since those that hold its
+// model and adapter have no place left of the limits that they have named.
+bool waits_in_vain(const call& call, const dispatch::prompt& prompt,
     time_point latest, time_point now)
 {
     const auto& pool = call.ctx.pool;
-    if (!pool.earliest_return(call.service->id, &prompt, now))
-        return true;
+    const auto first = pool.earliest_return(call.service->id, &prompt, now);
+    if (!first || !first->limited || can_load_adapter(call, prompt, now))
+        return false;
     const auto place = pool.earliest_own_place(call.service->id, prompt, now);
-    return place && *place <= latest;
+    return !place || *place > latest;
 }
 
 // Chooses an endpoint; waits if no engine holds the model and the adapter yet.
@@ -69,7 +84,7 @@
             now >= give_up_at ||
             (!state.begun && now >= latest_answer_begin(call)) ||
             call.out.caller_gone() || ctx.interrupted ||
-            !place_comes_by(call, prompt, began + target, now))
+            waits_in_vain(call, prompt, began + target, now))
             co_return chosen;
         if (!prompt.adapter.empty())
             ctx.request_adapter(call.service->id, prompt.model, prompt.adapter);
