--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -71,10 +71,9 @@
                 {"max_connections", 360}, {"protocol", "h1"}, {"tls", false},
                 {"engine",
                     {{"slots", 64}, {"kv_capacity", 265689},
-                        {"models",
-                            {{{"name", "model-a"}, {"weights_mb", 72700.0},
-                                {"load_s", 4.2}, {"adapters", 0},
-                                {"adapter_mb", 66.0}}}},
+                        {"models", {{{"name", "model-a"},
+                                       {"weights_mb", 72700.0}, {"load_s", 4.2},
+                                       {"adapters", 0}, {"adapter_mb", 66.0}}}},
                         {"weights_mb", 200000.0}, {"adapter_slots", 5},
                         {"loads_per_s", 1.4}}}}}},
         {"limits",
@@ -220,8 +219,8 @@
                     }
                     // Those of the machines that the case kills are excused.
                     const bool survivor = at == 2 || !kit::trouble();
-                    const bool closed = got.status == 0 && ran && survivor &&
-                                        !planned;
+                    const bool closed =
+                        got.status == 0 && ran && survivor && !planned;
                     ++(closed ? seen.lost : seen.other);
                     if (survivor)
                         record.line("request ", id, " at ",
--- a/review/crashing_replica.hpp
+++ b/review/crashing_replica.hpp
@@ -54,8 +54,8 @@
     {
         if (!holds_)
             return json::array();
-        return {{{"name", "model-a"}, {"version", 1},
-            {"adapters", json::array()}}};
+        return {
+            {{"name", "model-a"}, {"version", 1}, {"adapters", json::array()}}};
     }
 
     void publish()
@@ -64,9 +64,9 @@
             {{"service", "desk"},
                 {"address", "127.0.0.1:" + std::to_string(port_)},
                 {"zone", "zone-a"}, {"version", "v1"}, {"slots", 64},
-                {"state", "ready"}, {"cold_remaining_ms", 0},
-                {"stage", "both"}, {"models", held()},
-                {"born", born_.load()}, {"sequence", ++beats_}});
+                {"state", "ready"}, {"cold_remaining_ms", 0}, {"stage", "both"},
+                {"models", held()}, {"born", born_.load()},
+                {"sequence", ++beats_}});
     }
 
     bool handle(kit::channel& peer, const kit::message& request)
@@ -82,8 +82,7 @@
                                     {"on_disk", {"model-a"}}}}});
         const auto expected = request.field("expect-instance");
         if (!expected.empty() && expected != id_)
-            return peer.send(
-                kit::answer_text(421, {{"Instance-Id", id_}}, ""));
+            return peer.send(kit::answer_text(421, {{"Instance-Id", id_}}, ""));
         if (request.path() == "/-/order")
             return order(peer, json::parse(request.body));
         return run(peer, request);
@@ -94,8 +93,8 @@
         int status = 202;
         if (!body.contains("holder") || !body.contains("fence"))
             status = 400;
-        else if (loading_ || body.value("if_revision", sequence_.load()) !=
-                                 sequence_)
+        else if (loading_ ||
+                 body.value("if_revision", sequence_.load()) != sequence_)
             status = 409;
         else if (body.value("op", std::string()) == "load")
         {
@@ -129,8 +128,8 @@
     bool run(kit::channel& peer, const kit::message& request)
     {
         const auto id = request.field("request-id");
-        const bool bad = request.field("prompt-prefix").find(bad_part) !=
-                         std::string::npos;
+        const bool bad =
+            request.field("prompt-prefix").find(bad_part) != std::string::npos;
         if (bad)
         {
             const std::lock_guard hold(lock);
@@ -220,11 +219,10 @@
                 {"max_connections", 360}, {"protocol", "h1"}, {"tls", false},
                 {"engine",
                     {{"slots", 64}, {"kv_capacity", 265689},
-                        {"models",
-                            {{{"name", "model-a"}, {"weights_mb", 72700.0},
-                                {"load_s", 4.2}, {"adapters", 0},
-                                {"adapter_mb", 66.0}, {"warm_s", 0.63},
-                                {"disk_s", 0.84}}}},
+                        {"models", {{{"name", "model-a"},
+                                       {"weights_mb", 72700.0}, {"load_s", 4.2},
+                                       {"adapters", 0}, {"adapter_mb", 66.0},
+                                       {"warm_s", 0.63}, {"disk_s", 0.84}}}},
                         {"weights_mb", 200000.0}, {"adapter_slots", 5},
                         {"loads_per_s", 1.4}}}}}},
         {"limits",
--- a/review/kit-2.hpp
+++ b/review/kit-2.hpp
@@ -123,8 +123,8 @@
         std::size_t sent = 0;
         while (sent < bytes.size())
         {
-            const auto count = ::send(fd_, bytes.data() + sent,
-                bytes.size() - sent, MSG_NOSIGNAL);
+            const auto count = ::send(
+                fd_, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
             if (count <= 0)
                 return false;
             sent += static_cast<std::size_t>(count);
@@ -189,7 +189,8 @@
 inline std::string lower(std::string text)
 {
     for (auto& each : text)
-        each = static_cast<char>(std::tolower(static_cast<unsigned char>(each)));
+        each =
+            static_cast<char>(std::tolower(static_cast<unsigned char>(each)));
     return text;
 }
 
@@ -272,8 +273,8 @@
     return true;
 }
 
-inline bool read_count(channel& from, std::string& out, std::size_t count,
-    clock::time_point until)
+inline bool read_count(
+    channel& from, std::string& out, std::size_t count, clock::time_point until)
 {
     while (from.buffer.size() < count)
         if (!from.fill(until))
@@ -353,10 +354,7 @@
     }
 
     int port() const { return port_; }
-    std::string address() const
-    {
-        return "127.0.0.1:" + std::to_string(port_);
-    }
+    std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
 
     // How a connection reads: bytes in each step, and the pause after it.
     std::atomic<int> step_bytes = 65536;
@@ -449,10 +447,10 @@
     {
         std::uint32_t group = 0;
         for (std::size_t k = 0; k < 3; ++k)
-            group = group << 8U |
-                    (i + k < bytes.size()
-                            ? static_cast<unsigned char>(bytes[i + k])
-                            : 0U);
+            group =
+                group << 8U |
+                (i + k < bytes.size() ? static_cast<unsigned char>(bytes[i + k])
+                                      : 0U);
         for (std::size_t k = 0; k < 4; ++k)
             out += i + k > bytes.size() ? '='
                                         : digits[group >> (18 - 6 * k) & 63U];
@@ -470,7 +468,8 @@
             { return handle(peer, request); });
     }
 
-    void put(const std::string& table, const std::string& key, const json& value)
+    void put(
+        const std::string& table, const std::string& key, const json& value)
     {
         const std::lock_guard hold(lock_);
         rows_[{table, key}] = {encode_base64(value.dump()), ++version_, false};
@@ -548,8 +547,8 @@
         std::unique_lock hold(lock_);
         const auto table = request.query("table");
         const auto after = std::stoll(request.query("after"));
-        const auto until = clock::now() +
-                           milliseconds(std::stoll(request.query("wait_ms")));
+        const auto until =
+            clock::now() + milliseconds(std::stoll(request.query("wait_ms")));
         while (true)
         {
             std::map<std::int64_t, json> ordered;
@@ -678,10 +677,11 @@
         std::ofstream(file_)
             << "instance: \"" << name_ << "\"\n"
             << "availability_zone: \"zone-a\"\nregion: \"region-a\"\n"
-            << "listen:\n  callers: " << at(callers) << "\n  readiness: "
-            << at(readiness) << "\n  entries: " << at(entries)
-            << "\n  peers: " << at(peers) << "\n  metrics: " << at(metrics)
-            << "\nseeds: [" << at(seed_port == 0 ? peers : seed_port) << "]\n"
+            << "listen:\n  callers: " << at(callers)
+            << "\n  readiness: " << at(readiness)
+            << "\n  entries: " << at(entries) << "\n  peers: " << at(peers)
+            << "\n  metrics: " << at(metrics) << "\nseeds: ["
+            << at(seed_port == 0 ? peers : seed_port) << "]\n"
             << "processor_share: 0.25\nstore: {address: \"" << store_address
             << "\"}\nbounds:\n  stop_s: 8\n  entries_keep_s: 5\n"
             << "  placement_lease_ms: 3000\n  endpoint_heartbeat_ms: 1200\n"
@@ -698,7 +698,8 @@
         if (pid_ != 0)
             return;
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-        const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+        const int out =
+            ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(out, 1);
         ::dup2(out, 2);
         ::execl("target/bin/tqgatewayd", "target/bin/tqgatewayd", "--settings",
@@ -814,7 +815,7 @@
     record.line(result == held     ? "the rule held"
                 : result == broken ? "the rule is broken"
                                    : "the case could not run");
-    std::cout << (result == held     ? "held"
+    std::cout << (result == held        ? "held"
                      : result == broken ? "broken"
                                         : "could not run")
               << std::endl;
