--- a/review/kit-2.hpp
+++ b/review/kit-2.hpp
@@ -747,6 +747,21 @@
         pid_ = -1;
     }
 
+    // A field of the latest event of this kind in the log; empty without one.
+    std::string last_logged(
+        const std::string& event, const std::string& field) const
+    {
+        std::ifstream in(folder_ + "/" + name_ + ".log");
+        std::string out;
+        for (std::string line; std::getline(in, line);)
+        {
+            const auto parsed = json::parse(line, nullptr, false);
+            if (parsed.is_object() && parsed.value("event", "") == event)
+                out = parsed.value(field, "");
+        }
+        return out;
+    }
+
     bool running()
     {
         return pid_ > 0 && ::waitpid(pid_, nullptr, WNOHANG) == 0;
