--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,6 +1,6 @@
-// Rule BUDGET (news of the pages, letter 4): how many requests with a part that
-// crashes replicas reach replicas, when such requests come at several machines
-// at the same time?
+// Rule BUDGET (news of the pages, letter 4): does every machine know which part
+// crashes replicas, after the fleet has shrunk and some machines have started
+// again?
 #include "crashing_replica.hpp"
 
 namespace
@@ -8,16 +8,55 @@
 
 using namespace crashing;
 
-constexpr int machines = 7;
+/// The machines of the sheet and its spares.
+constexpr int machines = 10;
+constexpr int removed = 2;
+constexpr int restarted = 4;
 constexpr int replicas = 12;
-constexpr int waves = 4;
-constexpr std::int64_t wave_interval_ms = 4'000;
-/// Between the requests of a wave, one to each machine.
-constexpr std::int64_t caller_interval_ms = 20;
+constexpr int pairs = 4;
+constexpr std::int64_t pair_interval_ms = 4'000;
 
 std::atomic<int> sound_answered = 0;
 std::atomic<int> sound_lost = 0;
 
+// Stops gateways with SIGTERM and waits for their ends.
+bool stop(const std::vector<kit::gateway*>& all)
+{
+    for (auto* each : all)
+        each->signal(SIGTERM);
+    for (const auto until = kit::now_ms() + 9'000; kit::now_ms() < until;)
+    {
+        bool running = false;
+        for (auto* each : all)
+            running = each->running() || running;
+        if (!running)
+            return true;
+        kit::sleep_ms(50);
+    }
+    return false;
+}
+
+void ask_pair(std::vector<std::thread>& callers,
+    const std::vector<kit::gateway*>& at, int number)
+{
+    record.line("pair ", number);
+    for (int i = 0; i < 2; ++i)
+        callers.emplace_back(
+            [=]
+            {
+                const auto* to =
+                    at[static_cast<std::size_t>(2 * number + i) % at.size()];
+                const auto id =
+                    "9" + std::to_string(10 + number) + std::to_string(10 + i);
+                const auto got = ask(to->callers, id,
+                    "a1:2520," + bad_part + ":500,c" +
+                        std::to_string(10 + (i * 5 + number) % 30) + ":3280,e" +
+                        id + ":2890");
+                record.line("request ", id, " of pair ", number, " at ",
+                    to->name(), ": ", got.how);
+            });
+}
+
 int play()
 {
     const kit::temporary_folder folder;
@@ -35,55 +74,71 @@
     for (const auto& each : gateways)
         if (!each->wait_ready(15'000))
             return kit::could_not_run;
-    kit::sleep_ms(4'000);
+    kit::sleep_ms(5'000);
 
-    // Two sound callers at each machine, which share the first part and the
-    // subjects with the others.
-    const auto end = kit::now_ms() + 6'000 + waves * wave_interval_ms;
+    // The gateway that passes the others' reports on is neither removed nor
+    // started again.
+    const auto relay = gateways[0]->last_logged("relay_chosen", "relay");
+    record.line("relay: ", relay);
+    if (relay.empty())
+        return kit::could_not_run;
+    std::vector<kit::gateway*> leaving;
+    std::vector<kit::gateway*> starting;
+    std::vector<kit::gateway*> staying;
+    for (const auto& each : gateways)
+        if (each->name() == relay)
+            staying.push_back(each.get());
+        else if (leaving.size() < removed)
+            leaving.push_back(each.get());
+        else if (starting.size() < restarted)
+            starting.push_back(each.get());
+        else
+            staying.push_back(each.get());
+    if (kit::trouble())
+    {
+        record.line("2 machines leave (SIGTERM)");
+        if (!stop(leaving))
+            return kit::could_not_run;
+        kit::sleep_ms(4'000);
+        record.line("4 machines are stopped (SIGTERM) and started again");
+        if (!stop(starting))
+            return kit::could_not_run;
+        for (auto* each : starting)
+            each->start();
+        for (auto* each : starting)
+            if (!each->wait_ready(15'000))
+                return kit::could_not_run;
+    }
+    // All machines are in touch from here on.
+    kit::sleep_ms(contact_ms + 2'000);
+
+    const auto end = kit::now_ms() + 2'000 + 2 * pairs * pair_interval_ms;
     std::vector<std::thread> callers;
-    for (int i = 0; i < 2 * machines; ++i)
+    for (std::size_t i = 0; i < staying.size(); ++i)
         callers.emplace_back(
             [&, i]
             {
                 for (int n = 0; kit::now_ms() < end; ++n)
                 {
-                    const auto id =
-                        "5" + std::to_string(100 + i) + std::to_string(100 + n);
-                    const auto got = ask(gateways[i % machines]->callers, id,
-                        "a1:2520,c" + std::to_string(10 + (i + n) % 30) +
+                    const auto number = static_cast<int>(i);
+                    const auto id = "5" + std::to_string(100 + number) +
+                                    std::to_string(100 + n);
+                    const auto got = ask(staying[i]->callers, id,
+                        "a1:2520,c" + std::to_string(10 + (number + n) % 30) +
                             ":3780,e" + id + ":2890");
                     if (got.status == 200)
                         ++sound_answered;
-                    else if (got.status == 0)
+                    else if (got.status == 0 && got.head.start.size() > 1)
                         ++sound_lost;
                     kit::sleep_ms(200);
                 }
             });
-    kit::sleep_ms(4'000);
-    // A caller sends one request to each machine, 20 ms apart, and again after
-    // each interval.
-    for (int wave = 0; wave < waves; ++wave)
+    kit::sleep_ms(1'000);
+    // Pairs at machines that were not stopped, then at those that were.
+    for (int pair = 1; pair <= 2 * pairs; ++pair)
     {
-        const auto next = kit::now_ms() + wave_interval_ms;
-        record.line("wave ", wave + 1);
-        for (int i = 0; i < machines; ++i)
-        {
-            callers.emplace_back(
-                [&, i, wave]
-                {
-                    const auto id = "9" + std::to_string(10 + wave) +
-                                    std::to_string(10 + i);
-                    const auto parts =
-                        (kit::trouble() ? "a1:2520," + bad_part + ":500,"
-                                        : std::string("a1:2520,b7:500,")) +
-                        "c" + std::to_string(10 + (i * 5 + wave) % 30) +
-                        ":3280,e" + id + ":2890";
-                    const auto got = ask(gateways[i]->callers, id, parts);
-                    record.line("request ", id, " of wave ", wave + 1, " at ",
-                        gateways[i]->name(), ": ", got.how);
-                });
-            kit::sleep_ms(caller_interval_ms);
-        }
+        const auto next = kit::now_ms() + pair_interval_ms;
+        ask_pair(callers, pair <= pairs ? staying : starting, pair);
         while (kit::now_ms() < next)
             kit::sleep_ms(5);
     }
@@ -91,7 +146,7 @@
         each.join();
     const auto late = late_arrivals();
     record.line("sound requests: ", sound_answered.load(), " answered, ",
-        sound_lost.load(), " ended without a whole answer");
+        sound_lost.load(), " ended inside their answer");
     return late > allowed ? kit::broken : kit::held;
 }
 
--- a/review/crashing_replica.hpp
+++ b/review/crashing_replica.hpp
@@ -1,4 +1,4 @@
-// Replicas of a model that a part of a prompt crashes, for cases 8 and 10.
+// Replicas of a model that a part of a prompt crashes, for cases 6 to 8.
 #pragma once
 
 #include "kit-2.hpp"
