Close the port of a crashing replica before its connections

Scripts that ran side by side took each other's ports. Change: the stand-in closes its port first; ports come from a range of each process.

--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -78,7 +78,10 @@
 
     // The gateway that passes the others' reports on is neither removed nor
     // started again.
-    const auto relay = gateways[0]->last_logged("relay_chosen", "relay");
+    std::string relay;
+    for (const auto until = kit::now_ms() + 10'000;
+         relay.empty() && kit::now_ms() < until; kit::sleep_ms(200))
+        relay = gateways[0]->last_logged("relay_chosen", "relay");
     record.line("relay: ", relay);
     if (relay.empty())
         return kit::could_not_run;
--- a/review/crashing_replica.hpp
+++ b/review/crashing_replica.hpp
@@ -174,10 +174,12 @@
             crashes.push_back(kit::now_ms());
             record.line(id_, " crashes, number ", crashes.size());
         }
+        // The port is closed before the connections, as at the end of a
+        // process: a caller that sees its connection end finds no listener.
+        servers_.back()->stop();
         std::thread(
             [this]
             {
-                servers_.back()->stop();
                 kit::sleep_ms(down_ms);
                 sequence_ = 0;
                 holds_ = false;
--- a/review/kit-2.hpp
+++ b/review/kit-2.hpp
@@ -597,17 +597,26 @@
     server server_;
 };
 
+// A port below those that the kernel gives to connections, so that none takes
+// it before the process that is to listen there. Scripts that run at the same
+// time use different ranges.
 inline int free_port()
 {
-    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(at);
-    ::bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof(at));
-    ::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
-    ::close(fd);
-    return ntohs(at.sin_port);
+    static int next = 12'000 + static_cast<int>(::getpid() % 100) * 200;
+    while (true)
+    {
+        const int port = next++;
+        const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_port = htons(static_cast<std::uint16_t>(port));
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const bool free =
+            ::bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof(at)) == 0;
+        ::close(fd);
+        if (free)
+            return port;
+    }
 }
 
 struct reply
