--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -19,20 +19,14 @@
 std::atomic<int> sound_answered = 0;
 std::atomic<int> sound_lost = 0;
 
-// Stops gateways with SIGTERM and waits for their ends.
-bool stop(const std::vector<kit::gateway*>& all)
+// Stops a gateway with SIGTERM and waits for its end.
+bool stop(kit::gateway& one)
 {
-    for (auto* each : all)
-        each->signal(SIGTERM);
-    for (const auto until = kit::now_ms() + 9'000; kit::now_ms() < until;)
-    {
-        bool running = false;
-        for (auto* each : all)
-            running = each->running() || running;
-        if (!running)
+    one.signal(SIGTERM);
+    for (const auto until = kit::now_ms() + 9'000; kit::now_ms() < until;
+         kit::sleep_ms(50))
+        if (!one.running())
             return true;
-        kit::sleep_ms(50);
-    }
     return false;
 }
 
@@ -99,18 +93,24 @@
             staying.push_back(each.get());
     if (kit::trouble())
     {
-        record.line("2 machines leave (SIGTERM)");
-        if (!stop(leaving))
-            return kit::could_not_run;
+        // One machine at a time, as roll_term does.
+        for (auto* each : leaving)
+        {
+            record.line(each->name(), " leaves (SIGTERM)");
+            if (!stop(*each))
+                return kit::could_not_run;
+        }
         kit::sleep_ms(4'000);
-        record.line("4 machines are stopped (SIGTERM) and started again");
-        if (!stop(starting))
-            return kit::could_not_run;
         for (auto* each : starting)
+        {
+            record.line(
+                each->name(), " is stopped (SIGTERM) and started again");
+            if (!stop(*each))
+                return kit::could_not_run;
             each->start();
-        for (auto* each : starting)
             if (!each->wait_ready(15'000))
                 return kit::could_not_run;
+        }
     }
     // All machines are in touch from here on.
     kit::sleep_ms(contact_ms + 2'000);
